--- /dev/null
+++ b/src/catalog/specs.rs
@@ -0,0 +1,168 @@
+//! The values of published objects, with references by name.
+//!
+//! A spec is what a change ticket carries. References to objects that are not published (yet) are
+//! resolved when a [`Catalog`](super::Catalog) is built, so a ticket is judged by itself alone.
+
+use std::net::SocketAddr;
+
+use super::EndpointKind;
+use super::EndpointRole;
+use super::Name;
+use super::Repeatability;
+use super::RouteKind;
+use super::WorkClass;
+
+/// The value of one published object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ObjectSpec {
+    /// A region with its availability zones.
+    Region(RegionSpec),
+    /// An entry VM.
+    Vm(VmSpec),
+    /// A client account.
+    ClientAccount(ClientAccountSpec),
+    /// A caller's key; the object's name is the digest in hexadecimal.
+    ApiKey(ApiKeySpec),
+    /// A route.
+    Route(RouteSpec),
+    /// An endpoint.
+    Endpoint(EndpointSpec),
+    /// A placement rule.
+    PlacementRule(PlacementRuleSpec),
+}
+
+/// Whether a VM or an endpoint takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ServiceState {
+    /// New work is welcome.
+    Active,
+    /// Running work is finished; nothing new is given.
+    Leaving,
+}
+
+/// The value of a region.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegionSpec {
+    /// The names of the availability zones.
+    pub availability_zones: Vec<Name>,
+    /// The links to other regions.
+    pub links: Vec<LinkSpec>,
+}
+
+/// The value of a wide-area link.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkSpec {
+    /// The region at the far end.
+    pub to: Name,
+    /// The one-way latency, in microseconds.
+    pub one_way_us: u64,
+    /// The bandwidth in each direction, in bits per second.
+    pub bandwidth_bits_per_s: u64,
+}
+
+/// The value of an entry VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmSpec {
+    /// The region.
+    pub region: Name,
+    /// The availability zone.
+    pub availability_zone: Name,
+    /// The address for callers.
+    pub caller_address: SocketAddr,
+    /// The address for other VMs.
+    pub peer_address: SocketAddr,
+    /// The address for operators.
+    pub operator_address: SocketAddr,
+    /// Whether the VM takes new work.
+    pub state: ServiceState,
+}
+
+/// The value of a client account.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClientAccountSpec {
+    /// The regions in which requests may run.
+    pub allowed_regions: Vec<Name>,
+    /// The rate over all VMs together, in tokens per second.
+    pub rate_tokens_per_s: u64,
+    /// The burst over all VMs together, in tokens.
+    pub burst_tokens: u64,
+    /// The weight in fair scheduling.
+    pub weight: u32,
+    /// The split of rate and burst over regions; empty means equal parts.
+    pub region_shares: Vec<RegionShareSpec>,
+}
+
+/// The part of an account's rate and burst that a region accrues.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegionShareSpec {
+    /// The region.
+    pub region: Name,
+    /// The weight relative to the other shares.
+    pub weight: u32,
+}
+
+/// The value of a caller's key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApiKeySpec {
+    /// The client account that the key belongs to.
+    pub client_account: Name,
+}
+
+/// The value of a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteSpec {
+    /// What the route leads to.
+    pub kind: RouteKind,
+    /// Whether callers need no key.
+    pub is_open: bool,
+    /// The class of work.
+    pub class: WorkClass,
+    /// Whether a call may be sent again.
+    pub repeatability: Repeatability,
+    /// The longest time from admission to the whole answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// The longest time to the first event, in milliseconds.
+    pub first_event_timeout_ms: u64,
+    /// The longest time between two events, in milliseconds.
+    pub silence_timeout_ms: u64,
+    /// The longest answer, in tokens.
+    pub answer_max_tokens: u64,
+    /// The tokens that one call of a plain service costs.
+    pub call_cost_tokens: u64,
+}
+
+/// The value of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointSpec {
+    /// Whether it is a model engine or a plain service.
+    pub kind: EndpointKind,
+    /// The role of a model engine.
+    pub role: EndpointRole,
+    /// The HTTP address.
+    pub address: SocketAddr,
+    /// The region.
+    pub region: Name,
+    /// The availability zone.
+    pub availability_zone: Name,
+    /// The routes that it serves.
+    pub routes: Vec<Name>,
+    /// Whether it takes new work.
+    pub state: ServiceState,
+    /// The number of requests that it runs at once.
+    pub concurrency: u32,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+}
+
+/// The value of a placement rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementRuleSpec {
+    /// The route of the model.
+    pub route: Name,
+    /// The region.
+    pub region: Name,
+    /// The version of the model.
+    pub version: Name,
+    /// The wanted number of engines.
+    pub engine_count: u32,
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,5 @@
+//! The command line.
+
+mod run;
+
+pub use run::run;
--- /dev/null
+++ b/src/clock/system_clock.rs
@@ -0,0 +1,44 @@
+//! The clock of the operating system.
+
+use std::time::Instant;
+use std::time::SystemTime;
+
+use super::Clock;
+use super::Monotonic;
+use super::WallTime;
+
+/// Reads the clocks of the operating system.
+#[derive(Debug)]
+pub struct SystemClock {
+    start: Instant,
+}
+
+impl SystemClock {
+    /// Creates a clock whose monotonic time starts now.
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Monotonic {
+        Monotonic::ZERO + self.start.elapsed()
+    }
+
+    fn wall_time(&self) -> WallTime {
+        let elapsed = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        WallTime {
+            unix_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/src/configuration/message.rs
@@ -0,0 +1,5 @@
+//! Messages between VMs about change tickets.
+
+/// A message between VMs about change tickets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfigurationMessage {}
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,1 @@
+//! A whole deployment of stand-ins and VMs in one process.
--- /dev/null
+++ b/src/idempotency/mod.rs
@@ -0,0 +1,5 @@
+//! Records that keep a non-idempotent call from running twice.
+
+mod message;
+
+pub use message::IdempotencyMessage;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,30 @@
+//! A multi-region inference gateway.
+//!
+//! The crate holds one daemon and its tools. Decisions (configuration merge, membership, limits,
+//! routing, queueing, retries, idempotency) are pure: they take the present time and a seeded
+//! random source as arguments and return actions. Controllers publish their results on the
+//! [`vm::Blackboard`], and the edges translate wire types into domain types and back.
+
+pub mod audit;
+pub mod caller;
+pub mod catalog;
+pub mod cli;
+pub mod clock;
+pub mod configuration;
+pub mod demo;
+pub mod endpoint;
+pub mod errors;
+pub mod idempotency;
+pub mod limits;
+pub mod membership;
+pub mod operator;
+pub mod peer;
+pub mod platform;
+pub mod queueing;
+pub mod request;
+pub mod retry;
+pub mod routing;
+pub mod settings;
+pub mod stand_in;
+pub mod telemetry;
+pub mod vm;
--- /dev/null
+++ b/src/limits/mod.rs
@@ -0,0 +1,5 @@
+//! Rate and burst of client accounts over all VMs together.
+
+mod message;
+
+pub use message::LimitsMessage;
--- /dev/null
+++ b/src/membership/rendezvous.rs
@@ -0,0 +1,28 @@
+//! Rendezvous (highest random weight) hashing, after Thaler and Ravishankar (1998).
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::catalog::Catalog;
+use crate::catalog::Name;
+use crate::catalog::VmKey;
+
+/// Returns the weight of a node for the duty that `duty_hash` names; every VM computes the same.
+pub fn rendezvous_score(duty_hash: u64, node: &Name) -> u64 {
+    xxh3_64_with_seed(node.as_str().as_bytes(), duty_hash)
+}
+
+/// Orders `candidates` by their weight for a duty, highest first.
+pub fn rank_vms(
+    catalog: &Catalog,
+    duty_hash: u64,
+    candidates: impl Iterator<Item = VmKey>,
+) -> Vec<VmKey> {
+    let mut ranked: Vec<(u64, VmKey)> = candidates
+        .filter_map(|key| {
+            let vm = catalog.vms.get(key)?;
+            Some((rendezvous_score(duty_hash, &vm.name), key))
+        })
+        .collect();
+    ranked.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+    ranked.into_iter().map(|(_, key)| key).collect()
+}
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' page, its JSON form and the explanation of single requests.
--- /dev/null
+++ b/src/peer/peer_message.rs
@@ -0,0 +1,19 @@
+//! Control messages between VMs.
+
+use crate::configuration::ConfigurationMessage;
+use crate::idempotency::IdempotencyMessage;
+use crate::limits::LimitsMessage;
+use crate::membership::MembershipMessage;
+
+/// A control message between VMs; one-way, and it may be lost, doubled or late.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerMessage {
+    /// Heartbeats.
+    Membership(MembershipMessage),
+    /// Change tickets and their digests.
+    Configuration(ConfigurationMessage),
+    /// Token grants.
+    Limits(LimitsMessage),
+    /// Records of non-idempotent calls.
+    Idempotency(IdempotencyMessage),
+}
--- /dev/null
+++ b/src/queueing/mod.rs
@@ -0,0 +1,1 @@
+//! Bounded queues and fair scheduling over client accounts.
--- /dev/null
+++ b/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retry decisions and retry budgets.
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! The choice of region, VM and endpoint for a request.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! The settings of a daemon, read from TOML and checked before use.
--- /dev/null
+++ b/src/stand_in/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, model engines and plain services.
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Counters, histograms and their export.
--- /dev/null
+++ b/tests/behaviour/caller/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the `caller` behaviour.
+
+mod error_table;
--- /dev/null
+++ b/tests/behaviour/sessions/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the `sessions` behaviour.
--- /dev/null
+++ b/tests/behaviour/vm/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the `vm` behaviour.
