Add change tickets, their merge and propagation, settings and the platform client

Cause: nothing read, checked, merged or passed on the published configuration. Change: checked tickets from JSON, a store that merges by version (ticket, then content hash, tombstone highest), a pure controller with boot, gossip, watch and poll, the Cap'n Proto form of its messages, the audit trail, settings from TOML and the platform over HTTP.

--- a/src/audit/mod.rs
+++ b/src/audit/mod.rs
@@ -1,1 +1,11 @@
 //! The audit trail of configuration changes and of changes that the system makes by itself.
+
+mod event;
+mod trail;
+mod wire;
+
+pub use event::AuditEvent;
+pub use trail::AuditEntry;
+pub use trail::AuditTrail;
+pub use wire::AuditEntryWire;
+pub use wire::AuditTrailWire;
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -1,9 +1,70 @@
 //! Change tickets, their merge and their propagation.
+//!
+//! The state of a VM is a map from object to its highest version. Few VMs of a region read the
+//! configuration service; the others learn of changes from their peers.
 
+mod action;
+mod boot;
+mod controller;
+mod digest;
+mod field_check;
+mod gossip;
 mod message;
-
+mod object_id;
+mod object_record;
+mod peer_choice;
 mod raw_ticket;
+mod read_slot;
+mod refusals;
+mod roster_overlay;
+mod service_cursor;
+mod service_reader;
+mod settings;
+mod spec_check;
+mod spec_render;
+mod spec_text;
+mod spec_wire;
+mod store;
+mod ticket;
+mod ticket_error;
+mod ticket_intake;
+mod version;
+mod vm_identity;
+mod wire;
 
-pub use raw_ticket::RawTicket;
-
+pub use action::ConfigurationAction;
+pub use action::ReadKind;
+pub use action::ServiceRead;
+pub use boot::BootOutcome;
+pub use controller::ConfigurationController;
+pub use digest::BucketIndex;
+pub use digest::BucketVersions;
+pub use digest::ObjectVersion;
+pub use digest::RootDigest;
+pub use digest::StoreDigest;
+pub use digest::BUCKET_COUNT;
 pub use message::ConfigurationMessage;
+pub use message::ReplyMode;
+pub use message::SenderPhase;
+pub use message::Summary;
+pub use message::OBJECTS_MAX_BYTES;
+pub use message::VERSIONS_MAX;
+pub use message::WANTED_MAX;
+pub use object_id::ObjectHash;
+pub use object_id::ObjectId;
+pub use object_id::ObjectKind;
+pub use object_record::ObjectRecord;
+pub use raw_ticket::RawTicket;
+pub use refusals::Refusals;
+pub use refusals::RefusedTicket;
+pub use settings::ConfigurationSettings;
+pub use spec_text::SpecText;
+pub use store::ConfigurationStore;
+pub use store::MergeOutcome;
+pub use ticket::Ticket;
+pub use ticket::TICKET_MAX_BYTES;
+pub use ticket_error::FieldError;
+pub use ticket_error::TicketError;
+pub use version::ContentHash;
+pub use version::Version;
+pub use vm_identity::VmIdentity;
--- /dev/null
+++ b/src/settings/error.rs
@@ -0,0 +1,38 @@
+//! Why settings are refused.
+
+use thiserror::Error;
+
+/// Why settings are refused.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("{file}: {reason}")]
+    Unreadable {
+        /// The file.
+        file: String,
+        /// What went wrong.
+        reason: String,
+    },
+    /// A field has a value that is not accepted.
+    #[error("{file}:{line}: {field}: {problem}")]
+    Field {
+        /// The file.
+        file: String,
+        /// The line, counted from 1.
+        line: usize,
+        /// The path of the field.
+        field: String,
+        /// What was expected, and what was found.
+        problem: String,
+    },
+    /// The file with the peer secret is not accepted.
+    #[error("{file}: expected a peer secret of at least {min_bytes} bytes, got {found_bytes}")]
+    ShortSecret {
+        /// The file.
+        file: String,
+        /// The shortest accepted secret, in bytes.
+        min_bytes: usize,
+        /// The length of the secret, in bytes.
+        found_bytes: usize,
+    },
+}
