Prove the merge, the propagation and the boot in virtual time; add the platform stand-in

Cause: the propagation had no tests and no platform to run against. Change: a fleet of controllers in virtual time (loss, doubling, reordering, cuts, restarts, pauses), quickcheck of the semilattice laws, tables of refused tickets, and the HTTP platform stand-in with faults at run time. Excluded: the stand-in has no tests yet.

--- a/src/configuration/controller.rs
+++ b/src/configuration/controller.rs
@@ -321,7 +321,6 @@
         rng: &mut impl Rng,
         out: &mut Vec<ConfigurationAction>,
     ) {
-        let summary = self.summary(ReplyMode::Wanted);
         let Phase::Booting(boot) = &mut self.phase else {
             return;
         };
@@ -329,7 +328,9 @@
             return;
         }
         let candidates = peers.for_boot(BOOT_PEERS_MAX, rng);
-        for to in boot.ask(now, candidates.into_iter()) {
+        let asked = boot.ask(now, candidates.into_iter());
+        let summary = self.summary(ReplyMode::Wanted);
+        for to in asked {
             let message = ConfigurationMessage::Summary(summary);
             out.push(ConfigurationAction::Send { to, message });
         }
--- a/src/configuration/ticket_error.rs
+++ b/src/configuration/ticket_error.rs
@@ -70,10 +70,12 @@
     }
 }
 
-impl<E: std::fmt::Display> From<serde_path_to_error::Error<E>> for FieldError {
-    fn from(error: serde_path_to_error::Error<E>) -> Self {
+impl From<serde_path_to_error::Error<serde_json::Error>> for FieldError {
+    fn from(error: serde_path_to_error::Error<serde_json::Error>) -> Self {
+        let path = error.path().to_string();
+        let is_known = !matches!(path.as_str(), "" | "." | "?");
         Self {
-            field: error.path().to_string(),
+            field: if is_known { path } else { "body".to_owned() },
             problem: error.inner().to_string(),
         }
     }
--- /dev/null
+++ b/src/stand_in/platform/server.rs
@@ -0,0 +1,146 @@
+//! The platform stand-in as a server in this process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use rocket::data::ByteUnit;
+use rocket::data::Limits;
+use rocket::fairing::AdHoc;
+use rocket::Shutdown;
+use thiserror::Error;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use super::routes;
+use super::state::PlatformState;
+use super::CallCounts;
+use super::DirectoryEntryWire;
+use super::PlatformFaults;
+use crate::configuration::RawTicket;
+use crate::platform::VmWire;
+
+const BODY_MAX: ByteUnit = ByteUnit::Mebibyte(2);
+
+/// The platform stand-in, running in this process until it is stopped.
+#[derive(Debug)]
+pub struct PlatformStandIn {
+    address: SocketAddr,
+    state: Arc<PlatformState>,
+    shutdown: Shutdown,
+    task: JoinHandle<Result<rocket::Rocket<rocket::Ignite>, rocket::Error>>,
+}
+
+/// Why a stand-in did not start.
+#[derive(Debug, Error)]
+pub enum PlatformStandInError {
+    /// The HTTP server did not start.
+    #[error("the platform stand-in did not start at {address}: {reason}")]
+    Launch {
+        /// The address asked for.
+        address: SocketAddr,
+        /// What the server says.
+        reason: String,
+    },
+}
+
+impl PlatformStandIn {
+    /// Starts a stand-in that publishes nothing yet; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn start(address: SocketAddr) -> Result<Self, PlatformStandInError> {
+        let launch_error = |reason: String| PlatformStandInError::Launch { address, reason };
+        let state = Arc::new(PlatformState::new(Instant::now()));
+        let (bound_sender, bound) = oneshot::channel();
+        let rocket = rocket::custom(config(address))
+            .manage(Arc::clone(&state))
+            .mount("/", routes::routes())
+            .attach(AdHoc::on_liftoff("address", |rocket| {
+                let config = rocket.config();
+                let _ = bound_sender.send(SocketAddr::new(config.address, config.port));
+                Box::pin(async {})
+            }))
+            .ignite()
+            .await
+            .map_err(|error| launch_error(error.to_string()))?;
+        let shutdown = rocket.shutdown();
+        let task = tokio::spawn(rocket.launch());
+        let Ok(address) = bound.await else {
+            let reason = match task.await {
+                Ok(Err(error)) => error.to_string(),
+                _ => "it ended at once".to_owned(),
+            };
+            return Err(launch_error(reason));
+        };
+        Ok(Self {
+            address,
+            state,
+            shutdown,
+            task,
+        })
+    }
+
+    /// Returns the address that it listens at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Publishes a ticket, whatever its text.
+    pub fn publish(&self, ticket: RawTicket) {
+        self.state.publish(ticket);
+    }
+
+    /// Sets the list of VMs.
+    pub fn set_vms(&self, vms: impl IntoIterator<Item = VmWire>) {
+        self.state
+            .set_vms(Instant::now(), vms.into_iter().collect());
+    }
+
+    /// Sets the directory.
+    pub fn set_directory(&self, vms: impl IntoIterator<Item = DirectoryEntryWire>) {
+        self.state.set_directory(vms.into_iter().collect());
+    }
+
+    /// Sets all faults at once.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Returns the calls that it got.
+    pub fn counts(&self) -> CallCounts {
+        self.state.counts(Instant::now())
+    }
+
+    /// Waits until the server has ended by itself, as on an interrupt.
+    pub async fn wait(self) {
+        let _ = self.task.await;
+    }
+
+    /// Stops the server.
+    pub async fn stop(self) {
+        self.shutdown.notify();
+        let _ = self.task.await;
+    }
+}
+
+fn config(address: SocketAddr) -> rocket::Config {
+    let shutdown = rocket::config::Shutdown {
+        grace: 0,
+        mercy: 0,
+        ..rocket::config::Shutdown::default()
+    };
+    let limits = Limits::default()
+        .limit("bytes", BODY_MAX)
+        .limit("json", BODY_MAX);
+    rocket::Config {
+        limits,
+        address: address.ip(),
+        port: address.port(),
+        log_level: rocket::config::LogLevel::Off,
+        cli_colors: false,
+        shutdown,
+        ..rocket::Config::release_default()
+    }
+}
--- /dev/null
+++ b/tests/behaviour/configuration/boot.rs
@@ -0,0 +1,112 @@
+//! A VM asks its peers before it serves, so that a stale service brings nothing back.
+
+use std::time::Duration;
+
+use figramp::audit::AuditEvent;
+use figramp::configuration::BootOutcome;
+
+use super::fleet::identity;
+use super::fleet::key_ticket;
+use super::fleet::name;
+use super::fleet::Fleet;
+
+const REGIONS: [&str; 2] = ["boyaca", "santander"];
+
+fn fleet_with_withdrawn_key(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(seed, &REGIONS, 3);
+    fleet.run(Duration::from_secs(6));
+    assert!(fleet.has_key(0, "nursery-key"));
+    fleet.published.push(key_ticket(2, "nursery-key", None));
+    fleet.run(Duration::from_secs(8));
+    fleet
+}
+
+#[test]
+fn a_withdrawn_key_is_not_back_after_a_boot_with_a_stale_service() {
+    for seed in 0..20 {
+        println!("seed {seed}");
+        let mut fleet = fleet_with_withdrawn_key(seed);
+        fleet.pinned = Some(1);
+        fleet.loss = 0.3;
+        fleet.restart(0);
+        for _ in 0..100 {
+            fleet.step();
+            let controller = &fleet.nodes[0].controller;
+            let serves_key = controller.is_ready(fleet.now) && fleet.has_key(0, "nursery-key");
+            assert!(
+                !serves_key,
+                "seed {seed}: the key works again at {:?}",
+                fleet.now
+            );
+        }
+        let outcome = fleet.nodes[0].controller.boot_outcome();
+        assert!(
+            matches!(outcome, Some(BootOutcome::Synchronised { .. })),
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+#[test]
+fn a_paused_vm_is_not_ready_before_it_has_asked_its_peers() {
+    let mut fleet = Fleet::new(5, &REGIONS, 3);
+    fleet.run(Duration::from_secs(6));
+    assert!(fleet.nodes[0].controller.is_ready(fleet.now));
+    fleet.nodes[0].is_up = false;
+    fleet.published.push(key_ticket(2, "nursery-key", None));
+    fleet.run(Duration::from_secs(10));
+    fleet.pinned = Some(1);
+    fleet.nodes[0].is_up = true;
+    assert!(fleet.has_key(0, "nursery-key"));
+    assert!(
+        !fleet.nodes[0].controller.is_ready(fleet.now),
+        "before the first tick"
+    );
+    for _ in 0..100 {
+        fleet.step();
+        let is_ready = fleet.nodes[0].controller.is_ready(fleet.now);
+        assert!(!is_ready || !fleet.has_key(0, "nursery-key"));
+    }
+    assert!(fleet.nodes[0].controller.is_ready(fleet.now));
+    let has_noticed = |event: &AuditEvent| matches!(event, AuditEvent::PauseNoticed { .. });
+    assert!(fleet.nodes[0].audit.iter().any(has_noticed));
+}
+
+#[test]
+fn a_vm_without_peers_serves_after_a_bounded_time_and_says_so() {
+    let mut fleet = Fleet::new(6, &["boyaca"], 1);
+    fleet.run(Duration::from_secs(4));
+    let node = &fleet.nodes[0];
+    assert!(node.controller.is_ready(fleet.now));
+    assert_eq!(
+        node.controller.boot_outcome(),
+        Some(BootOutcome::WithoutPeers)
+    );
+    assert!(node.audit.contains(&AuditEvent::BootedWithoutPeers));
+}
+
+#[test]
+fn a_vm_with_neither_service_nor_peers_is_not_ready() {
+    let mut fleet = Fleet::new(7, &["boyaca"], 1);
+    fleet.regions_with_service.clear();
+    fleet.run(Duration::from_secs(60));
+    assert!(!fleet.nodes[0].controller.is_ready(fleet.now));
+}
+
+#[test]
+fn a_vm_outside_the_roster_learns_from_a_seed_while_the_service_is_down() {
+    let mut fleet = Fleet::new(8, &REGIONS, 3);
+    fleet.run(Duration::from_secs(10));
+    fleet.regions_with_service.clear();
+    let seeds = vec![identity("boyaca", 1)];
+    let newcomer = fleet.add(identity("boyaca", 9), seeds);
+    fleet.run(Duration::from_secs(4));
+    let controller = &fleet.nodes[newcomer].controller;
+    assert!(controller.is_ready(fleet.now));
+    assert!(fleet.has_key(newcomer, "nursery-key"));
+    assert!(fleet.is_converged());
+    let vm = name("boyaca-9");
+    let introduced = AuditEvent::VmIntroduced { vm: vm.clone() };
+    assert!(fleet.nodes[1].audit.contains(&introduced));
+    assert!(fleet.nodes[1].controller.catalog().vm_named(&vm).is_some());
+}
--- a/tests/behaviour/configuration/mod.rs
+++ b/tests/behaviour/configuration/mod.rs
@@ -1,1 +1,8 @@
 //! Tests of the `configuration` behaviour.
+
+mod boot;
+mod fleet;
+mod merge;
+mod propagation;
+mod tickets;
+mod wire;
