Add the command line

Cause: the binary did nothing. Change: clap builder arguments with documented exit codes; check, status, explain, audit and the platform stand-in work; serve, demo and the endpoint stand-ins have one call site each that answers with a typed error until they are wired. Logs by flexi_logger as text or JSON lines. Excluded: the pages that status, explain and audit read belong to the operators' port.

--- /dev/null
+++ b/src/cli/cli_error.rs
@@ -0,0 +1,65 @@
+//! Why a subcommand failed.
+
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+use crate::settings::SettingsError;
+use crate::stand_in::platform::PlatformStandInError;
+
+/// Why a subcommand failed; each kind has an exit code.
+#[derive(Debug, Error)]
+pub enum CliError {
+    /// Some checked files are not accepted; the problems were printed.
+    #[error("{refused_count} of {file_count} files are not accepted")]
+    CheckFailed {
+        /// The number of files that are not accepted.
+        refused_count: usize,
+        /// The number of files.
+        file_count: usize,
+    },
+    /// Some outcome of the demo is not as it must be; the table was printed.
+    #[error("the demo has outcomes that must not be")]
+    DemoFailed,
+    /// The VM gave no answer.
+    #[error("the VM at {vm} gave no answer: {reason}")]
+    NoAnswer {
+        /// The VM.
+        vm: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+    /// The VM does not know the request.
+    #[error("no VM knows the request {request}")]
+    UnknownRequest {
+        /// The identifier of the request.
+        request: String,
+    },
+    /// The settings are not accepted.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A stand-in did not start.
+    #[error(transparent)]
+    StandIn(#[from] PlatformStandInError),
+    /// The program could not start, or a part of it failed.
+    #[error("{0}")]
+    Failed(String),
+    /// The part that would run is not there yet.
+    #[error("{command} is not available in this version")]
+    Unavailable {
+        /// The subcommand.
+        command: &'static str,
+    },
+}
+
+impl CliError {
+    /// Returns the exit code, as the help lists them.
+    pub const fn exit_code(&self) -> u8 {
+        match self {
+            Self::CheckFailed { .. } | Self::DemoFailed => 1,
+            Self::NoAnswer { .. } => 3,
+            Self::UnknownRequest { .. } => 4,
+            Self::Settings(_) | Self::StandIn(_) | Self::Failed(_) | Self::Unavailable { .. } => 5,
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/invocation.rs
@@ -0,0 +1,167 @@
+//! What the command line asks for.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::ArgMatches;
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Invocation {
+    /// Run the daemon.
+    Serve {
+        /// The settings file.
+        settings: PathBuf,
+    },
+    /// Check files.
+    Check {
+        /// The files.
+        files: Vec<PathBuf>,
+    },
+    /// Print the operators' page.
+    Status(Query),
+    /// Print where a request went.
+    Explain {
+        /// The identifier of the request.
+        request: String,
+        /// Whom to ask.
+        query: Query,
+    },
+    /// Print the trail of changes.
+    Audit {
+        /// The sequence number above which to print.
+        after: u64,
+        /// Whom to ask.
+        query: Query,
+    },
+    /// Run the platform stand-in.
+    StandInPlatform {
+        /// The address to listen at.
+        address: SocketAddr,
+        /// The tickets to publish.
+        tickets: Vec<PathBuf>,
+    },
+    /// Run an endpoint stand-in.
+    StandInEndpoint(StandInEndpoint),
+    /// Run the demo.
+    Demo {
+        /// The number of requests; `None` runs until stopped.
+        request_count: Option<u64>,
+    },
+}
+
+/// A question to a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Query {
+    /// The operators' address of the VM.
+    pub vm: SocketAddr,
+    /// The form of the answer.
+    pub output: OutputForm,
+}
+
+/// The form in which an answer is printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutputForm {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// An endpoint stand-in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StandInEndpoint {
+    /// What it stands in for.
+    pub kind: StandInKind,
+    /// The address to listen at.
+    pub address: SocketAddr,
+    /// The faults to show from the start, as `NAME=VALUE`.
+    pub faults: Vec<String>,
+}
+
+/// What an endpoint stand-in stands in for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StandInKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+impl From<&ArgMatches> for Invocation {
+    fn from(matches: &ArgMatches) -> Self {
+        let Some((name, matches)) = matches.subcommand() else {
+            unreachable!("the command line requires a subcommand");
+        };
+        match name {
+            "serve" => Self::Serve {
+                settings: one(matches, "settings"),
+            },
+            "check" => Self::Check {
+                files: many(matches, "files"),
+            },
+            "status" => Self::Status(Query::from(matches)),
+            "explain" => Self::Explain {
+                request: one(matches, "request"),
+                query: Query::from(matches),
+            },
+            "audit" => Self::Audit {
+                after: one(matches, "after"),
+                query: Query::from(matches),
+            },
+            "stand-in" => stand_in(matches),
+            "demo" => Self::Demo {
+                request_count: matches.get_one("requests").copied(),
+            },
+            _ => unreachable!("the command line has no other subcommand"),
+        }
+    }
+}
+
+impl From<&ArgMatches> for Query {
+    fn from(matches: &ArgMatches) -> Self {
+        let output = match matches.get_flag("json") {
+            true => OutputForm::Json,
+            false => OutputForm::Text,
+        };
+        Self {
+            vm: one(matches, "vm"),
+            output,
+        }
+    }
+}
+
+fn stand_in(matches: &ArgMatches) -> Invocation {
+    let Some((name, matches)) = matches.subcommand() else {
+        unreachable!("the command line requires a stand-in");
+    };
+    let kind = match name {
+        "platform" => {
+            return Invocation::StandInPlatform {
+                address: one(matches, "address"),
+                tickets: many(matches, "tickets"),
+            }
+        }
+        "engine" => StandInKind::Engine,
+        _ => StandInKind::Service,
+    };
+    Invocation::StandInEndpoint(StandInEndpoint {
+        kind,
+        address: one(matches, "address"),
+        faults: many(matches, "fault"),
+    })
+}
+
+fn one<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, id: &str) -> T {
+    matches
+        .get_one::<T>(id)
+        .cloned()
+        .expect("the argument is required or has a default")
+}
+
+fn many<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, id: &str) -> Vec<T> {
+    matches
+        .get_many::<T>(id)
+        .map(|values| values.cloned().collect())
+        .unwrap_or_default()
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,25 @@
 //! The command line.
 
+mod args;
+mod check;
+mod cli_error;
+mod demo;
+mod invocation;
+mod json_text;
+mod log_setup;
+mod query;
 mod run;
+mod runtime;
+mod serve;
+mod stand_in;
+mod ticket_file;
 
+pub use args::command;
+pub use cli_error::CliError;
+pub use invocation::Invocation;
+pub use invocation::OutputForm;
+pub use invocation::Query;
+pub use invocation::StandInEndpoint;
+pub use invocation::StandInKind;
+pub use json_text::JsonText;
 pub use run::run;
--- a/src/configuration/controller.rs
+++ b/src/configuration/controller.rs
@@ -242,7 +242,7 @@
 
     fn rebuild(&mut self) {
         let overlay = self.overlay.objects(&self.store);
-        let (catalog, dangling) = self.store.build_catalog(&self.catalog, &overlay);
+        let (catalog, dangling) = self.store.build_catalog_with(&self.catalog, &overlay);
         self.catalog = Arc::new(catalog);
         self.dangling = dangling;
     }
--- a/src/configuration/store.rs
+++ b/src/configuration/store.rs
@@ -132,9 +132,14 @@
 
     /// Builds the catalog of all values, keeping the keys of `previous`.
     ///
-    /// Objects of `overlay` take the place of published ones of the same identifier. Also returns
-    /// the names of the objects whose references are not published.
-    pub(super) fn build_catalog(
+    /// Also returns the names of the objects whose references are not published.
+    pub fn build_catalog(&self, previous: &Catalog) -> (Catalog, Vec<Name>) {
+        self.build_catalog_with(previous, &OverlayObjects::default())
+    }
+
+    /// Builds the catalog of all values and of `overlay`, whose objects take the place of published
+    /// ones of the same identifier.
+    pub(super) fn build_catalog_with(
         &self,
         previous: &Catalog,
         overlay: &OverlayObjects,
