--- a/src/catalog/snapshot.rs
+++ b/src/catalog/snapshot.rs
@@ -91,6 +91,12 @@
         self.route_names.get(name).copied()
     }
 
+    /// Finds a model by name.
+    pub fn model_named(&self, name: &Name) -> Option<RouteKey> {
+        let key = self.route_named(name)?;
+        (self.routes[key].kind == RouteKind::Model).then_some(key)
+    }
+
     /// Finds an endpoint by name.
     pub fn endpoint_named(&self, name: &Name) -> Option<EndpointKey> {
         self.endpoint_names.get(name).copied()
