--- /dev/null
+++ b/src/limits/reservation.rs
@@ -0,0 +1,50 @@
+//! Tokens that a request has reserved.
+
+use std::sync::Arc;
+
+use super::Lot;
+
+/// Tokens that a request has reserved; it is given to
+/// [`TokenPool::settle`](super::TokenPool::settle) when the request ends.
+///
+/// The unused tokens of a reservation that is dropped do not come back.
+#[derive(Debug, Default)]
+#[must_use]
+pub struct Reservation {
+    parts: Vec<ReservedPart>,
+}
+
+#[derive(Debug)]
+struct ReservedPart {
+    lot: Arc<Lot>,
+    tokens: u64,
+}
+
+impl Reservation {
+    /// Adds tokens that were taken from `lot`.
+    pub(super) fn add(&mut self, lot: &Arc<Lot>, tokens: u64) {
+        if tokens == 0 {
+            return;
+        }
+        self.parts.push(ReservedPart {
+            lot: Arc::clone(lot),
+            tokens,
+        });
+    }
+
+    /// Returns the reserved tokens.
+    pub fn tokens(&self) -> u64 {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Counts `used_tokens` as used and the rest as refunded.
+    pub(super) fn settle(self, used_tokens: u64) {
+        let mut left_tokens = used_tokens;
+        for part in self.parts {
+            let part_used_tokens = part.tokens.min(left_tokens);
+            left_tokens -= part_used_tokens;
+            part.lot
+                .settle(part_used_tokens, part.tokens - part_used_tokens);
+        }
+    }
+}
--- /dev/null
+++ b/src/limits/token_pool.rs
@@ -0,0 +1,102 @@
+//! The tokens of one client account on one VM.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use thiserror::Error;
+
+use super::Lot;
+use super::Reservation;
+use crate::clock::Monotonic;
+
+/// The tokens of one client account on one VM.
+///
+/// The path of a request loads the list of lots and touches atomics; only the controller replaces
+/// the list.
+#[derive(Debug, Default)]
+pub struct TokenPool {
+    lots: ArcSwap<Vec<Arc<Lot>>>,
+    reserved_tokens: AtomicU64,
+    retry_at_us: AtomicU64,
+}
+
+/// The reason why a reservation failed: tokens are missing on this VM.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("{missing_tokens} tokens are missing")]
+pub struct Shortfall {
+    /// The tokens that are missing.
+    pub missing_tokens: u64,
+    /// The time after which a repeat may find them.
+    pub retry_after: Option<Duration>,
+}
+
+impl TokenPool {
+    /// Reserves `tokens` for a request that is admitted at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Shortfall`] if the VM holds fewer tokens; nothing is reserved then.
+    pub fn reserve(&self, now: Monotonic, tokens: u64) -> Result<Reservation, Shortfall> {
+        let lots = self.lots.load();
+        let available_tokens = available_tokens(&lots, now);
+        if available_tokens < tokens {
+            return Err(self.shortfall(now, tokens - available_tokens));
+        }
+        let mut reservation = Reservation::default();
+        let mut missing_tokens = tokens;
+        for lot in lots.iter() {
+            let taken_tokens = lot.take(now, missing_tokens);
+            reservation.add(lot, taken_tokens);
+            missing_tokens -= taken_tokens;
+        }
+        if missing_tokens > 0 {
+            reservation.settle(0);
+            return Err(self.shortfall(now, missing_tokens));
+        }
+        self.reserved_tokens.fetch_add(tokens, Ordering::Relaxed);
+        Ok(reservation)
+    }
+
+    /// Ends a reservation; what was not used goes back to the account.
+    ///
+    /// `used_tokens` above the reservation are not charged.
+    pub fn settle(&self, reservation: Reservation, used_tokens: u64) {
+        reservation.settle(used_tokens);
+    }
+
+    /// Returns the tokens that can be reserved at `now`.
+    pub fn available_tokens(&self, now: Monotonic) -> u64 {
+        available_tokens(&self.lots.load(), now)
+    }
+
+    /// Returns the tokens reserved since the start of the process.
+    pub fn reserved_tokens(&self) -> u64 {
+        self.reserved_tokens.load(Ordering::Relaxed)
+    }
+
+    /// Replaces the lots; the order is the order in which they are spent.
+    pub(super) fn put_lots(&self, lots: Vec<Arc<Lot>>) {
+        self.lots.store(Arc::new(lots));
+    }
+
+    /// Sets the time before which no more tokens are likely to arrive.
+    pub(super) fn put_retry_at(&self, retry_at: Monotonic) {
+        self.retry_at_us.store(retry_at.as_us(), Ordering::Relaxed);
+    }
+
+    fn shortfall(&self, now: Monotonic, missing_tokens: u64) -> Shortfall {
+        let retry_at = Monotonic::from_us(self.retry_at_us.load(Ordering::Relaxed));
+        let retry_after = retry_at.since(now);
+        Shortfall {
+            missing_tokens,
+            retry_after: (!retry_after.is_zero()).then_some(retry_after),
+        }
+    }
+}
+
+fn available_tokens(lots: &[Arc<Lot>], now: Monotonic) -> u64 {
+    lots.iter().map(|lot| lot.available_tokens(now)).sum()
+}
