Accrue each account at a leased home and draw grants from it

A shard of accounts is leased to one VM of a region by a majority of the published roster, each vote bound by the voter's clock for longer than the holder counts it. The home accrues its region's share, debits before it grants, and gives up rights to take tokens back before accrual is cut at the burst. Grants end before the lease does, so a new home may start at once, empty. Heartbeat echoes in place of votes were left out: they need tables of all counters from a majority, which cost more bytes than a vote and bind nobody.

--- /dev/null
+++ b/src/limits/account_draws.rs
@@ -0,0 +1,355 @@
+//! The draws of one account on one VM.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use super::demand::Demand;
+use super::held_lots::HeldLots;
+use super::AccountDraw;
+use super::AccountGrant;
+use super::LimitsSettings;
+use super::Lot;
+use super::TokenPool;
+use crate::catalog::ClientAccountKey;
+use crate::catalog::RegionKey;
+use crate::catalog::VmKey;
+use crate::clock::Monotonic;
+
+/// The shortest time between two draws from a home that had too little.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+
+/// The longest time between two draws from a home that had too little.
+const RETRY_MAX: Duration = Duration::from_secs(1);
+
+/// The shortest time between two draws ahead of need.
+const AHEAD_GAP: Duration = Duration::from_millis(500);
+
+/// The number of other regions that are asked at the same time.
+const PARALLEL_DRAWS: usize = 2;
+
+/// The draws of one account on one VM.
+///
+/// Requests that wait are served from the home of the own region first, then from the homes of
+/// other regions, nearest first. A home that had too little, or that did not answer, is left alone
+/// for a while.
+#[derive(Debug)]
+pub struct AccountDraws {
+    account: ClientAccountKey,
+    pool: Arc<TokenPool>,
+    lots: HeldLots,
+    demand: Demand,
+    pending: Vec<PendingDraw>,
+    need: Need,
+    last_number: u32,
+    ahead_at: Monotonic,
+    reported_at: Monotonic,
+    regions: SecondaryMap<RegionKey, DrawRegion>,
+}
+
+/// The home that a region's VMs can be drawn through.
+#[derive(Clone, Copy, Debug)]
+pub struct DrawTarget {
+    /// The region.
+    pub region: RegionKey,
+    /// The home, or a VM that passes a draw on to it.
+    pub vm: VmKey,
+}
+
+/// A draw to send.
+#[derive(Clone, Debug)]
+pub struct OutgoingDraw {
+    /// The receiver.
+    pub to: VmKey,
+    /// The draw.
+    pub draw: AccountDraw,
+}
+
+/// What a grant means for waiting requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GrantOutcome {
+    /// Tokens arrived.
+    Arrived,
+    /// The home had none.
+    Empty,
+    /// The grant was given up before, or is too old.
+    Stale,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingDraw {
+    number: u32,
+    target: DrawTarget,
+    need_tokens: u64,
+    sent_at: Monotonic,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Need {
+    tokens: u64,
+    unit_tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct DrawRegion {
+    home: Option<VmKey>,
+    retry_at: Monotonic,
+}
+
+impl AccountDraws {
+    /// Creates the draws of an account that has none yet.
+    pub fn new(now: Monotonic, account: ClientAccountKey, pool: Arc<TokenPool>) -> Self {
+        let mut demand = Demand::default();
+        demand.sample(now, pool.reserved_tokens());
+        Self {
+            account,
+            pool,
+            lots: HeldLots::default(),
+            demand,
+            pending: Vec::new(),
+            need: Need::default(),
+            last_number: 0,
+            ahead_at: Monotonic::ZERO,
+            reported_at: now,
+            regions: SecondaryMap::new(),
+        }
+    }
+
+    /// Adds the tokens that one more waiting request misses.
+    pub fn add_need(&mut self, missing_tokens: u64) {
+        let is_first = self.need.tokens == 0;
+        self.need.tokens += missing_tokens;
+        if is_first || missing_tokens < self.need.unit_tokens {
+            self.need.unit_tokens = missing_tokens;
+        }
+    }
+
+    /// Returns the home of another region that last granted something.
+    pub fn known_home(&self, region: RegionKey) -> Option<VmKey> {
+        self.regions.get(region)?.home
+    }
+
+    /// Keeps the books: gives up silent draws, closes lots, samples the demand.
+    pub fn keep_books(&mut self, now: Monotonic, settings: &LimitsSettings) {
+        self.demand.sample(now, self.pool.reserved_tokens());
+        self.give_up_silent(now, settings.draw_timeout);
+        self.lots
+            .close_expired(now, settings.refund_window, &self.pool);
+        if self.need.tokens == 0 {
+            let keep_tokens = self.demand.expected_tokens(settings.draw_period * 2);
+            self.lots
+                .close_idle(now, keep_tokens, settings.idle_return, &self.pool);
+        }
+    }
+
+    /// Tells whether a draw may be due, before its targets are looked up.
+    pub fn may_draw(&self, now: Monotonic, settings: &LimitsSettings) -> bool {
+        self.need.tokens > 0 || self.wanted_ahead_tokens(now, settings) > 0
+    }
+
+    /// Returns the draws that are due; `targets` has the own region first, then the others by
+    /// distance.
+    pub fn due(
+        &mut self,
+        now: Monotonic,
+        targets: &[DrawTarget],
+        is_first_near: bool,
+        settings: &LimitsSettings,
+    ) -> Vec<OutgoingDraw> {
+        let ahead_tokens = self.wanted_ahead_tokens(now, settings);
+        let picked = self.pick_targets(now, targets, is_first_near, ahead_tokens);
+        picked
+            .into_iter()
+            .map(|target| self.draw(now, target, ahead_tokens))
+            .collect()
+    }
+
+    /// Tells whether requests wait in vain: nothing is on its way and nobody is left to ask.
+    pub fn deny_need(&mut self, now: Monotonic) -> bool {
+        let is_denied = self.need.tokens > 0 && self.pending.is_empty();
+        if is_denied {
+            let retry_at = self.regions.values().map(|region| region.retry_at).min();
+            self.pool.put_retry_at(retry_at.unwrap_or(now + RETRY_MAX));
+            self.need = Need::default();
+        }
+        is_denied
+    }
+
+    /// Returns the reports that are due apart from draws.
+    pub fn due_reports(&mut self, now: Monotonic, settings: &LimitsSettings) -> Vec<OutgoingDraw> {
+        if now.since(self.reported_at) < settings.draw_period {
+            return Vec::new();
+        }
+        self.reported_at = now;
+        let homes = self.lots.homes_to_report();
+        homes.into_iter().map(|home| self.report(home)).collect()
+    }
+
+    /// Takes a grant.
+    pub fn take_grant(
+        &mut self,
+        now: Monotonic,
+        from: VmKey,
+        grant: &AccountGrant,
+    ) -> GrantOutcome {
+        let place = self
+            .pending
+            .iter()
+            .position(|pending| pending.number == grant.number);
+        let Some(place) = place else {
+            self.lots.give_up(grant.number, from);
+            return GrantOutcome::Stale;
+        };
+        let pending = self.pending.swap_remove(place);
+        let expires_at = pending.sent_at + grant.lifetime;
+        if now >= expires_at && grant.tokens > 0 {
+            self.lots.give_up(grant.number, from);
+            return GrantOutcome::Stale;
+        }
+        self.note_home(now, from, &pending, grant);
+        if grant.tokens == 0 {
+            return GrantOutcome::Empty;
+        }
+        let lot = Arc::new(Lot::new(grant.number, grant.tokens, expires_at));
+        self.lots.add(now, from, lot, &self.pool);
+        self.need.tokens = self.need.tokens.saturating_sub(u64::from(grant.tokens));
+        GrantOutcome::Arrived
+    }
+
+    /// Tells whether the account is at rest here.
+    pub fn is_idle(&self) -> bool {
+        self.need.tokens == 0 && self.pending.is_empty() && self.lots.is_empty()
+    }
+
+    fn note_home(
+        &mut self,
+        now: Monotonic,
+        from: VmKey,
+        pending: &PendingDraw,
+        grant: &AccountGrant,
+    ) {
+        let is_short = u64::from(grant.tokens) < pending.need_tokens.max(1);
+        let pause = grant.retry_after.clamp(RETRY_MIN, RETRY_MAX);
+        let region = self.region_mut(pending.target.region);
+        region.home = Some(from);
+        if is_short {
+            region.retry_at = now + pause;
+        }
+    }
+
+    fn region_mut(&mut self, region: RegionKey) -> &mut DrawRegion {
+        if !self.regions.contains_key(region) {
+            self.regions.insert(region, DrawRegion::default());
+        }
+        &mut self.regions[region]
+    }
+
+    fn give_up_silent(&mut self, now: Monotonic, timeout: Duration) {
+        let (silent, pending): (Vec<_>, Vec<_>) = self
+            .pending
+            .drain(..)
+            .partition(|pending| now.since(pending.sent_at) >= timeout);
+        self.pending = pending;
+        for draw in silent {
+            self.lots.give_up(draw.number, draw.target.vm);
+            let region = self.region_mut(draw.target.region);
+            region.home = None;
+            region.retry_at = now + RETRY_MAX;
+        }
+    }
+
+    fn wanted_ahead_tokens(&self, now: Monotonic, settings: &LimitsSettings) -> u64 {
+        let target_tokens = self.demand.expected_tokens(settings.draw_period);
+        let lasting_tokens = self.lots.available_tokens(now, AHEAD_GAP);
+        let is_low = lasting_tokens < target_tokens / 2;
+        let is_due = now.since(self.ahead_at) >= AHEAD_GAP;
+        if is_low && is_due {
+            target_tokens - lasting_tokens
+        } else {
+            0
+        }
+    }
+
+    fn pick_targets(
+        &self,
+        now: Monotonic,
+        targets: &[DrawTarget],
+        is_first_near: bool,
+        ahead_tokens: u64,
+    ) -> Vec<DrawTarget> {
+        if self.need.tokens == 0 && ahead_tokens == 0 {
+            return Vec::new();
+        }
+        if let Some(near) = targets.first().filter(|_| is_first_near) {
+            if self.is_pending(near.region) {
+                return Vec::new();
+            }
+            if self.is_open(now, near.region) {
+                return vec![*near];
+            }
+        }
+        let parallel = if self.need.tokens > 0 {
+            PARALLEL_DRAWS
+        } else {
+            1
+        };
+        let free = parallel.saturating_sub(self.pending.len());
+        targets
+            .iter()
+            .skip(usize::from(is_first_near))
+            .filter(|target| self.is_open(now, target.region) && !self.is_pending(target.region))
+            .take(free)
+            .copied()
+            .collect()
+    }
+
+    fn is_pending(&self, region: RegionKey) -> bool {
+        self.pending
+            .iter()
+            .any(|pending| pending.target.region == region)
+    }
+
+    fn is_open(&self, now: Monotonic, region: RegionKey) -> bool {
+        self.regions
+            .get(region)
+            .is_none_or(|region| now >= region.retry_at)
+    }
+
+    fn draw(&mut self, now: Monotonic, target: DrawTarget, ahead_tokens: u64) -> OutgoingDraw {
+        self.last_number += 1;
+        if ahead_tokens > 0 {
+            self.ahead_at = now;
+        }
+        self.pending.push(PendingDraw {
+            number: self.last_number,
+            target,
+            need_tokens: self.need.tokens,
+            sent_at: now,
+        });
+        let mut outgoing = self.report(target.vm);
+        outgoing.draw.number = self.last_number;
+        outgoing.draw.need_tokens = narrow(self.need.tokens);
+        outgoing.draw.unit_tokens = narrow(self.need.unit_tokens);
+        outgoing.draw.ahead_tokens = narrow(ahead_tokens);
+        outgoing
+    }
+
+    fn report(&mut self, home: VmKey) -> OutgoingDraw {
+        OutgoingDraw {
+            to: home,
+            draw: AccountDraw {
+                account: self.account,
+                number: 0,
+                need_tokens: 0,
+                unit_tokens: 0,
+                ahead_tokens: 0,
+                reports: self.lots.take_reports(home),
+            },
+        }
+    }
+}
+
+fn narrow(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/limits/draw_desk.rs
@@ -0,0 +1,236 @@
+//! The draws of all accounts on one VM.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use slotmap::SecondaryMap;
+
+use super::account_draws::AccountDraws;
+use super::account_draws::DrawTarget;
+use super::account_draws::GrantOutcome;
+use super::account_draws::OutgoingDraw;
+use super::region_leases::RegionLeases;
+use super::share::Share;
+use super::AccountDraw;
+use super::AccountGrant;
+use super::LimitsSettings;
+use super::Shard;
+use super::TokenPool;
+use super::TokenPools;
+use crate::catalog::Catalog;
+use crate::catalog::ClientAccountKey;
+use crate::catalog::RegionKey;
+use crate::catalog::VmKey;
+use crate::clock::Monotonic;
+use crate::membership::rank_vms;
+use crate::membership::MembershipView;
+
+/// The draws of all accounts on one VM.
+#[derive(Debug, Default)]
+pub struct DrawDesk {
+    pools: TokenPools,
+    draws: SecondaryMap<ClientAccountKey, AccountDraws>,
+    seen_tokens: SecondaryMap<ClientAccountKey, u64>,
+}
+
+/// What a VM knows when it picks the homes to draw from.
+#[derive(Clone, Copy, Debug)]
+pub struct DrawContext<'a> {
+    /// The present time.
+    pub now: Monotonic,
+    /// The published objects.
+    pub catalog: &'a Catalog,
+    /// What is known about other VMs.
+    pub view: &'a MembershipView,
+    /// The leases in the own region.
+    pub leases: &'a RegionLeases,
+    /// The settings.
+    pub settings: &'a LimitsSettings,
+    /// The own region.
+    pub region: RegionKey,
+}
+
+/// The draws to send, by receiver, and the accounts whose requests wait in vain.
+#[derive(Debug, Default)]
+pub struct DueDraws {
+    /// The draws, by receiver.
+    pub draws: BTreeMap<VmKey, Vec<AccountDraw>>,
+    /// The accounts whose requests wait in vain.
+    pub denied: Vec<ClientAccountKey>,
+}
+
+impl DueDraws {
+    fn extend(&mut self, outgoing: Vec<OutgoingDraw>) {
+        for draw in outgoing {
+            self.draws.entry(draw.to).or_default().push(draw.draw);
+        }
+    }
+}
+
+impl DrawDesk {
+    /// Returns the pools.
+    pub fn pools(&self) -> TokenPools {
+        self.pools.clone()
+    }
+
+    /// Makes pools for exactly the published accounts and tells whether one was added or dropped.
+    pub fn sync_pools(&mut self, catalog: &Catalog) -> bool {
+        let pools = &mut self.pools.pools;
+        let old_len = pools.len();
+        pools.retain(|account, _| catalog.client_accounts.contains_key(account));
+        let mut is_changed = pools.len() != old_len;
+        for account in catalog.client_accounts.keys() {
+            if !pools.contains_key(account) {
+                pools.insert(account, Arc::new(TokenPool::default()));
+                is_changed = true;
+            }
+        }
+        if is_changed {
+            self.draws
+                .retain(|account, _| catalog.client_accounts.contains_key(account));
+        }
+        is_changed
+    }
+
+    /// Drops all grants.
+    pub fn clear(&mut self) {
+        self.draws.clear();
+        for pool in self.pools.pools.values() {
+            pool.put_lots(Vec::new());
+        }
+    }
+
+    /// Keeps the books of all accounts and returns the draws and reports that are due.
+    pub fn tick(&mut self, context: &DrawContext<'_>) -> DueDraws {
+        self.wake_accounts(context.now);
+        let mut due = DueDraws::default();
+        for (account, draws) in &mut self.draws {
+            draws.keep_books(context.now, context.settings);
+            collect_due(context, account, draws, &mut due);
+            due.extend(draws.due_reports(context.now, context.settings));
+        }
+        self.draws.retain(|_, draws| !draws.is_idle());
+        due
+    }
+
+    /// Takes the need of one more waiting request and returns the draws that are due.
+    pub fn want(
+        &mut self,
+        context: &DrawContext<'_>,
+        account: ClientAccountKey,
+        missing_tokens: u64,
+    ) -> DueDraws {
+        let mut due = DueDraws::default();
+        if let Some(draws) = self.draws_mut(context.now, account) {
+            draws.add_need(missing_tokens);
+            collect_due(context, account, draws, &mut due);
+        }
+        due
+    }
+
+    /// Takes a grant and returns the draws that follow from it.
+    pub fn take_grant(
+        &mut self,
+        context: &DrawContext<'_>,
+        from: VmKey,
+        grant: &AccountGrant,
+    ) -> (GrantOutcome, DueDraws) {
+        let mut due = DueDraws::default();
+        let Some(draws) = self.draws_mut(context.now, grant.account) else {
+            return (GrantOutcome::Stale, due);
+        };
+        let outcome = draws.take_grant(context.now, from, grant);
+        collect_due(context, grant.account, draws, &mut due);
+        (outcome, due)
+    }
+
+    /// Starts to keep books of accounts that requests have begun to use.
+    fn wake_accounts(&mut self, now: Monotonic) {
+        let mut woken = Vec::new();
+        for (account, pool) in &self.pools.pools {
+            let reserved_tokens = pool.reserved_tokens();
+            let seen_tokens = self.seen_tokens.insert(account, reserved_tokens);
+            if seen_tokens.unwrap_or(0) != reserved_tokens {
+                woken.push(account);
+            }
+        }
+        for account in woken {
+            self.draws_mut(now, account);
+        }
+    }
+
+    fn draws_mut(
+        &mut self,
+        now: Monotonic,
+        account: ClientAccountKey,
+    ) -> Option<&mut AccountDraws> {
+        let pool = self.pools.get(account)?;
+        if !self.draws.contains_key(account) {
+            let draws = AccountDraws::new(now, account, Arc::clone(pool));
+            self.draws.insert(account, draws);
+        }
+        self.draws.get_mut(account)
+    }
+}
+
+fn collect_due(
+    context: &DrawContext<'_>,
+    account: ClientAccountKey,
+    draws: &mut AccountDraws,
+    due: &mut DueDraws,
+) {
+    if !draws.may_draw(context.now, context.settings) {
+        return;
+    }
+    let targets = targets(context, account, draws);
+    let is_first_near = targets
+        .first()
+        .is_some_and(|target| target.region == context.region);
+    due.extend(draws.due(context.now, &targets, is_first_near, context.settings));
+    if draws.deny_need(context.now) {
+        due.denied.push(account);
+    }
+}
+
+/// Returns the homes of an account: of the own region first, then of the others by distance.
+fn targets(
+    context: &DrawContext<'_>,
+    account: ClientAccountKey,
+    draws: &AccountDraws,
+) -> Vec<DrawTarget> {
+    let Some(published) = context.catalog.client_accounts.get(account) else {
+        return Vec::new();
+    };
+    let shard = Shard::of_account(&published.name);
+    let mut regions = Share::regions(published);
+    regions.sort_by_key(|region| distance_us(context, *region));
+    regions
+        .into_iter()
+        .filter_map(|region| {
+            let vm = if region == context.region {
+                context.leases.home(context.now, shard)?
+            } else {
+                draws
+                    .known_home(region)
+                    .or_else(|| first_ranked(context, region, shard))?
+            };
+            Some(DrawTarget { region, vm })
+        })
+        .collect()
+}
+
+fn distance_us(context: &DrawContext<'_>, region: RegionKey) -> u64 {
+    if region == context.region {
+        return 0;
+    }
+    context
+        .catalog
+        .link(context.region, region)
+        .map_or(u64::MAX, |link| link.one_way_us)
+}
+
+fn first_ranked(context: &DrawContext<'_>, region: RegionKey, shard: Shard) -> Option<VmKey> {
+    let serving = context.view.serving_in(context.catalog, region);
+    let ranked = rank_vms(context.catalog, shard.duty_hash(), serving);
+    ranked.first().copied()
+}
--- /dev/null
+++ b/src/limits/home_books.rs
@@ -0,0 +1,130 @@
+//! The books of all accounts whose home one VM is.
+
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use super::home_ledger::GrantTerms;
+use super::home_ledger::HomeLedger;
+use super::region_leases::RegionLeases;
+use super::share::Share;
+use super::AccountGrant;
+use super::Draw;
+use super::LimitsSettings;
+use super::Shard;
+use super::ShardSet;
+use crate::catalog::Catalog;
+use crate::catalog::ClientAccountKey;
+use crate::catalog::RegionKey;
+use crate::clock::Monotonic;
+
+/// The shortest life of a grant that is worth sending.
+const LIFETIME_MIN: Duration = Duration::from_millis(300);
+
+/// The books of all accounts whose home one VM is.
+#[derive(Debug, Default)]
+pub struct HomeBooks {
+    ledgers: SecondaryMap<ClientAccountKey, HomeLedger>,
+}
+
+impl HomeBooks {
+    /// Opens empty books for the accounts of `acquired` shards.
+    pub fn open(
+        &mut self,
+        now: Monotonic,
+        catalog: &Catalog,
+        region: RegionKey,
+        acquired: ShardSet,
+    ) {
+        for (key, account) in &catalog.client_accounts {
+            if !acquired.contains(Shard::of_account(&account.name)) {
+                continue;
+            }
+            if let Some(share) = Share::of_region(account, region) {
+                self.ledgers.insert(key, HomeLedger::new(now, share));
+            }
+        }
+    }
+
+    /// Closes the books of the accounts of `lost` shards.
+    pub fn close(&mut self, catalog: &Catalog, lost: ShardSet) {
+        self.ledgers.retain(|key, _| {
+            catalog
+                .client_accounts
+                .get(key)
+                .is_some_and(|account| !lost.contains(Shard::of_account(&account.name)))
+        });
+    }
+
+    /// Closes all books.
+    pub fn clear(&mut self) {
+        self.ledgers.clear();
+    }
+
+    /// Accrues all books and follows newly published rates, bursts and shares.
+    pub fn tick(&mut self, now: Monotonic, catalog: &Catalog, region: RegionKey, held: ShardSet) {
+        for (key, account) in &catalog.client_accounts {
+            if !held.contains(Shard::of_account(&account.name)) {
+                continue;
+            }
+            match Share::of_region(account, region) {
+                Some(share) => self.follow(now, key, share),
+                None => {
+                    self.ledgers.remove(key);
+                }
+            }
+        }
+    }
+
+    /// Takes the part of a draw that concerns one account.
+    pub fn draw(
+        &mut self,
+        now: Monotonic,
+        catalog: &Catalog,
+        leases: &RegionLeases,
+        settings: &LimitsSettings,
+        draw: &Draw,
+    ) -> Vec<AccountGrant> {
+        let own_region = |vm| catalog.vms.get(vm).map(|vm| vm.region);
+        let mut grants = Vec::new();
+        for part in &draw.accounts {
+            let Some(account) = catalog.client_accounts.get(part.account) else {
+                continue;
+            };
+            let shard = Shard::of_account(&account.name);
+            let left = leases.lease_end(shard).since(now + settings.clock_slack);
+            let lifetime = left.min(settings.grant_lifetime);
+            let Some(ledger) = self.ledgers.get_mut(part.account) else {
+                continue;
+            };
+            if lifetime < LIFETIME_MIN {
+                continue;
+            }
+            let terms = GrantTerms {
+                lifetime,
+                clock_slack: settings.clock_slack,
+                refund_window: settings.refund_window,
+                is_near: own_region(draw.holder) == own_region(leases.own()),
+            };
+            grants.extend(ledger.draw(now, draw.holder, draw.incarnation, part, terms));
+        }
+        grants
+    }
+
+    /// Returns the tokens of an account that can be granted, if this VM is its home.
+    pub fn balance_tokens(&self, account: ClientAccountKey) -> Option<u64> {
+        Some(self.ledgers.get(account)?.balance_tokens())
+    }
+
+    fn follow(&mut self, now: Monotonic, key: ClientAccountKey, share: Share) {
+        match self.ledgers.get_mut(key) {
+            Some(ledger) => {
+                ledger.put_share(now, share);
+                ledger.accrue(now);
+            }
+            None => {
+                self.ledgers.insert(key, HomeLedger::new(now, share));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/limits/home_ledger.rs
@@ -0,0 +1,285 @@
+//! The books of one account on the VM that is its home.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use super::share::Accrual;
+use super::share::Share;
+use super::AccountDraw;
+use super::AccountGrant;
+use super::HomeLot;
+use super::LotReport;
+use crate::catalog::VmKey;
+use crate::clock::Monotonic;
+use crate::membership::Incarnation;
+
+/// The time for which tokens are kept together for one holder with a large request.
+const COLLECTION_TIME: Duration = Duration::from_secs(1);
+
+/// The part of the balance that one draw ahead of need may take, as a divisor.
+const AHEAD_DIVISOR: u64 = 4;
+
+/// The books of one account on the VM that is its home.
+///
+/// The potential is the balance plus the potential of all lots: everything that may still be
+/// admitted without further accrual. It grows by accrual alone, which stops at the burst share,
+/// and each admitted and used token lowers it for good. So what is admitted in an interval and
+/// used is at most the potential at its start plus the accrual within: burst share + rate share ×
+/// time. A ledger lives as long as its VM holds the lease; it starts empty, and no grant outlives
+/// the lease.
+#[derive(Debug)]
+pub struct HomeLedger {
+    share: Share,
+    accrual: Accrual,
+    balance_tokens: u64,
+    lots: BTreeMap<LotId, HomeLot>,
+    holders: SecondaryMap<VmKey, HolderState>,
+    collection: Option<Collection>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct LotId {
+    holder: VmKey,
+    number: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HolderState {
+    incarnation: Incarnation,
+    last_number: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Collection {
+    holder: VmKey,
+    until: Monotonic,
+}
+
+/// The terms of a grant.
+#[derive(Clone, Copy, Debug)]
+pub struct GrantTerms {
+    /// The life of the grant, from the time when the draw was sent.
+    pub lifetime: Duration,
+    /// The time after the life of a grant in which its holder's clock may lag behind.
+    pub clock_slack: Duration,
+    /// The time after the grant for which unused tokens may come back.
+    pub refund_window: Duration,
+    /// Whether the holder is in the region of the home.
+    pub is_near: bool,
+}
+
+impl HomeLedger {
+    /// Creates empty books.
+    pub fn new(now: Monotonic, share: Share) -> Self {
+        Self {
+            share,
+            accrual: Accrual::new(now),
+            balance_tokens: 0,
+            lots: BTreeMap::new(),
+            holders: SecondaryMap::new(),
+            collection: None,
+        }
+    }
+
+    /// Returns the tokens that can be granted.
+    pub fn balance_tokens(&self) -> u64 {
+        self.balance_tokens
+    }
+
+    /// Takes over a newly published share; a smaller burst cuts the balance at once.
+    pub fn put_share(&mut self, now: Monotonic, share: Share) {
+        if share == self.share {
+            return;
+        }
+        self.accrue(now);
+        self.share = share;
+        self.balance_tokens = self.balance_tokens.min(share.burst_tokens);
+    }
+
+    /// Accrues up to `now`; rights to take tokens back give way to accrual, the oldest first.
+    pub fn accrue(&mut self, now: Monotonic) {
+        let earned_tokens = self.accrual.advance(now, &self.share);
+        self.lots.retain(|_, lot| lot.potential_tokens(now) > 0);
+        let mut room_tokens = self.room_tokens(now);
+        while room_tokens < earned_tokens {
+            let Some(oldest) = self.oldest_forfeitable(now) else {
+                break;
+            };
+            oldest.forfeit();
+            room_tokens = self.room_tokens(now);
+        }
+        self.balance_tokens += earned_tokens.min(room_tokens);
+        if earned_tokens >= room_tokens {
+            self.accrual.drop_fraction();
+        }
+    }
+
+    /// Takes a draw: applies its reports and answers its wish, once.
+    pub fn draw(
+        &mut self,
+        now: Monotonic,
+        holder: VmKey,
+        incarnation: Incarnation,
+        draw: &AccountDraw,
+        terms: GrantTerms,
+    ) -> Option<AccountGrant> {
+        self.accrue(now);
+        if !self.meet_holder(holder, incarnation) {
+            return None;
+        }
+        for report in &draw.reports {
+            self.apply(now, holder, report);
+        }
+        let state = &mut self.holders[holder];
+        if draw.number <= state.last_number {
+            return None;
+        }
+        state.last_number = draw.number;
+        Some(self.answer(now, holder, draw, terms))
+    }
+
+    fn answer(
+        &mut self,
+        now: Monotonic,
+        holder: VmKey,
+        draw: &AccountDraw,
+        terms: GrantTerms,
+    ) -> AccountGrant {
+        let need_tokens = u64::from(draw.need_tokens);
+        let needed_tokens = self.tokens_for_need(now, holder, draw);
+        let ahead_tokens = self.tokens_ahead(draw, needed_tokens, terms.is_near);
+        let tokens = needed_tokens + ahead_tokens;
+        if tokens > 0 {
+            self.balance_tokens -= tokens;
+            let expires_at = now + terms.lifetime + terms.clock_slack;
+            let refund_until = now + terms.refund_window;
+            let id = LotId {
+                holder,
+                number: draw.number,
+            };
+            let lot = HomeLot::new(tokens, now, expires_at, refund_until);
+            self.lots.insert(id, lot);
+        }
+        let missing_tokens = need_tokens.saturating_sub(tokens + self.balance_tokens);
+        AccountGrant {
+            account: draw.account,
+            number: draw.number,
+            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            lifetime: terms.lifetime,
+            retry_after: Duration::from_micros(self.share.accrual_us(missing_tokens.max(1))),
+        }
+    }
+
+    /// Returns what a draw gets for waiting requests: all, as many whole requests as the balance
+    /// covers, or a part of a large request if nobody else is collecting for one.
+    fn tokens_for_need(&mut self, now: Monotonic, holder: VmKey, draw: &AccountDraw) -> u64 {
+        let need_tokens = u64::from(draw.need_tokens);
+        let unit_tokens = u64::from(draw.unit_tokens).clamp(1, need_tokens.max(1));
+        if self.balance_tokens >= need_tokens {
+            return need_tokens;
+        }
+        if self.balance_tokens >= unit_tokens {
+            return self.balance_tokens / unit_tokens * unit_tokens;
+        }
+        let is_large = unit_tokens > self.share.burst_tokens / 2;
+        if !is_large || !self.may_collect(now, holder) {
+            return 0;
+        }
+        self.collection = Some(Collection {
+            holder,
+            until: now + COLLECTION_TIME,
+        });
+        self.balance_tokens
+    }
+
+    fn may_collect(&self, now: Monotonic, holder: VmKey) -> bool {
+        self.collection
+            .is_none_or(|collection| collection.holder == holder || now >= collection.until)
+    }
+
+    fn tokens_ahead(&self, draw: &AccountDraw, needed_tokens: u64, is_near: bool) -> u64 {
+        let left_tokens = self.balance_tokens - needed_tokens;
+        let is_scarce = left_tokens < self.share.burst_tokens / 2;
+        if is_scarce && !is_near {
+            return 0;
+        }
+        u64::from(draw.ahead_tokens).min(left_tokens / AHEAD_DIVISOR)
+    }
+
+    /// Returns false for a message of an earlier incarnation of the holder.
+    fn meet_holder(&mut self, holder: VmKey, incarnation: Incarnation) -> bool {
+        let known = self.holders.get(holder).map(|state| state.incarnation);
+        if known.is_some_and(|known| known > incarnation) {
+            return false;
+        }
+        if known != Some(incarnation) {
+            self.orphan_lots(holder);
+            let state = HolderState {
+                incarnation,
+                last_number: 0,
+            };
+            self.holders.insert(holder, state);
+        }
+        true
+    }
+
+    /// Keeps the lots of an earlier incarnation apart, so that no report finds them.
+    fn orphan_lots(&mut self, holder: VmKey) {
+        let ids: Vec<LotId> = self
+            .lots
+            .keys()
+            .filter(|id| id.holder == holder)
+            .copied()
+            .collect();
+        for id in ids {
+            let Some(mut lot) = self.lots.remove(&id) else {
+                continue;
+            };
+            lot.forfeit();
+            let orphan = LotId {
+                holder: VmKey::default(),
+                number: self.free_orphan_number(),
+            };
+            self.lots.insert(orphan, lot);
+        }
+    }
+
+    fn free_orphan_number(&self) -> u32 {
+        let last = self
+            .lots
+            .keys()
+            .filter(|id| id.holder == VmKey::default())
+            .map(|id| id.number)
+            .max();
+        last.map_or(0, |number| number + 1)
+    }
+
+    fn apply(&mut self, now: Monotonic, holder: VmKey, report: &LotReport) {
+        let id = LotId {
+            holder,
+            number: report.number,
+        };
+        if let Some(lot) = self.lots.get_mut(&id) {
+            self.balance_tokens += lot.apply(now, report);
+        }
+    }
+
+    fn room_tokens(&self, now: Monotonic) -> u64 {
+        let lots_tokens: u64 = self
+            .lots
+            .values()
+            .map(|lot| lot.potential_tokens(now))
+            .sum();
+        let potential_tokens = self.balance_tokens + lots_tokens;
+        self.share.burst_tokens.saturating_sub(potential_tokens)
+    }
+
+    fn oldest_forfeitable(&mut self, now: Monotonic) -> Option<&mut HomeLot> {
+        self.lots
+            .values_mut()
+            .filter(|lot| lot.forfeitable_tokens(now) > 0)
+            .min_by_key(|lot| lot.granted_at())
+    }
+}
--- /dev/null
+++ b/src/limits/home_lot.rs
@@ -0,0 +1,116 @@
+//! One grant, in the books of the home that gave it.
+
+use super::LotReport;
+use crate::clock::Monotonic;
+
+/// One grant, in the books of the home that gave it.
+///
+/// Its potential is what may still be admitted because of it: tokens that its holder can still
+/// reserve, and reserved tokens that may turn out unused and come back. A void lot has lost the
+/// right to take anything back.
+#[derive(Clone, Copy, Debug)]
+pub struct HomeLot {
+    granted_tokens: u64,
+    spent_tokens: u64,
+    used_tokens: u64,
+    credited_tokens: u64,
+    refunded_tokens: u64,
+    returned_tokens: u64,
+    granted_at: Monotonic,
+    expires_at: Monotonic,
+    refund_until: Monotonic,
+    is_void: bool,
+}
+
+impl HomeLot {
+    /// Creates the books of a grant that its holder cannot spend from `expires_at` on.
+    pub fn new(
+        granted_tokens: u64,
+        granted_at: Monotonic,
+        expires_at: Monotonic,
+        refund_until: Monotonic,
+    ) -> Self {
+        Self {
+            granted_tokens,
+            spent_tokens: 0,
+            used_tokens: 0,
+            credited_tokens: 0,
+            refunded_tokens: 0,
+            returned_tokens: 0,
+            granted_at,
+            expires_at,
+            refund_until,
+            is_void: false,
+        }
+    }
+
+    /// Returns the time of the grant.
+    pub fn granted_at(&self) -> Monotonic {
+        self.granted_at
+    }
+
+    /// Returns the tokens that may still be admitted because of this grant.
+    pub fn potential_tokens(&self, now: Monotonic) -> u64 {
+        if self.is_void {
+            return self.unspent_tokens(now);
+        }
+        if now >= self.refund_until {
+            return 0;
+        }
+        let gone_tokens = self.used_tokens + self.credited_tokens;
+        self.granted_tokens.saturating_sub(gone_tokens)
+    }
+
+    /// Returns the part of the potential that can be forfeited.
+    pub fn forfeitable_tokens(&self, now: Monotonic) -> u64 {
+        self.potential_tokens(now)
+            .saturating_sub(self.unspent_tokens(now))
+    }
+
+    /// Gives up the right to take anything back that was spent.
+    ///
+    /// The right is lost for the whole lot, also for what is spent later: the home cannot tell an
+    /// old reservation of the lot from a new one.
+    pub fn forfeit(&mut self) {
+        self.is_void = true;
+    }
+
+    /// Takes a report and returns the tokens that go back to the balance.
+    ///
+    /// The potential drops by at least as much. Reports are cumulative: doubled and crossed ones
+    /// change nothing.
+    pub fn apply(&mut self, now: Monotonic, report: &LotReport) -> u64 {
+        let potential_tokens = self.potential_tokens(now);
+        let spent_tokens = u64::from(report.spent_tokens).min(self.granted_tokens);
+        let returnable_tokens = self.granted_tokens - spent_tokens;
+        let returned_tokens = u64::from(report.returned_tokens).min(returnable_tokens);
+        let newly_spent_tokens = raise(&mut self.spent_tokens, spent_tokens);
+        let newly_returned_tokens = raise(&mut self.returned_tokens, returned_tokens);
+        let newly_used_tokens = raise(&mut self.used_tokens, u64::from(report.used_tokens));
+        let newly_refunded_tokens =
+            raise(&mut self.refunded_tokens, u64::from(report.refunded_tokens));
+        let credit_tokens = if self.is_void {
+            newly_returned_tokens.min(potential_tokens.saturating_sub(newly_spent_tokens))
+        } else {
+            let back_tokens = newly_returned_tokens + newly_refunded_tokens;
+            back_tokens.min(potential_tokens.saturating_sub(newly_used_tokens))
+        };
+        self.credited_tokens += credit_tokens;
+        credit_tokens
+    }
+
+    fn unspent_tokens(&self, now: Monotonic) -> u64 {
+        if now >= self.expires_at {
+            return 0;
+        }
+        self.granted_tokens
+            .saturating_sub(self.spent_tokens + self.returned_tokens)
+    }
+}
+
+/// Raises a cumulative count and returns by how much.
+fn raise(count_tokens: &mut u64, to_tokens: u64) -> u64 {
+    let raised_tokens = to_tokens.saturating_sub(*count_tokens);
+    *count_tokens += raised_tokens;
+    raised_tokens
+}
--- /dev/null
+++ b/src/limits/lease_holder.rs
@@ -0,0 +1,159 @@
+//! The leases of one VM.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use super::LeaseAnswer;
+use super::LeaseRequest;
+use super::Shard;
+use super::ShardSet;
+use super::SHARD_COUNT;
+use crate::catalog::VmKey;
+use crate::clock::Monotonic;
+use crate::membership::Incarnation;
+use crate::membership::Roster;
+
+/// The number of sent requests whose answers still count.
+const SENT_LEN: usize = 8;
+
+type VoteEnds = [Monotonic; SHARD_COUNT as usize];
+
+/// The leases of one VM.
+///
+/// A lease is held while a majority of the region's roster has voted for this incarnation, each
+/// vote counted from the time when its request was sent. The voter counts the same vote from the
+/// later time when the request arrived, so it is still bound when the holder thinks that the vote
+/// has run out. Two majorities of one roster share a voter, and so do majorities of two rosters of
+/// which one has a single VM more: no two VMs hold a lease at the same time as long as the rosters
+/// in use differ by no more than that.
+#[derive(Debug)]
+pub struct LeaseHolder {
+    lease: Duration,
+    incarnation: Incarnation,
+    sequence: u32,
+    sent: VecDeque<SentRequest>,
+    votes: SecondaryMap<VmKey, VoteEnds>,
+    released_through: [u32; SHARD_COUNT as usize],
+    held: ShardSet,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentRequest {
+    sequence: u32,
+    sent_at: Monotonic,
+}
+
+impl LeaseHolder {
+    /// Creates the leases of an incarnation: none. A vote counts for `lease`.
+    pub fn new(incarnation: Incarnation, lease: Duration) -> Self {
+        Self {
+            lease,
+            incarnation,
+            sequence: 0,
+            sent: VecDeque::new(),
+            votes: SecondaryMap::new(),
+            released_through: [0; SHARD_COUNT as usize],
+            held: ShardSet::default(),
+        }
+    }
+
+    /// Returns the shards that are held.
+    pub fn held(&self) -> ShardSet {
+        self.held
+    }
+
+    /// Returns the number of the last request.
+    pub fn sequence(&self) -> u32 {
+        self.sequence
+    }
+
+    /// Makes the next request.
+    pub fn request(&mut self, now: Monotonic, roster: &Roster, shards: ShardSet) -> LeaseRequest {
+        self.sequence += 1;
+        self.sent.push_back(SentRequest {
+            sequence: self.sequence,
+            sent_at: now,
+        });
+        if self.sent.len() > SENT_LEN {
+            self.sent.pop_front();
+        }
+        LeaseRequest {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            roster_hash: roster.hash,
+            shards,
+            held: self.held,
+        }
+    }
+
+    /// Counts the votes of an answer.
+    pub fn take_answer(&mut self, from: VmKey, answer: &LeaseAnswer) {
+        if answer.incarnation != self.incarnation {
+            return;
+        }
+        let sent = self
+            .sent
+            .iter()
+            .find(|sent| sent.sequence == answer.sequence);
+        let Some(sent) = sent.copied() else {
+            return;
+        };
+        let until = sent.sent_at + self.lease;
+        if !self.votes.contains_key(from) {
+            self.votes
+                .insert(from, [Monotonic::ZERO; SHARD_COUNT as usize]);
+        }
+        let ends = &mut self.votes[from];
+        for shard in answer.shards.iter() {
+            if answer.sequence > self.released_through[shard.index()] {
+                ends[shard.index()] = ends[shard.index()].max(until);
+            }
+        }
+    }
+
+    /// Gives up all votes for `shards`, those included that are still on their way.
+    pub fn release(&mut self, shards: ShardSet) {
+        for shard in shards.iter() {
+            self.released_through[shard.index()] = self.sequence;
+            for ends in self.votes.values_mut() {
+                ends[shard.index()] = Monotonic::ZERO;
+            }
+        }
+    }
+
+    /// Returns the time up to which a majority of `roster` has voted for this VM.
+    pub fn lease_end(&self, roster: &Roster, shard: Shard) -> Monotonic {
+        let mut ends: Vec<Monotonic> = roster
+            .vms
+            .iter()
+            .filter_map(|vm| self.votes.get(*vm))
+            .map(|ends| ends[shard.index()])
+            .collect();
+        ends.sort_by_key(|end| std::cmp::Reverse(*end));
+        let last_needed = roster.majority() - 1;
+        ends.get(last_needed).copied().unwrap_or(Monotonic::ZERO)
+    }
+
+    /// Drops the leases that have run out and returns them.
+    pub fn drop_lost(&mut self, now: Monotonic, roster: &Roster) -> ShardSet {
+        let lost: ShardSet = self
+            .held
+            .iter()
+            .filter(|shard| now >= self.lease_end(roster, *shard))
+            .collect();
+        self.held = self.held.without(lost);
+        lost
+    }
+
+    /// Adds the leases that have found a majority and returns them.
+    pub fn add_acquired(&mut self, now: Monotonic, roster: &Roster) -> ShardSet {
+        let acquired: ShardSet = Shard::all()
+            .filter(|shard| !self.held.contains(*shard))
+            .filter(|shard| now < self.lease_end(roster, *shard))
+            .collect();
+        self.held = ShardSet(self.held.0 | acquired.0);
+        acquired
+    }
+}
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -1,17 +1,31 @@
 //! Rate and burst of client accounts over all VMs together.
 
+mod account_draws;
 mod action;
 mod controller;
+mod demand;
+mod draw_desk;
+mod held_lots;
+mod home_books;
+mod home_ledger;
+mod home_lot;
+mod lease_acceptor;
+mod lease_holder;
 mod lot;
 mod message;
+mod region_leases;
 mod reservation;
 mod settings;
 mod shard;
+mod share;
 mod token_pool;
 mod token_pools;
 
 pub use action::LimitsAction;
 pub use controller::LimitsController;
+pub use home_ledger::GrantTerms;
+pub use home_ledger::HomeLedger;
+pub use home_lot::HomeLot;
 pub use lot::Lot;
 pub use message::AccountDraw;
 pub use message::AccountGrant;
@@ -27,6 +41,8 @@
 pub use shard::Shard;
 pub use shard::ShardSet;
 pub use shard::SHARD_COUNT;
+pub use share::Accrual;
+pub use share::Share;
 pub use token_pool::Shortfall;
 pub use token_pool::TokenPool;
 pub use token_pools::TokenPools;
--- /dev/null
+++ b/src/limits/region_leases.rs
@@ -0,0 +1,294 @@
+//! Who accrues which shard in the region of one VM.
+
+use std::time::Duration;
+
+use super::lease_acceptor::KnownRosters;
+use super::lease_acceptor::LeaseAcceptor;
+use super::lease_holder::LeaseHolder;
+use super::LeaseAnswer;
+use super::LeaseRelease;
+use super::LeaseRequest;
+use super::LimitsMessage;
+use super::LimitsSettings;
+use super::Shard;
+use super::ShardSet;
+use super::SHARD_COUNT;
+use crate::catalog::Catalog;
+use crate::catalog::RegionKey;
+use crate::catalog::VmKey;
+use crate::clock::Monotonic;
+use crate::membership::rank_vms;
+use crate::membership::rendezvous_score;
+use crate::membership::Incarnation;
+use crate::membership::MembershipView;
+use crate::membership::Roster;
+
+/// The time in which the votes for a new lease are expected.
+const VOTING_TIME: Duration = Duration::from_secs(1);
+
+/// The number of voting times over which losers of a split vote spread their next try.
+const RETRY_SPREAD: u64 = 4;
+
+/// Who accrues which shard in the region of one VM.
+///
+/// A VM asks for the shards that nobody has and for which it ranks first among the serving VMs of
+/// its region; what it has, it keeps until it leaves, pauses or loses its majority.
+#[derive(Debug)]
+pub struct RegionLeases {
+    own: VmKey,
+    renewal: Duration,
+    roster_settle: Duration,
+    lease: Duration,
+    acceptor: LeaseAcceptor,
+    holder: LeaseHolder,
+    incarnation: Incarnation,
+    roster: Roster,
+    previous_roster_hash: Option<u64>,
+    roster_changed_at: Monotonic,
+    renew_at: Monotonic,
+    tried: ShardSet,
+    tried_until: Monotonic,
+    retry_at: [Monotonic; SHARD_COUNT as usize],
+}
+
+/// How the leases of a VM changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeaseChange {
+    /// The shards that it had and has no longer.
+    pub lost: ShardSet,
+    /// The shards that it has from now on.
+    pub acquired: ShardSet,
+}
+
+/// A message to another VM of the region.
+#[derive(Clone, Debug)]
+pub struct LeaseSend {
+    /// The receiver.
+    pub to: VmKey,
+    /// The message.
+    pub message: LimitsMessage,
+}
+
+impl RegionLeases {
+    /// Creates the leases of a process that starts at `now`.
+    pub fn new(
+        settings: &LimitsSettings,
+        own: VmKey,
+        incarnation: Incarnation,
+        now: Monotonic,
+    ) -> Self {
+        let lease = settings.lease.saturating_sub(settings.clock_slack);
+        Self {
+            own,
+            renewal: settings.lease_renewal,
+            roster_settle: settings.roster_settle,
+            lease,
+            acceptor: LeaseAcceptor::new(now, settings.lease, settings.clock_slack),
+            holder: LeaseHolder::new(incarnation, lease),
+            incarnation,
+            roster: Roster::default(),
+            previous_roster_hash: None,
+            roster_changed_at: now,
+            renew_at: now,
+            tried: ShardSet::default(),
+            tried_until: now,
+            retry_at: [now; SHARD_COUNT as usize],
+        }
+    }
+
+    /// Begins a new incarnation, with no leases. Votes that were given stay in force.
+    pub fn begin_incarnation(&mut self, incarnation: Incarnation) {
+        self.incarnation = incarnation;
+        self.holder = LeaseHolder::new(incarnation, self.lease);
+        self.tried = ShardSet::default();
+    }
+
+    /// Returns the VM whose leases these are.
+    pub fn own(&self) -> VmKey {
+        self.own
+    }
+
+    /// Returns the shards that this VM has.
+    pub fn held(&self) -> ShardSet {
+        self.holder.held()
+    }
+
+    /// Returns the time up to which this VM has `shard`.
+    pub fn lease_end(&self, shard: Shard) -> Monotonic {
+        self.holder.lease_end(&self.roster, shard)
+    }
+
+    /// Returns the VM of the region that is known to have `shard`.
+    pub fn home(&self, now: Monotonic, shard: Shard) -> Option<VmKey> {
+        if self.holder.held().contains(shard) {
+            return Some(self.own);
+        }
+        self.acceptor.home(now, shard)
+    }
+
+    /// Takes the roster in force.
+    pub fn put_roster(&mut self, now: Monotonic, catalog: &Catalog, region: RegionKey) {
+        let roster = Roster::of_region(catalog, region);
+        if roster.hash == self.roster.hash {
+            self.roster.vms = roster.vms;
+            return;
+        }
+        let is_first = self.roster.vms.is_empty();
+        self.previous_roster_hash = (!is_first).then_some(self.roster.hash);
+        if !is_first {
+            self.roster_changed_at = now;
+        }
+        self.roster = roster;
+    }
+
+    /// Drops the leases that have run out; called before anything that relies on a lease.
+    pub fn drop_lost(&mut self, now: Monotonic) -> ShardSet {
+        self.holder.drop_lost(now, &self.roster)
+    }
+
+    /// Renews leases, tries for free shards, and returns what to send.
+    pub fn tick(
+        &mut self,
+        now: Monotonic,
+        catalog: &Catalog,
+        view: &MembershipView,
+    ) -> (LeaseChange, Vec<LeaseSend>) {
+        let mut sends = Vec::new();
+        if now >= self.tried_until {
+            self.release_split_votes(now, catalog, &mut sends);
+        }
+        let wanted = self.wanted(now, catalog, view);
+        let kept = self.kept(view);
+        let has_new = !wanted.is_empty();
+        let is_renewal_due = now >= self.renew_at && !kept.is_empty();
+        if !has_new && !is_renewal_due {
+            return (LeaseChange::default(), sends);
+        }
+        self.renew_at = now + self.renewal;
+        if has_new {
+            self.tried = wanted;
+            self.tried_until = now + VOTING_TIME;
+        }
+        let shards = ShardSet(kept.0 | wanted.0);
+        let acquired = self.send_request(now, shards, &mut sends);
+        let change = LeaseChange {
+            lost: ShardSet::default(),
+            acquired,
+        };
+        (change, sends)
+    }
+
+    /// Votes on a request of another VM.
+    pub fn on_request(
+        &mut self,
+        now: Monotonic,
+        from: VmKey,
+        request: &LeaseRequest,
+    ) -> LeaseAnswer {
+        let rosters = KnownRosters {
+            current: &self.roster,
+            previous_hash: self.previous_roster_hash,
+        };
+        self.acceptor.request(now, from, request, rosters)
+    }
+
+    /// Takes the votes of another VM and returns the shards that are had from now on.
+    pub fn on_answer(&mut self, now: Monotonic, from: VmKey, answer: &LeaseAnswer) -> ShardSet {
+        self.holder.take_answer(from, answer);
+        self.holder.add_acquired(now, &self.roster)
+    }
+
+    /// Forgets votes that another VM gives up.
+    pub fn on_release(&mut self, from: VmKey, release: &LeaseRelease) {
+        self.acceptor.release(from, release);
+    }
+
+    fn send_request(
+        &mut self,
+        now: Monotonic,
+        shards: ShardSet,
+        sends: &mut Vec<LeaseSend>,
+    ) -> ShardSet {
+        let request = self.holder.request(now, &self.roster, shards);
+        self.broadcast(LimitsMessage::LeaseRequest(request), sends);
+        let own_vote = self.on_request(now, self.own, &request);
+        self.on_answer(now, self.own, &own_vote)
+    }
+
+    fn broadcast(&self, message: LimitsMessage, sends: &mut Vec<LeaseSend>) {
+        let others = self.roster.vms.iter().filter(|vm| **vm != self.own);
+        sends.extend(others.map(|vm| LeaseSend {
+            to: *vm,
+            message: message.clone(),
+        }));
+    }
+
+    fn release_split_votes(
+        &mut self,
+        now: Monotonic,
+        catalog: &Catalog,
+        sends: &mut Vec<LeaseSend>,
+    ) {
+        let failed = self.tried.without(self.holder.held());
+        self.tried = ShardSet::default();
+        if failed.is_empty() {
+            return;
+        }
+        self.holder.release(failed);
+        let release = LeaseRelease {
+            incarnation: self.incarnation,
+            sequence: self.holder.sequence(),
+            shards: failed,
+        };
+        self.acceptor.release(self.own, &release);
+        self.broadcast(LimitsMessage::LeaseRelease(release), sends);
+        for shard in failed.iter() {
+            self.retry_at[shard.index()] = now + self.retry_delay(catalog, shard);
+        }
+    }
+
+    /// Spreads the next tries of VMs that split a vote.
+    fn retry_delay(&self, catalog: &Catalog, shard: Shard) -> Duration {
+        let round = shard.duty_hash() ^ u64::from(self.holder.sequence());
+        let score = catalog
+            .vms
+            .get(self.own)
+            .map_or(0, |vm| rendezvous_score(round, &vm.name));
+        let steps = 1 + score % RETRY_SPREAD;
+        VOTING_TIME * u32::try_from(steps).unwrap_or(1)
+    }
+
+    fn kept(&self, view: &MembershipView) -> ShardSet {
+        let is_leaving = view.vms.get(self.own).is_some_and(|own| own.is_leaving);
+        if is_leaving {
+            return ShardSet::default();
+        }
+        self.holder.held()
+    }
+
+    fn wanted(&self, now: Monotonic, catalog: &Catalog, view: &MembershipView) -> ShardSet {
+        let is_settled = now.since(self.roster_changed_at) >= self.roster_settle
+            || self.previous_roster_hash.is_none();
+        let is_voting = !self.tried.is_empty();
+        if now < self.acceptor.ready_at() || !is_settled || is_voting {
+            return ShardSet::default();
+        }
+        let serving: Vec<VmKey> = self
+            .roster
+            .vms
+            .iter()
+            .filter(|vm| view.vms.get(**vm).is_some_and(|seen| seen.is_serving()))
+            .copied()
+            .collect();
+        Shard::all()
+            .filter(|shard| self.acceptor.is_free(now, *shard))
+            .filter(|shard| now >= self.retry_at[shard.index()])
+            .filter(|shard| self.ranks_first(catalog, &serving, *shard))
+            .collect()
+    }
+
+    fn ranks_first(&self, catalog: &Catalog, serving: &[VmKey], shard: Shard) -> bool {
+        let ranked = rank_vms(catalog, shard.duty_hash(), serving.iter().copied());
+        ranked.first() == Some(&self.own)
+    }
+}
