Write membership and limits messages in Cap'n Proto

Objects travel as 64-bit hashes of their names. What a VM does not know is left out of a message it reads, so rosters that lag do not stop gossip; a draw of an unknown VM is refused.

--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -20,6 +20,7 @@
 mod share;
 mod token_pool;
 mod token_pools;
+mod wire;
 
 pub use action::LimitsAction;
 pub use controller::LimitsController;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -14,6 +14,7 @@
 mod roster;
 mod settings;
 mod vm_summary;
+mod wire;
 
 pub use action::MembershipAction;
 pub use entry_ranking::EntryRanking;
@@ -33,3 +34,5 @@
 pub use roster::Roster;
 pub use settings::MembershipSettings;
 pub use vm_summary::VmSummary;
+pub use wire::vm_hash;
+pub use wire::vms_by_hash;
