Add routing, queueing and retry decisions

The skeleton had no decisions for a request's way. This is the first shape of their API: choose() with hard filters and typed exclusions, EndpointLoad with lag-corrected reports, a breaker with one probe, FairQueue with weighted deficit round robin, slots and RetryPolicy. Not measured and not tested yet.

--- /dev/null
+++ b/src/queueing/class_queue.rs
@@ -0,0 +1,196 @@
+//! Weighted deficit round robin over the accounts of one class.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::account_flow::AccountFlow;
+use super::drain_rate::DrainRate;
+use crate::catalog::ClientAccountKey;
+use crate::clock::Monotonic;
+
+/// The account that a flow belongs to.
+pub(super) type FlowKey = Option<ClientAccountKey>;
+
+/// The oldest request of an account that can start.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Startable {
+    pub(super) flow: FlowKey,
+    pub(super) slot: usize,
+    pub(super) cost_tokens: u64,
+}
+
+/// The queue of one class of work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ClassQueue {
+    pub(super) flows: HashMap<FlowKey, AccountFlow>,
+    pub(super) ring: VecDeque<FlowKey>,
+    pub(super) len: usize,
+    pub(super) drain: DrainRate,
+}
+
+impl ClassQueue {
+    /// Adds a request.
+    pub(super) fn push(
+        &mut self,
+        now: Monotonic,
+        key: FlowKey,
+        weight: u32,
+        slot: usize,
+        cost: u64,
+    ) {
+        let flow = self.flows.entry(key).or_default();
+        if flow.slots.is_empty() {
+            self.ring.push_back(key);
+        }
+        flow.weight = u64::from(weight.max(1));
+        flow.slots.push_back(slot);
+        flow.queued_tokens += cost;
+        self.len += 1;
+        self.drain.on_busy(now);
+    }
+
+    /// Removes a request, wherever it is.
+    pub(super) fn remove(&mut self, key: FlowKey, slot: usize, cost: u64) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let Some(position) = flow.slots.iter().position(|other| *other == slot) else {
+            return;
+        };
+        flow.slots.remove(position);
+        flow.queued_tokens = flow.queued_tokens.saturating_sub(cost);
+        self.len -= 1;
+        if flow.slots.is_empty() {
+            flow.deficit_tokens = 0;
+            flow.has_quantum = false;
+            self.ring.retain(|other| *other != key);
+        }
+        if self.len == 0 {
+            self.drain.on_idle();
+        }
+    }
+
+    /// Takes the next of the `startable` requests in the order of deficit round robin.
+    ///
+    /// Accounts without a startable request keep their place and get no quantum.
+    pub(super) fn select(
+        &mut self,
+        startable: &HashMap<FlowKey, Startable>,
+        quantum_tokens: u64,
+    ) -> Option<Startable> {
+        if startable.is_empty() {
+            return None;
+        }
+        for _ in 0..2 {
+            if let Some(chosen) = self.rotate(startable, quantum_tokens) {
+                return Some(chosen);
+            }
+            self.skip_rounds(startable, quantum_tokens);
+        }
+        self.rotate(startable, quantum_tokens)
+    }
+
+    fn rotate(
+        &mut self,
+        startable: &HashMap<FlowKey, Startable>,
+        quantum_tokens: u64,
+    ) -> Option<Startable> {
+        for _ in 0..=self.ring.len() {
+            let key = *self.ring.front()?;
+            let flow = self.flows.get_mut(&key)?;
+            if let Some(candidate) = startable.get(&key) {
+                if !flow.has_quantum {
+                    flow.grant(quantum_tokens, 1);
+                    flow.has_quantum = true;
+                }
+                if flow.deficit_tokens >= candidate.cost_tokens {
+                    flow.deficit_tokens -= candidate.cost_tokens;
+                    return Some(*candidate);
+                }
+            }
+            flow.has_quantum = false;
+            self.ring.rotate_left(1);
+        }
+        None
+    }
+
+    /// Grants the rounds in which no request could start, at once.
+    fn skip_rounds(&mut self, startable: &HashMap<FlowKey, Startable>, quantum_tokens: u64) {
+        let rounds = startable
+            .values()
+            .filter_map(|candidate| {
+                let flow = self.flows.get(&candidate.flow)?;
+                Some(flow.rounds_until(candidate.cost_tokens, quantum_tokens))
+            })
+            .min()
+            .unwrap_or_default();
+        for key in startable.keys() {
+            if let Some(flow) = self.flows.get_mut(key) {
+                flow.grant(quantum_tokens, rounds.saturating_sub(1));
+            }
+        }
+    }
+
+    /// Returns the expected wait of a request that an account adds now.
+    ///
+    /// While the account's tokens ahead of it start, each other account starts as many for its
+    /// weight, or all it has.
+    pub(super) fn expected_wait(&self, now: Monotonic, key: FlowKey, weight: u32) -> Duration {
+        let own_tokens = self.flows.get(&key).map_or(0, |flow| flow.queued_tokens);
+        self.drain_time(now, self.tokens_ahead(key, weight, own_tokens))
+    }
+
+    fn tokens_ahead(&self, key: FlowKey, weight: u32, own_tokens: u64) -> u64 {
+        let weight = u64::from(weight.max(1));
+        let others: u64 = self
+            .flows
+            .iter()
+            .filter(|(other, _)| **other != key)
+            .map(|(_, flow)| {
+                let part = own_tokens.saturating_mul(flow.weight) / weight;
+                flow.queued_tokens.min(part)
+            })
+            .sum();
+        own_tokens + others
+    }
+
+    fn drain_time(&self, now: Monotonic, tokens: u64) -> Duration {
+        match self.drain.tokens_per_s(now) {
+            Some(rate) => Duration::from_micros(tokens.saturating_mul(1_000_000) / rate),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Returns when a refused request of an account should come back.
+    ///
+    /// Requests that were refused before it are expected back first, so each is told a later time.
+    pub(super) fn return_after(
+        &mut self,
+        now: Monotonic,
+        key: FlowKey,
+        weight: u32,
+        cost: u64,
+        excess: Duration,
+    ) -> Duration {
+        let active_weight: u64 = self
+            .flows
+            .values()
+            .filter(|flow| !flow.slots.is_empty())
+            .map(|flow| flow.weight)
+            .sum();
+        let weight = u64::from(weight.max(1));
+        let share_tokens = cost.saturating_mul(active_weight.max(weight)) / weight;
+        let service = self.drain_time(now, share_tokens);
+        let flow = self.flows.entry(key).or_default();
+        let back_at = (now + excess).max(flow.return_at);
+        flow.return_at = back_at + service;
+        back_at.since(now)
+    }
+
+    /// Forgets accounts that have nothing in the queue and nothing expected back.
+    pub(super) fn prune(&mut self, now: Monotonic) {
+        self.flows
+            .retain(|_, flow| !flow.slots.is_empty() || flow.return_at > now);
+    }
+}
--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -1,1 +1,23 @@
-//! Bounded queues and fair scheduling over client accounts.
+//! Queues for requests that wait for a slot at an endpoint, fair between client accounts.
+//!
+//! Each class of work has weighted deficit round robin over its accounts (Shreedhar and Varghese,
+//! 1996), counted in tokens. A request that cannot start in time is refused when it comes, with the
+//! time after which it would be taken.
+
+mod account_flow;
+mod class_queue;
+mod drain_rate;
+mod fair_queue;
+mod queue_item;
+mod queue_limits;
+mod refused;
+mod slots;
+
+pub use fair_queue::FairQueue;
+pub use queue_item::QueueItem;
+pub use queue_item::Ticket;
+pub use queue_limits::QueueLimits;
+pub use refused::Refused;
+pub use refused::RefusedReason;
+pub use slots::class_slots;
+pub use slots::slot_count;
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,1 +1,11 @@
-//! Retry decisions and retry budgets.
+//! Whether a failed attempt is followed by another one.
+
+mod attempt_failure;
+mod retry_budget;
+mod retry_decision;
+mod retry_policy;
+
+pub use attempt_failure::AttemptFailure;
+pub use retry_budget::RetryBudget;
+pub use retry_decision::RetryDecision;
+pub use retry_policy::RetryPolicy;
--- /dev/null
+++ b/src/routing/endpoint_load.rs
@@ -0,0 +1,266 @@
+//! What one VM knows about the load of one endpoint.
+
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+
+use super::attempt::prefix_hashes;
+use super::attempt::prompt_tokens;
+use super::health::Breaker;
+use super::own_history::OwnHistory;
+use super::Attempt;
+use super::EndpointEvent;
+use super::EndpointFailure;
+use super::Health;
+use super::PrefixTable;
+use super::ReportedLoad;
+use crate::clock::Monotonic;
+use crate::endpoint::CacheEvent;
+use crate::endpoint::LoadReport;
+use crate::request::Call;
+use crate::request::Usage;
+
+const PROMPT_TOKEN_FIRST_NS: u64 = 100_000;
+const SERVICE_TIME_FIRST_US: u64 = 1_000_000;
+const EWMA_SHIFT: u32 = 3;
+
+/// What one VM knows about the load of one endpoint.
+///
+/// The path of a request updates it by atomics; one controller brings in the reports.
+#[derive(Debug)]
+pub struct EndpointLoad {
+    own_requests: AtomicU32,
+    own_prompt_tokens: AtomicU64,
+    prompt_token_ns: AtomicU64,
+    service_time_us: AtomicU64,
+    cache_sequence: AtomicU64,
+    report: ArcSwapOption<ReportedLoad>,
+    history: OwnHistory,
+    breaker: Breaker,
+    prefixes: PrefixTable,
+}
+
+impl Default for EndpointLoad {
+    fn default() -> Self {
+        Self {
+            own_requests: AtomicU32::new(0),
+            own_prompt_tokens: AtomicU64::new(0),
+            prompt_token_ns: AtomicU64::new(PROMPT_TOKEN_FIRST_NS),
+            service_time_us: AtomicU64::new(SERVICE_TIME_FIRST_US),
+            cache_sequence: AtomicU64::new(0),
+            report: ArcSwapOption::empty(),
+            history: OwnHistory::default(),
+            breaker: Breaker::default(),
+            prefixes: PrefixTable::default(),
+        }
+    }
+}
+
+impl EndpointLoad {
+    /// Notes that a request goes out to the endpoint.
+    pub fn on_sent(&self, now: Monotonic, call: &Call) -> Attempt {
+        let prefix_hashes = prefix_hashes(call).to_vec();
+        let prompt_tokens = self.uncached_tokens(prompt_tokens(call), &prefix_hashes);
+        let is_probe = self.breaker.on_sent(now);
+        let own_requests = self.own_requests.fetch_add(1, Ordering::AcqRel) + 1;
+        self.history.record(now, own_requests);
+        let ahead = self
+            .own_prompt_tokens
+            .fetch_add(prompt_tokens, Ordering::AcqRel);
+        for hash in &prefix_hashes {
+            self.prefixes.insert(*hash);
+        }
+        Attempt {
+            sent_at: now,
+            first_event_at: None,
+            prompt_tokens,
+            work_tokens: ahead + prompt_tokens,
+            prefix_hashes,
+            is_probe,
+        }
+    }
+
+    /// Notes the first event of an answer.
+    pub fn on_first_event(&self, now: Monotonic, attempt: &mut Attempt) -> Option<EndpointEvent> {
+        if attempt.first_event_at.is_some() {
+            return None;
+        }
+        attempt.first_event_at = Some(now);
+        sub(&self.own_prompt_tokens, attempt.prompt_tokens);
+        let elapsed_ns = now.since(attempt.sent_at).as_nanos() as u64;
+        let sample_ns = elapsed_ns / attempt.work_tokens.max(1);
+        average(&self.prompt_token_ns, sample_ns);
+        self.breaker.on_success()
+    }
+
+    /// Notes the end of a whole answer.
+    pub fn on_done(
+        &self,
+        now: Monotonic,
+        mut attempt: Attempt,
+        usage: Usage,
+    ) -> Option<EndpointEvent> {
+        let event = self.on_first_event(now, &mut attempt);
+        let elapsed_us = now.since(attempt.sent_at).as_micros() as u64;
+        average(&self.service_time_us, elapsed_us);
+        if usage.cached_tokens > usage.prompt_tokens {
+            self.prefixes.clear();
+        }
+        self.release(now, &attempt);
+        event.or_else(|| self.breaker.on_success())
+    }
+
+    /// Notes that an answer failed or was given up.
+    pub fn on_failed(
+        &self,
+        now: Monotonic,
+        attempt: Attempt,
+        failure: EndpointFailure,
+    ) -> Option<EndpointEvent> {
+        if attempt.first_event_at.is_none() {
+            sub(&self.own_prompt_tokens, attempt.prompt_tokens);
+            for hash in &attempt.prefix_hashes {
+                self.prefixes.remove(*hash);
+            }
+        }
+        self.release(now, &attempt);
+        match failure {
+            EndpointFailure::Broken | EndpointFailure::Silent => {
+                self.breaker.on_failure(now, attempt.is_probe)
+            }
+            EndpointFailure::Refused | EndpointFailure::Unrelated => {
+                self.breaker.on_unrelated(attempt.is_probe);
+                None
+            }
+        }
+    }
+
+    /// Brings in a load report that arrived now, with its cache events.
+    ///
+    /// A report that was taken before the one in use is ignored.
+    pub fn on_report(&self, now: Monotonic, report: &LoadReport) {
+        let age_us = report.age_ms.saturating_mul(1_000);
+        let taken_at = Monotonic::from_us(now.as_us().saturating_sub(age_us));
+        let is_older = self
+            .report
+            .load()
+            .as_ref()
+            .is_some_and(|known| taken_at < known.taken_at);
+        if is_older {
+            return;
+        }
+        let own_requests = self.history.at(taken_at).unwrap_or_default();
+        self.report.store(Some(Arc::new(ReportedLoad {
+            taken_at,
+            running: report.running,
+            waiting: report.waiting,
+            own_requests,
+            cache_used_permille: report.cache_used_permille,
+        })));
+        self.on_cache_events(report.cache_sequence, &report.cache_events);
+    }
+
+    /// Brings in cache events up to the sequence number `last`.
+    ///
+    /// After a gap the known prefixes stay: a prefix that was evicted unseen costs one slow answer,
+    /// and forgetting all of them costs one for each. A number that goes back means that the
+    /// endpoint started anew with an empty cache.
+    pub fn on_cache_events(&self, last: u64, events: &[CacheEvent]) {
+        let known = self.cache_sequence.load(Ordering::Acquire);
+        if last < known {
+            self.prefixes.clear();
+        }
+        for event in events {
+            let is_known = last >= known && event.sequence <= known;
+            if is_known {
+                continue;
+            }
+            if event.is_stored {
+                self.prefixes.insert(event.prefix_hash);
+            } else {
+                self.prefixes.remove(event.prefix_hash);
+            }
+        }
+        self.cache_sequence.store(last, Ordering::Release);
+    }
+
+    /// Returns the sequence number of the last cache event that was brought in.
+    pub fn cache_sequence(&self) -> u64 {
+        self.cache_sequence.load(Ordering::Acquire)
+    }
+
+    /// Returns whether the endpoint may get a request.
+    pub fn health(&self, now: Monotonic) -> Health {
+        self.breaker.health(now)
+    }
+
+    /// Returns the own outstanding requests.
+    pub fn own_requests(&self) -> u32 {
+        self.own_requests.load(Ordering::Acquire)
+    }
+
+    /// Returns the prompt tokens of own requests without a first event.
+    pub fn own_prompt_tokens(&self) -> u64 {
+        self.own_prompt_tokens.load(Ordering::Acquire)
+    }
+
+    /// Returns the latest report, unless it is stale.
+    pub fn report(&self, now: Monotonic) -> Option<ReportedLoad> {
+        let report = self.report.load();
+        report
+            .as_ref()
+            .filter(|report| !report.is_stale(now))
+            .map(|report| **report)
+    }
+
+    /// Returns the expected time for one prompt token, queueing at the endpoint included.
+    pub fn prompt_token_time(&self) -> Duration {
+        Duration::from_nanos(self.prompt_token_ns.load(Ordering::Relaxed))
+    }
+
+    /// Returns the expected time from sending a request to the end of its answer.
+    pub fn service_time(&self) -> Duration {
+        Duration::from_micros(self.service_time_us.load(Ordering::Relaxed))
+    }
+
+    /// Returns the prefixes that the endpoint is believed to have in its cache.
+    pub fn prefixes(&self) -> &PrefixTable {
+        &self.prefixes
+    }
+
+    /// Returns the part of a prompt that is not believed to be in the cache, in tokens.
+    pub fn uncached_tokens(&self, prompt_tokens: u64, prefix_hashes: &[u64]) -> u64 {
+        if prefix_hashes.is_empty() {
+            return prompt_tokens;
+        }
+        let matching = self.prefixes.matching_len(prefix_hashes) as u64;
+        let cached = prompt_tokens * matching / prefix_hashes.len() as u64;
+        (prompt_tokens - cached).max(1)
+    }
+
+    fn release(&self, now: Monotonic, _attempt: &Attempt) {
+        let before = self
+            .own_requests
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |count| {
+                Some(count.saturating_sub(1))
+            })
+            .unwrap_or_default();
+        self.history.record(now, before.saturating_sub(1));
+    }
+}
+
+fn sub(counter: &AtomicU64, amount: u64) {
+    let _ = counter.fetch_update(Ordering::AcqRel, Ordering::Acquire, |value| {
+        Some(value.saturating_sub(amount))
+    });
+}
+
+fn average(mean: &AtomicU64, sample: u64) {
+    let _ = mean.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |value| {
+        Some(value - (value >> EWMA_SHIFT) + (sample >> EWMA_SHIFT))
+    });
+}
--- /dev/null
+++ b/src/routing/estimate.rs
@@ -0,0 +1,98 @@
+//! The expected time to the first event at an endpoint.
+
+use std::time::Duration;
+
+use super::attempt::prefix_hashes;
+use super::attempt::prompt_tokens;
+use super::EndpointLoad;
+use super::RouteQuery;
+use crate::catalog::Endpoint;
+use crate::catalog::Link;
+use crate::catalog::RegionKey;
+use crate::clock::Monotonic;
+use crate::request::CallBody;
+
+const UNKNOWN_ONE_WAY: Duration = Duration::from_millis(100);
+const UNKNOWN_BANDWIDTH_BITS_PER_S: u64 = 100_000_000;
+
+/// Returns the expected time to the first event if `call` goes to `endpoint`.
+pub fn expected_first_event(
+    now: Monotonic,
+    query: &RouteQuery<'_>,
+    endpoint: &Endpoint,
+    load: &EndpointLoad,
+) -> Duration {
+    let uncached = load.uncached_tokens(prompt_tokens(query.call), prefix_hashes(query.call));
+    let prefill_tokens = load.own_prompt_tokens() + uncached;
+    let prefill = load
+        .prompt_token_time()
+        .saturating_mul(u32::try_from(prefill_tokens).unwrap_or(u32::MAX));
+    prefill + waiting_time(now, query, endpoint, load) + network_time(query, endpoint.region)
+}
+
+/// Returns the number of requests expected to be at an endpoint now, from all VMs.
+pub(super) fn expected_requests(
+    now: Monotonic,
+    query: &RouteQuery<'_>,
+    endpoint: &Endpoint,
+    load: &EndpointLoad,
+) -> u32 {
+    let others = match load.report(now) {
+        Some(report) => report.others(),
+        None => unreported_others(query, endpoint),
+    };
+    others + load.own_requests()
+}
+
+fn waiting_time(
+    now: Monotonic,
+    query: &RouteQuery<'_>,
+    endpoint: &Endpoint,
+    load: &EndpointLoad,
+) -> Duration {
+    let concurrency = endpoint.concurrency.max(1);
+    let requests = expected_requests(now, query, endpoint, load);
+    let ahead = (requests + 1).saturating_sub(concurrency);
+    load.service_time() * ahead / concurrency
+}
+
+/// Without a report, the load that the VMs of the region tell stands for it.
+fn unreported_others(query: &RouteQuery<'_>, endpoint: &Endpoint) -> u32 {
+    let loads: Vec<u32> = query
+        .view
+        .serving_in(query.catalog, endpoint.region)
+        .filter(|vm| *vm != query.view.own)
+        .filter_map(|vm| query.view.vms.get(vm))
+        .map(|vm| vm.load_permille)
+        .collect();
+    if loads.is_empty() {
+        return 0;
+    }
+    let mean_permille = loads.iter().map(|load| u64::from(*load)).sum::<u64>() / loads.len() as u64;
+    u32::try_from(u64::from(endpoint.concurrency) * mean_permille / 1_000).unwrap_or(u32::MAX)
+}
+
+fn network_time(query: &RouteQuery<'_>, region: RegionKey) -> Duration {
+    let Some(own) = query.own_region() else {
+        return Duration::ZERO;
+    };
+    if own == region {
+        return Duration::ZERO;
+    }
+    let link = query.catalog.link(own, region).unwrap_or(Link {
+        to: region,
+        one_way_us: UNKNOWN_ONE_WAY.as_micros() as u64,
+        bandwidth_bits_per_s: UNKNOWN_BANDWIDTH_BITS_PER_S,
+    });
+    let transfer_us =
+        body_bits(&query.call.body).saturating_mul(1_000_000) / link.bandwidth_bits_per_s.max(1);
+    Duration::from_micros(2 * link.one_way_us + transfer_us)
+}
+
+fn body_bits(body: &CallBody) -> u64 {
+    let bytes = match body {
+        CallBody::Completion(call) => call.body.len(),
+        CallBody::Service(call) => call.body.len(),
+    };
+    8 * bytes as u64
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,1 +1,39 @@
 //! The choice of region, VM and endpoint for a request.
+//!
+//! Hard filters come first: the account's allowed regions, the route, the role, the published and
+//! observed state of an endpoint, and what the request has visited. Among what is left, the
+//! expected time to the first token decides between the endpoint of the prompt's prefix and two
+//! endpoints taken at random.
+
+mod attempt;
+mod candidate;
+mod chooser;
+mod endpoint_event;
+mod endpoint_load;
+mod endpoint_loads;
+mod estimate;
+mod health;
+mod own_history;
+mod prefix_table;
+mod reported_load;
+mod route_choice;
+mod route_query;
+
+pub use attempt::Attempt;
+pub use candidate::CandidateNote;
+pub use candidate::Exclusion;
+pub use candidate::Explanation;
+pub use chooser::choose;
+pub use endpoint_event::EndpointEvent;
+pub use endpoint_event::EndpointFailure;
+pub use endpoint_load::EndpointLoad;
+pub use endpoint_loads::EndpointLoads;
+pub use estimate::expected_first_event;
+pub use health::Health;
+pub use prefix_table::PrefixTable;
+pub use reported_load::ReportedLoad;
+pub use route_choice::RouteChoice;
+pub use route_choice::RouteDecision;
+pub use route_choice::RouteRefusal;
+pub use route_query::RouteQuery;
+pub use route_query::CROSSINGS_MAX;
