--- /dev/null
+++ b/src/idempotency/call_outcome.rs
@@ -0,0 +1,49 @@
+//! How a call ended.
+
+use bytes::Bytes;
+
+use crate::request::Usage;
+
+/// How a submission that proceeded ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// It ran, and the answer is kept.
+    Completed(StoredAnswer),
+    /// It ran, and the answer is not kept.
+    RanUnkept,
+    /// It may have run.
+    Unknown,
+    /// It certainly did not run.
+    NotRun,
+}
+
+/// The whole answer of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+    /// The tokens that the call used.
+    pub usage: Usage,
+}
+
+impl CallOutcome {
+    /// Returns the bytes that the outcome takes in memory, apart from its fixed size.
+    pub(super) fn stored_bytes(&self) -> usize {
+        match self {
+            Self::Completed(answer) => answer.body.len() + answer.content_type.len(),
+            Self::RanUnkept | Self::Unknown | Self::NotRun => 0,
+        }
+    }
+
+    /// Returns the outcome without an answer of more than `answer_max_bytes`.
+    pub(super) fn bounded(self, answer_max_bytes: usize) -> Self {
+        match self {
+            Self::Completed(_) if self.stored_bytes() > answer_max_bytes => Self::RanUnkept,
+            other => other,
+        }
+    }
+}
--- /dev/null
+++ b/src/idempotency/replies.rs
@@ -0,0 +1,72 @@
+//! What a repeat is told about the first submission.
+
+use super::record::Record;
+use super::record::RecordState;
+use super::CallOutcome;
+use super::Fingerprint;
+use super::IdempotencyAnswer;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::errors::RunState;
+use crate::membership::Liveness;
+use crate::membership::MembershipView;
+
+/// Returns what a repeat with `fingerprint` is told about `record`.
+pub(super) fn answer_repeat(
+    view: &MembershipView,
+    record: &Record,
+    fingerprint: Fingerprint,
+) -> IdempotencyAnswer {
+    if record.fingerprint != fingerprint {
+        return failed(
+            ErrorKind::IdempotencyKeyReused,
+            "the idempotency key names a different request",
+        );
+    }
+    match &record.state {
+        RecordState::Finished(CallOutcome::Completed(answer)) => {
+            IdempotencyAnswer::Repeated(answer.clone())
+        }
+        RecordState::Finished(CallOutcome::RanUnkept) => IdempotencyAnswer::Failed(
+            GatewayError::new(
+                ErrorKind::OutcomeUnknown,
+                "the first submission ran, and its answer was not kept",
+            )
+            .with_run(RunState::Ran),
+        ),
+        RecordState::Finished(CallOutcome::Unknown | CallOutcome::NotRun) => failed(
+            ErrorKind::OutcomeUnknown,
+            "the outcome of the first submission is not known",
+        ),
+        RecordState::Running => in_progress(),
+        RecordState::Prepared if is_coordinator_alive(view, record) => in_progress(),
+        RecordState::Prepared => failed(
+            ErrorKind::OutcomeUnknown,
+            "the VM that ran the first submission is gone",
+        ),
+    }
+}
+
+/// Returns what a submission is told that nobody acknowledged.
+pub(super) fn unacknowledged(message: &str) -> IdempotencyAnswer {
+    failed(ErrorKind::RecordUnacknowledged, message)
+}
+
+/// Returns what a submission is told when another one of the same key goes before it.
+pub(super) fn in_progress() -> IdempotencyAnswer {
+    failed(
+        ErrorKind::CallInProgress,
+        "the first submission has not ended",
+    )
+}
+
+/// Returns a failed answer.
+pub(super) fn failed(kind: ErrorKind, message: &str) -> IdempotencyAnswer {
+    IdempotencyAnswer::Failed(GatewayError::new(kind, message))
+}
+
+fn is_coordinator_alive(view: &MembershipView, record: &Record) -> bool {
+    view.vms
+        .get(record.attempt.coordinator)
+        .is_some_and(|vm| matches!(vm.liveness, Liveness::Alive | Liveness::Suspected))
+}
--- a/src/retry/retry_policy.rs
+++ b/src/retry/retry_policy.rs
@@ -27,8 +27,8 @@
 impl RetryPolicy {
     /// Decides what follows a failed attempt.
     ///
-    /// A non-idempotent call is sent again only if the attempt certainly did not run. The error of
-    /// a call that is given up keeps its run state.
+    /// A non-idempotent call is sent again only if no byte of it can have left for an endpoint. The
+    /// error of a call that is given up keeps its run state.
     pub fn decide(&self, failure: AttemptFailure, budget: &RetryBudget) -> RetryDecision {
         let Some(decision) = allowed_decision(&failure) else {
             return RetryDecision::GiveUp(failure.error);
@@ -45,12 +45,8 @@
     if !is_attempt_fault(failure.error.kind) {
         return None;
     }
-    let is_repeatable = failure.repeatability == Repeatability::Idempotent;
-    if failure.error.run == RunState::NotRun && failure.chunks_passed == 0 {
-        return Some(RetryDecision::RetryElsewhere);
-    }
-    if !is_repeatable {
-        return None;
+    if failure.repeatability == Repeatability::NonIdempotent {
+        return is_unsent(failure).then_some(RetryDecision::RetryElsewhere);
     }
     if failure.chunks_passed == 0 {
         return Some(RetryDecision::RetryElsewhere);
@@ -60,6 +56,15 @@
         .then_some(RetryDecision::ResumeFrom(failure.chunks_passed))
 }
 
+/// Tells whether no byte of the call can have reached an endpoint.
+///
+/// A refusal by an endpoint comes after the call was sent, so it does not count.
+fn is_unsent(failure: &AttemptFailure) -> bool {
+    failure.error.run == RunState::NotRun
+        && failure.error.kind != ErrorKind::EndpointRefused
+        && failure.chunks_passed == 0
+}
+
 /// Tells whether another endpoint or connection may do better.
 fn is_attempt_fault(kind: ErrorKind) -> bool {
     matches!(
