Let the choice send a request to the queue

A region whose endpoints have no free slot is no refusal: the request waits, or crosses if that is sooner by the expected times. The slot decision moves to routing, which needs it.

--- a/src/queueing/mod.rs
+++ b/src/queueing/mod.rs
@@ -11,7 +11,6 @@
 mod queue_item;
 mod queue_limits;
 mod refused;
-mod slots;
 
 pub use fair_queue::FairQueue;
 pub use queue_item::QueueItem;
@@ -19,5 +18,3 @@
 pub use queue_limits::QueueLimits;
 pub use refused::Refused;
 pub use refused::RefusedReason;
-pub use slots::class_slots;
-pub use slots::slot_count;
--- a/src/routing/chooser.rs
+++ b/src/routing/chooser.rs
@@ -8,6 +8,9 @@
 use super::attempt::prefix_hashes;
 use super::estimate::expected_first_event;
 use super::estimate::expected_requests;
+use super::slots::class_slots;
+use super::slots::slot_count;
+use super::EndpointLoad;
 use super::Exclusion;
 use super::Explanation;
 use super::Health;
@@ -35,6 +38,13 @@
     expected: Duration,
     requests: u32,
     concurrency: u32,
+    has_slot: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Picked {
+    choice: RouteChoice,
+    expected: Duration,
 }
 
 /// Chooses where a call goes: to an endpoint of the own region or to a VM of another one.
@@ -57,46 +67,83 @@
     let (local, remote): (Vec<Candidate>, Vec<Candidate>) = candidates
         .into_iter()
         .partition(|candidate| Some(candidate.region) == own_region);
-    let best_local = pick(query, &local, rng);
-    let best_remote = pick(query, &remote, rng);
-    let best = match (best_local, best_remote) {
+    let local = pick_local(query, &local, rng);
+    let remote = pick_remote(query, &remote, rng);
+    let best = match (local, remote) {
         (Some(local), Some(remote)) if remote.expected + CROSSING_MARGIN < local.expected => remote,
         (Some(local), _) => local,
         (None, Some(remote)) => remote,
         (None, None) => return Err(refusal(now, query, explanation)),
     };
-    let choice = if Some(best.region) == own_region {
-        RouteChoice::Local(best.endpoint)
-    } else {
-        match pick_vm(query, best.region, rng) {
-            Some(vm) => RouteChoice::Forward {
-                vm,
-                region: best.region,
-                preferred_endpoint: best.endpoint,
-            },
-            None => return Err(refusal(now, query, explanation)),
-        }
-    };
     Ok(RouteDecision {
-        choice,
+        choice: best.choice,
         expected_first_event: best.expected,
         explanation,
     })
 }
 
+/// Picks an endpoint of the own region with a free slot, or the queue if there is none.
+fn pick_local(
+    query: &RouteQuery<'_>,
+    candidates: &[Candidate],
+    rng: &mut impl Rng,
+) -> Option<Picked> {
+    let free: Vec<Candidate> = candidates
+        .iter()
+        .filter(|candidate| candidate.has_slot)
+        .copied()
+        .collect();
+    if let Some(best) = pick(query, &free, rng) {
+        return Some(Picked {
+            choice: RouteChoice::Local(best.endpoint),
+            expected: best.expected,
+        });
+    }
+    let soonest = candidates
+        .iter()
+        .map(|candidate| candidate.expected)
+        .min()?;
+    Some(Picked {
+        choice: RouteChoice::Queue,
+        expected: soonest + query.queue_wait,
+    })
+}
+
+fn pick_remote(
+    query: &RouteQuery<'_>,
+    candidates: &[Candidate],
+    rng: &mut impl Rng,
+) -> Option<Picked> {
+    let best = pick(query, candidates, rng)?;
+    let choice = RouteChoice::Forward {
+        vm: pick_vm(query, best.region, rng)?,
+        region: best.region,
+        preferred_endpoint: best.endpoint,
+    };
+    Some(Picked {
+        choice,
+        expected: best.expected,
+    })
+}
+
 fn candidates(
     now: Monotonic,
     query: &RouteQuery<'_>,
     explanation: &mut Explanation,
 ) -> Vec<Candidate> {
     let mut candidates = Vec::new();
+    let sharing_vms = query.sharing_vm_count();
     for (key, endpoint) in &query.catalog.endpoints {
         if !endpoint.serves(query.call.route) {
             continue;
         }
         match exclusion(now, query, key, endpoint) {
             Some(exclusion) => explanation.leave_out(key, exclusion),
-            None => candidates.push(candidate(now, query, key, endpoint)),
+            None => {
+                if let Some(load) = query.loads.get(key) {
+                    candidates.push(candidate(now, query, key, endpoint, load, sharing_vms));
+                }
+            }
         }
     }
     explanation.candidate_count = candidates.len() as u32;
@@ -152,20 +199,17 @@
     query: &RouteQuery<'_>,
     key: EndpointKey,
     endpoint: &Endpoint,
+    load: &EndpointLoad,
+    sharing_vms: u32,
 ) -> Candidate {
-    let (expected, requests) = match query.loads.get(key) {
-        Some(load) => (
-            expected_first_event(now, query, endpoint, load),
-            expected_requests(now, query, endpoint, load),
-        ),
-        None => (Duration::MAX, u32::MAX),
-    };
+    let slots = slot_count(now, load, endpoint.concurrency, sharing_vms);
     Candidate {
         endpoint: key,
         region: endpoint.region,
-        expected,
-        requests,
+        expected: expected_first_event(now, query, endpoint, load),
+        requests: expected_requests(now, query, endpoint, load),
         concurrency: endpoint.concurrency.max(1),
+        has_slot: load.own_requests() < class_slots(slots, query.class()),
     }
 }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -18,6 +18,7 @@
 mod reported_load;
 mod route_choice;
 mod route_query;
+mod slots;
 
 pub use attempt::Attempt;
 pub use candidate::CandidateNote;
@@ -37,3 +38,5 @@
 pub use route_choice::RouteRefusal;
 pub use route_query::RouteQuery;
 pub use route_query::CROSSINGS_MAX;
+pub use slots::class_slots;
+pub use slots::slot_count;
--- a/src/routing/route_choice.rs
+++ b/src/routing/route_choice.rs
@@ -16,6 +16,8 @@
 pub enum RouteChoice {
     /// To an endpoint of the own region, from this VM.
     Local(EndpointKey),
+    /// Into the queue of this VM, as the endpoints of its region have no free slot for it.
+    Queue,
     /// To a VM of another region, which serves it or refuses it as not run.
     Forward {
         /// The VM.
--- a/src/routing/route_query.rs
+++ b/src/routing/route_query.rs
@@ -1,9 +1,12 @@
 //! What the choice of an endpoint depends on.
 
+use std::time::Duration;
+
 use super::EndpointLoads;
 use crate::catalog::Catalog;
 use crate::catalog::EndpointKey;
 use crate::catalog::RegionKey;
+use crate::catalog::WorkClass;
 use crate::membership::MembershipView;
 use crate::request::Call;
 
@@ -25,6 +28,8 @@
     pub excluded: &'a [EndpointKey],
     /// The crossings between VMs that the call may make in all; 0 keeps it on this VM.
     pub crossings_max: usize,
+    /// The expected wait of the call in the queue of this VM.
+    pub queue_wait: Duration,
 }
 
 impl RouteQuery<'_> {
@@ -47,6 +52,25 @@
         }
     }
 
+    /// Returns the class of work of the call.
+    pub fn class(&self) -> WorkClass {
+        let route = self.catalog.routes.get(self.call.route);
+        route.map_or(WorkClass::Long, |route| route.class)
+    }
+
+    /// Returns the number of VMs that share the endpoints of the own region, this one included.
+    pub fn sharing_vm_count(&self) -> u32 {
+        let Some(region) = self.own_region() else {
+            return 1;
+        };
+        let others = self
+            .view
+            .serving_in(self.catalog, region)
+            .filter(|vm| *vm != self.view.own)
+            .count();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
     /// Tells whether the call may cross to another VM.
     ///
     /// Each VM that forwards a call adds itself to the visited ones.
--- a/src/queueing/slots.rs
+++ b/src/routing/slots.rs
@@ -1,8 +1,8 @@
 //! How many requests one VM may have outstanding at an endpoint that other VMs use, too.
 
+use super::EndpointLoad;
 use crate::catalog::WorkClass;
 use crate::clock::Monotonic;
-use crate::routing::EndpointLoad;
 
 const LONG_SLOTS_PERCENT: u32 = 75;
 
