Add the thin path from caller to engine

Cause: nothing answered a request yet. Change: the caller server (rocket) over the Gateway border, HttpEndpointClient (reqwest) with its answer checks, and a stand-in engine that streams server-sent events. Result: one streamed completion crosses caller, client and engine over loopback.

--- /dev/null
+++ b/src/caller/caller_headers.rs
@@ -0,0 +1,98 @@
+//! The headers of a caller's request.
+
+use rocket::async_trait;
+use rocket::http::HeaderMap;
+use rocket::request::FromRequest;
+use rocket::request::Outcome;
+use rocket::Request;
+
+use crate::catalog::KeyDigest;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::request::IdempotencyKey;
+use crate::request::RequestId;
+
+const AUTHORIZATION: &str = "authorization";
+const BEARER: &str = "bearer";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The headers of a caller's request, and the identifier that the request is given.
+///
+/// The key is reduced to its digest here and goes no further.
+#[derive(Clone, Debug)]
+pub(super) struct CallerHeaders {
+    /// The identifier of the request.
+    pub(super) id: RequestId,
+    /// The key and the idempotency key, or why they can't be read.
+    pub(super) credentials: Result<Credentials, GatewayError>,
+}
+
+/// What a caller shows.
+#[derive(Clone, Debug)]
+pub(super) struct Credentials {
+    /// The digest of the key.
+    pub(super) key_digest: Option<KeyDigest>,
+    /// The idempotency key.
+    pub(super) idempotency_key: Option<IdempotencyKey>,
+}
+
+impl CallerHeaders {
+    /// Reads the headers of `request` and gives the request an identifier.
+    pub(super) fn read(request: &Request<'_>) -> Self {
+        Self {
+            id: RequestId(rand::random()),
+            credentials: Credentials::read(request.headers()),
+        }
+    }
+}
+
+impl Credentials {
+    fn read(headers: &HeaderMap<'_>) -> Result<Self, GatewayError> {
+        let idempotency_key = single(headers, IDEMPOTENCY_KEY)?
+            .map(IdempotencyKey::new)
+            .transpose()
+            .map_err(|error| malformed(error.to_string()))?;
+        Ok(Self {
+            key_digest: read_key(headers)?,
+            idempotency_key,
+        })
+    }
+}
+
+#[async_trait]
+impl<'r> FromRequest<'r> for CallerHeaders {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, Self::Error> {
+        Outcome::Success(Self::read(request))
+    }
+}
+
+fn read_key(headers: &HeaderMap<'_>) -> Result<Option<KeyDigest>, GatewayError> {
+    let Some(value) = single(headers, AUTHORIZATION)? else {
+        return Ok(None);
+    };
+    let key = value
+        .split_once(' ')
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case(BEARER))
+        .map(|(_, key)| key.trim())
+        .filter(|key| !key.is_empty())
+        .ok_or_else(|| malformed("the Authorization header must have the form 'Bearer KEY'"))?;
+    Ok(Some(KeyDigest::of_key(key)))
+}
+
+fn single<'h>(
+    headers: &'h HeaderMap<'_>,
+    name: &'static str,
+) -> Result<Option<&'h str>, GatewayError> {
+    let mut values = headers.get(name);
+    let first = values.next();
+    if values.next().is_some() {
+        return Err(malformed(format!("the header {name} came more than once")));
+    }
+    Ok(first)
+}
+
+fn malformed(message: impl Into<String>) -> GatewayError {
+    GatewayError::new(ErrorKind::MalformedRequest, message)
+}
--- /dev/null
+++ b/src/caller/caller_state.rs
@@ -0,0 +1,17 @@
+//! What all requests of callers share.
+
+use std::sync::Arc;
+
+use super::CallerLimits;
+use super::Gateway;
+use crate::clock::Clock;
+
+/// What all requests of callers share.
+pub(super) struct CallerState {
+    /// The decisions of the VM.
+    pub(super) gateway: Arc<dyn Gateway>,
+    /// The clock that stamps arrivals.
+    pub(super) clock: Arc<dyn Clock>,
+    /// The limits.
+    pub(super) limits: CallerLimits,
+}
--- /dev/null
+++ b/src/caller/completion_routes.rs
@@ -0,0 +1,89 @@
+//! The route of completions.
+
+use bytes::Bytes;
+use rocket::data::ToByteUnit;
+use rocket::post;
+use rocket::Data;
+use rocket::State;
+
+use super::caller_answer::CallerAnswer;
+use super::caller_headers::CallerHeaders;
+use super::caller_state::CallerState;
+use super::completion_answer;
+use super::completion_answer::CompletionMeta;
+use super::CompletionWire;
+use crate::catalog::Name;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::request::CallBody;
+use crate::request::CallTarget;
+use crate::request::IncomingCall;
+
+/// Answers a completion request.
+#[post("/v1/chat/completions", data = "<data>")]
+pub(super) async fn complete(
+    headers: CallerHeaders,
+    data: Data<'_>,
+    state: &State<CallerState>,
+) -> CallerAnswer {
+    let id = headers.id;
+    try_complete(headers, data, state)
+        .await
+        .unwrap_or_else(|error| CallerAnswer::error(id, &error))
+}
+
+async fn try_complete(
+    headers: CallerHeaders,
+    data: Data<'_>,
+    state: &CallerState,
+) -> Result<CallerAnswer, GatewayError> {
+    let received_at = state.clock.now();
+    let credentials = headers.credentials?;
+    let body = read_body(data, state.limits.body_max_bytes).await?;
+    let wire = CompletionWire::parse(&body)?;
+    let model = Name::new(&wire.model).map_err(|error| {
+        GatewayError::new(ErrorKind::MalformedRequest, format!("model: {error}"))
+    })?;
+    let completion = wire.into_call(body)?;
+    let is_stream = completion.is_stream;
+    let meta = CompletionMeta {
+        id: headers.id,
+        model: model.as_str().to_owned(),
+        created_unix_s: state.clock.wall_time().unix_ms / 1_000,
+    };
+    let call = IncomingCall {
+        id: headers.id,
+        key_digest: credentials.key_digest,
+        target: CallTarget::Model(model),
+        body: CallBody::Completion(completion),
+        idempotency_key: credentials.idempotency_key,
+        received_at,
+    };
+    let events = state.gateway.call(call).await?;
+    if is_stream {
+        completion_answer::streamed(meta, events).await
+    } else {
+        completion_answer::whole(meta, events).await
+    }
+}
+
+/// Reads the body of a request.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::BodyTooLarge`] if the body is over `max_bytes`, and
+/// [`ErrorKind::MalformedRequest`] if it ends early.
+pub(super) async fn read_body(data: Data<'_>, max_bytes: u64) -> Result<Bytes, GatewayError> {
+    let body = data
+        .open(max_bytes.bytes())
+        .into_bytes()
+        .await
+        .map_err(|_| GatewayError::new(ErrorKind::MalformedRequest, "the body ended early"))?;
+    if !body.is_complete() {
+        return Err(GatewayError::new(
+            ErrorKind::BodyTooLarge,
+            format!("the body is longer than {max_bytes} bytes"),
+        ));
+    }
+    Ok(Bytes::from(body.into_inner()))
+}
--- /dev/null
+++ b/src/caller/completion_wire.rs
@@ -0,0 +1,143 @@
+//! The body of a completion request.
+
+use bytes::Bytes;
+use serde::Deserialize;
+
+use super::estimate_tokens;
+use super::prefix_hashes;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::request::CompletionCall;
+
+/// The longest answer of a request that names no limit, in tokens.
+const DEFAULT_ANSWER_MAX_TOKENS: u64 = 1_024;
+/// The highest accepted limit of an answer, in tokens.
+const ANSWER_MAX_TOKENS_LIMIT: u64 = 1 << 32;
+
+/// The fields of a completion request that the gateway reads; engines read the rest.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+pub struct CompletionWire {
+    /// The model.
+    pub model: String,
+    /// The conversation so far.
+    pub messages: Vec<MessageWire>,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub stream: Option<bool>,
+    /// The longest answer, in tokens.
+    #[serde(default)]
+    pub max_tokens: Option<u64>,
+    /// The longest answer, in tokens, under its newer name.
+    #[serde(default)]
+    pub max_completion_tokens: Option<u64>,
+}
+
+/// One message of a conversation.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+pub struct MessageWire {
+    /// Who speaks.
+    pub role: String,
+    /// What is said.
+    #[serde(default)]
+    pub content: Option<ContentWire>,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+#[serde(untagged)]
+pub enum ContentWire {
+    /// A text.
+    Text(String),
+    /// Parts of several types.
+    Parts(Vec<PartWire>),
+}
+
+/// One part of a message.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+pub struct PartWire {
+    /// The text, in parts that are texts.
+    #[serde(default)]
+    pub text: Option<String>,
+}
+
+impl MessageWire {
+    /// Returns the text of all parts.
+    pub fn text(&self) -> String {
+        match &self.content {
+            None => String::new(),
+            Some(ContentWire::Text(text)) => text.clone(),
+            Some(ContentWire::Parts(parts)) => {
+                parts.iter().filter_map(|part| part.text.clone()).collect()
+            }
+        }
+    }
+
+    /// Returns the length of the text of all parts, in bytes.
+    pub fn text_bytes(&self) -> u64 {
+        let length = match &self.content {
+            None => 0,
+            Some(ContentWire::Text(text)) => text.len(),
+            Some(ContentWire::Parts(parts)) => {
+                let texts = parts.iter().filter_map(|part| part.text.as_ref());
+                texts.map(String::len).sum()
+            }
+        };
+        u64::try_from(length).unwrap_or(u64::MAX)
+    }
+}
+
+impl CompletionWire {
+    /// Parses the body of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::MalformedRequest`] with the path of the field that is wrong.
+    pub fn parse(body: &[u8]) -> Result<Self, GatewayError> {
+        let mut deserializer = serde_json::Deserializer::from_slice(body);
+        let wire: Self = serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+            let inner = error.inner();
+            let place = format!("line {} column {}", inner.line(), inner.column());
+            malformed(match error.path().to_string().as_str() {
+                "." => format!("the body is not a completion request, at {place}"),
+                path => format!("the field {path} is missing or of a wrong type, at {place}"),
+            })
+        })?;
+        deserializer
+            .end()
+            .map_err(|_| malformed("there is text after the JSON of the body"))?;
+        Ok(wire)
+    }
+
+    /// Makes a call of the request whose body is `body`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::MalformedRequest`] if there are no messages or a count is impossible.
+    pub fn into_call(self, body: Bytes) -> Result<CompletionCall, GatewayError> {
+        if self.messages.is_empty() {
+            return Err(malformed("messages must not be empty"));
+        }
+        Ok(CompletionCall {
+            body,
+            prompt_tokens: estimate_tokens(&self.messages),
+            answer_max_tokens: self.answer_max_tokens()?,
+            is_stream: self.stream.unwrap_or(false),
+            prefix_hashes: prefix_hashes(&self.model, &self.messages),
+        })
+    }
+
+    fn answer_max_tokens(&self) -> Result<u64, GatewayError> {
+        let wanted = self.max_completion_tokens.or(self.max_tokens);
+        match wanted {
+            None => Ok(DEFAULT_ANSWER_MAX_TOKENS),
+            Some(tokens) if (1..=ANSWER_MAX_TOKENS_LIMIT).contains(&tokens) => Ok(tokens),
+            Some(_) => Err(malformed(format!(
+                "max_tokens must be between 1 and {ANSWER_MAX_TOKENS_LIMIT}"
+            ))),
+        }
+    }
+}
+
+fn malformed(message: impl Into<String>) -> GatewayError {
+    GatewayError::new(ErrorKind::MalformedRequest, message)
+}
--- /dev/null
+++ b/src/caller/service_route.rs
@@ -0,0 +1,105 @@
+//! The routes of plain services: any method under any path that has no route of its own.
+
+use rocket::async_trait;
+use rocket::http::Method;
+use rocket::http::Status;
+use rocket::route;
+use rocket::route::Handler;
+use rocket::Data;
+use rocket::Request;
+use rocket::Route;
+
+use super::caller_answer::CallerAnswer;
+use super::caller_headers::CallerHeaders;
+use super::caller_state::CallerState;
+use super::completion_answer;
+use super::completion_routes::read_body;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::request::CallBody;
+use crate::request::CallTarget;
+use crate::request::HttpMethod;
+use crate::request::IncomingCall;
+use crate::request::ServiceCall;
+
+/// The rank of the routes of plain services, after all others.
+const RANK: isize = 100;
+
+#[derive(Clone, Copy)]
+struct ServiceHandler;
+
+/// Returns the routes of plain services, one a method.
+pub(super) fn service_routes() -> Vec<Route> {
+    HttpMethod::ALL
+        .into_iter()
+        .map(|method| Route::ranked(RANK, rocket_method(method), "/<path..>", ServiceHandler))
+        .collect()
+}
+
+#[async_trait]
+impl Handler for ServiceHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> route::Outcome<'r> {
+        let headers = CallerHeaders::read(request);
+        let id = headers.id;
+        let Some(state) = request.rocket().state::<CallerState>() else {
+            return route::Outcome::error(Status::InternalServerError);
+        };
+        let answer = call_service(request, headers, data, state)
+            .await
+            .unwrap_or_else(|error| CallerAnswer::error(id, &error));
+        route::Outcome::from(request, answer)
+    }
+}
+
+async fn call_service(
+    request: &Request<'_>,
+    headers: CallerHeaders,
+    data: Data<'_>,
+    state: &CallerState,
+) -> Result<CallerAnswer, GatewayError> {
+    let received_at = state.clock.now();
+    let credentials = headers.credentials?;
+    let method = http_method(request.method())?;
+    let content_type = request.headers().get_one("content-type");
+    let content_type = content_type.map(str::to_owned);
+    let body = read_body(data, state.limits.body_max_bytes).await?;
+    let call = IncomingCall {
+        id: headers.id,
+        key_digest: credentials.key_digest,
+        target: CallTarget::Path(request.uri().path().to_string()),
+        body: CallBody::Service(ServiceCall {
+            method,
+            path_and_query: request.uri().to_string(),
+            content_type,
+            body,
+        }),
+        idempotency_key: credentials.idempotency_key,
+        received_at,
+    };
+    let events = state.gateway.call(call).await?;
+    completion_answer::service(headers.id, events, state.limits.service_answer_max_bytes).await
+}
+
+const fn rocket_method(method: HttpMethod) -> Method {
+    match method {
+        HttpMethod::Get => Method::Get,
+        HttpMethod::Head => Method::Head,
+        HttpMethod::Post => Method::Post,
+        HttpMethod::Put => Method::Put,
+        HttpMethod::Patch => Method::Patch,
+        HttpMethod::Delete => Method::Delete,
+        HttpMethod::Options => Method::Options,
+    }
+}
+
+fn http_method(method: Method) -> Result<HttpMethod, GatewayError> {
+    HttpMethod::ALL
+        .into_iter()
+        .find(|candidate| rocket_method(*candidate) == method)
+        .ok_or_else(|| {
+            GatewayError::new(
+                ErrorKind::MalformedRequest,
+                format!("the method {method} is not served"),
+            )
+        })
+}
--- /dev/null
+++ b/src/endpoint/answer_checker.rs
@@ -0,0 +1,92 @@
+//! The check of each event of an answer.
+
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::request::AnswerEvent;
+use crate::request::AnswerPayload;
+use crate::request::RequestId;
+
+/// What is to be done with an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The event is the next one of the answer.
+    Pass,
+    /// The event belongs to another request or came before.
+    Drop,
+}
+
+/// Checks that the events of an answer are those of its request, each once and without a gap.
+#[derive(Clone, Debug)]
+pub struct AnswerChecker {
+    request_id: RequestId,
+    next_offset: u64,
+    is_ended: bool,
+}
+
+impl AnswerChecker {
+    /// Creates a checker of an answer that starts at `first_offset`.
+    pub fn new(request_id: RequestId, first_offset: u64) -> Self {
+        Self {
+            request_id,
+            next_offset: first_offset,
+            is_ended: false,
+        }
+    }
+
+    /// Judges the next event that came.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::AnswerTruncated`] if chunks before the event are missing.
+    pub fn check(&mut self, event: &AnswerEvent) -> Result<Verdict, GatewayError> {
+        if self.is_ended || event.request_id != self.request_id {
+            return Ok(Verdict::Drop);
+        }
+        match event.payload {
+            AnswerPayload::Head { .. } | AnswerPayload::KeepAlive => Ok(Verdict::Pass),
+            AnswerPayload::Chunk(_) => self.check_chunk(event.offset),
+            AnswerPayload::End(_) => self.check_end(event.offset),
+        }
+    }
+
+    /// Tells whether the end mark came.
+    pub const fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
+    /// Returns the offset of the first chunk that has not come.
+    pub const fn next_offset(&self) -> u64 {
+        self.next_offset
+    }
+
+    fn check_chunk(&mut self, offset: u64) -> Result<Verdict, GatewayError> {
+        if offset < self.next_offset {
+            return Ok(Verdict::Drop);
+        }
+        self.refuse_gap(offset)?;
+        self.next_offset += 1;
+        Ok(Verdict::Pass)
+    }
+
+    fn check_end(&mut self, chunk_count: u64) -> Result<Verdict, GatewayError> {
+        if chunk_count < self.next_offset {
+            return Err(GatewayError::new(
+                ErrorKind::EndpointFailed,
+                "the end mark of the answer counts fewer chunks than came",
+            ));
+        }
+        self.refuse_gap(chunk_count)?;
+        self.is_ended = true;
+        Ok(Verdict::Pass)
+    }
+
+    fn refuse_gap(&self, offset: u64) -> Result<(), GatewayError> {
+        if offset == self.next_offset {
+            return Ok(());
+        }
+        Err(GatewayError::new(
+            ErrorKind::AnswerTruncated,
+            "chunks of the answer are missing",
+        ))
+    }
+}
--- /dev/null
+++ b/src/endpoint/connections.rs
@@ -0,0 +1,81 @@
+//! Pools of connections, one an endpoint.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use reqwest::redirect;
+use reqwest::retry;
+use reqwest::Client;
+
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::errors::RunState;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const IDLE_MAX_PER_ENDPOINT: usize = 32;
+
+/// Pools of connections, one an endpoint.
+///
+/// A pool whose endpoint fell silent is dropped whole: the other idle connections may be as dead
+/// as the one that was seen.
+#[derive(Debug, Default)]
+pub(super) struct Connections {
+    pools: ArcSwap<HashMap<SocketAddr, Client>>,
+}
+
+impl Connections {
+    /// Returns the pool of `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Internal`] if the HTTP client can't be built.
+    pub(super) fn pool(&self, address: SocketAddr) -> Result<Client, GatewayError> {
+        if let Some(client) = self.pools.load().get(&address) {
+            return Ok(client.clone());
+        }
+        let client = build_client(IDLE_MAX_PER_ENDPOINT)?;
+        self.pools.rcu(|pools| {
+            let mut pools = HashMap::clone(pools);
+            pools.entry(address).or_insert_with(|| client.clone());
+            pools
+        });
+        Ok(client)
+    }
+
+    /// Returns a client that opens a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Internal`] if the HTTP client can't be built.
+    pub(super) fn unpooled(&self) -> Result<Client, GatewayError> {
+        build_client(0)
+    }
+
+    /// Drops the pool of `address`, so that later calls open new connections.
+    pub(super) fn forget(&self, address: SocketAddr) {
+        self.pools.rcu(|pools| {
+            let mut pools = HashMap::clone(pools);
+            pools.remove(&address);
+            pools
+        });
+    }
+}
+
+fn build_client(idle_max_per_endpoint: usize) -> Result<Client, GatewayError> {
+    Client::builder()
+        .no_proxy()
+        .redirect(redirect::Policy::none())
+        .retry(retry::never())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(idle_max_per_endpoint)
+        .tcp_nodelay(true)
+        .build()
+        .map_err(|_| {
+            GatewayError::new(ErrorKind::Internal, "the HTTP client could not be built")
+                .with_run(RunState::NotRun)
+        })
+}
--- /dev/null
+++ b/src/endpoint/engine_answer.rs
@@ -0,0 +1,104 @@
+//! The checked answer of a model engine.
+
+use std::pin::Pin;
+
+use eventsource_stream::Event;
+use eventsource_stream::EventStreamError;
+use eventsource_stream::Eventsource;
+use futures::stream;
+use futures::Stream;
+use futures::StreamExt;
+use reqwest::Response;
+
+use super::call_guard::CallGuard;
+use super::timed_events::TimeLimits;
+use super::transport_errors;
+use super::AnswerChecker;
+use super::EngineEventWire;
+use super::Verdict;
+use super::DONE_DATA;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::request::AnswerEvent;
+use crate::request::AnswerPayload;
+use crate::request::AnswerStream;
+
+type Events = Pin<Box<dyn Stream<Item = Result<Event, EventStreamError<reqwest::Error>>> + Send>>;
+
+/// The answer of a model engine while it is read.
+pub(super) struct EngineAnswer {
+    events: Events,
+    checker: AnswerChecker,
+    limits: TimeLimits,
+    guard: CallGuard,
+}
+
+impl EngineAnswer {
+    /// Starts reading the answer that `response` carries.
+    pub(super) fn new(
+        response: Response,
+        checker: AnswerChecker,
+        limits: TimeLimits,
+        guard: CallGuard,
+    ) -> Self {
+        Self {
+            events: Box::pin(response.bytes_stream().eventsource()),
+            checker,
+            limits,
+            guard,
+        }
+    }
+
+    /// Returns the events that pass the checks; the stream ends after the end mark or an error.
+    pub(super) fn into_stream(self) -> AnswerStream {
+        Box::pin(stream::unfold(Some(self), |answer| async move {
+            let mut answer = answer?;
+            match answer.next_passed().await {
+                Ok(event) if matches!(event.payload, AnswerPayload::End(_)) => {
+                    Some((Ok(event), None))
+                }
+                Ok(event) => Some((Ok(event), Some(answer))),
+                Err(error) => Some((Err(error), None)),
+            }
+        }))
+    }
+
+    async fn next_passed(&mut self) -> Result<AnswerEvent, GatewayError> {
+        loop {
+            let event = self.next_event().await?;
+            if self.checker.check(&event)? == Verdict::Drop {
+                continue;
+            }
+            self.limits.renew();
+            if self.checker.is_ended() {
+                self.guard.disarm();
+            }
+            return Ok(event);
+        }
+    }
+
+    async fn next_event(&mut self) -> Result<AnswerEvent, GatewayError> {
+        let received = self.limits.watch(self.events.next()).await;
+        if is_silent(&received) {
+            self.guard.forget_connections();
+        }
+        let event = received?
+            .ok_or_else(transport_errors::truncated)?
+            .map_err(|_| transport_errors::truncated())?;
+        parse(&event)
+    }
+}
+
+fn is_silent<T>(received: &Result<T, GatewayError>) -> bool {
+    matches!(received, Err(error) if error.kind == ErrorKind::AnswerSilent)
+}
+
+fn parse(event: &Event) -> Result<AnswerEvent, GatewayError> {
+    if event.data == DONE_DATA {
+        return Err(transport_errors::truncated());
+    }
+    let wire: EngineEventWire = serde_json::from_str(&event.data).map_err(|_| {
+        transport_errors::malformed("an event of the answer is not one of the protocol")
+    })?;
+    AnswerEvent::try_from(wire).map_err(|error| transport_errors::malformed(error.to_string()))
+}
--- /dev/null
+++ b/src/endpoint/http_endpoint_client.rs
@@ -0,0 +1,208 @@
+//! The HTTP client towards endpoints.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use reqwest::header::CONTENT_TYPE;
+use reqwest::header::RETRY_AFTER;
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+
+use super::call_guard::send_cancel;
+use super::call_guard::CallGuard;
+use super::connections::Connections;
+use super::engine_answer::EngineAnswer;
+use super::service_answer::ServiceAnswer;
+use super::timed_events::TimeLimits;
+use super::transport_errors;
+use super::AnswerChecker;
+use super::EndpointCall;
+use super::EndpointClient;
+use super::EndpointOrder;
+use super::LoadReport;
+use super::OrderOutcome;
+use super::PRIORITY_HEADER;
+use super::REQUEST_ID_HEADER;
+use super::RESUME_OFFSET_HEADER;
+use super::RUN_STATE_HEADER;
+use crate::catalog::Endpoint;
+use crate::catalog::WorkClass;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::errors::RunState;
+use crate::request::AnswerStream;
+use crate::request::CallBody;
+use crate::request::CompletionCall;
+use crate::request::RequestId;
+use crate::request::ServiceCall;
+
+const JSON_TYPE: &str = "application/json";
+
+/// Talks HTTP to endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct HttpEndpointClient {
+    connections: Arc<Connections>,
+}
+
+impl HttpEndpointClient {
+    /// Creates a client without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn completion_request(
+        &self,
+        endpoint: &Endpoint,
+        call: &EndpointCall,
+        completion: &CompletionCall,
+    ) -> Result<RequestBuilder, GatewayError> {
+        let url = format!("http://{}/v1/chat/completions", endpoint.address);
+        let request = self
+            .connections
+            .pool(endpoint.address)?
+            .post(url)
+            .header(CONTENT_TYPE, JSON_TYPE)
+            .header(PRIORITY_HEADER, priority_of(call.class))
+            .header(RESUME_OFFSET_HEADER, call.resume_offset)
+            .body(completion.body.clone());
+        Ok(request)
+    }
+
+    fn service_request(
+        &self,
+        endpoint: &Endpoint,
+        service: &ServiceCall,
+    ) -> Result<RequestBuilder, GatewayError> {
+        // An idle connection may have gone silent, and an unsafe call can't be sent again.
+        let client = if service.method.is_safe() {
+            self.connections.pool(endpoint.address)?
+        } else {
+            self.connections.unpooled()?
+        };
+        let url = format!("http://{}{}", endpoint.address, service.path_and_query);
+        let method = Method::from_bytes(service.method.as_str().as_bytes())
+            .map_err(|_| transport_errors::malformed("the method is not one of HTTP"))?;
+        let mut request = client.request(method, url).body(service.body.clone());
+        if let Some(content_type) = &service.content_type {
+            request = request.header(CONTENT_TYPE, content_type);
+        }
+        Ok(request)
+    }
+}
+
+#[async_trait]
+impl EndpointClient for HttpEndpointClient {
+    async fn call(
+        &self,
+        endpoint: &Endpoint,
+        call: EndpointCall,
+    ) -> Result<AnswerStream, GatewayError> {
+        let request = match &call.body {
+            CallBody::Completion(completion) => {
+                self.completion_request(endpoint, &call, completion)?
+            }
+            CallBody::Service(service) => self.service_request(endpoint, service)?,
+        };
+        let request = request.header(REQUEST_ID_HEADER, call.request_id.to_string());
+
+        let limits = TimeLimits::start(&call);
+        let connections = Arc::clone(&self.connections);
+        let mut guard = CallGuard::new(connections, endpoint.address, call.request_id);
+        if matches!(call.body, CallBody::Service(_)) {
+            guard.disarm();
+        }
+        let response = send(request, &limits, &mut guard).await?;
+        match call.body {
+            CallBody::Completion(_) => {
+                let response = accept_completion(response, &mut guard)?;
+                let checker = AnswerChecker::new(call.request_id, call.resume_offset);
+                Ok(EngineAnswer::new(response, checker, limits, guard).into_stream())
+            }
+            CallBody::Service(_) => {
+                let response = refuse_not_run(response)?;
+                Ok(ServiceAnswer::new(response, call.request_id, limits, guard).into_stream())
+            }
+        }
+    }
+
+    async fn cancel(&self, endpoint: &Endpoint, request: RequestId) {
+        send_cancel(Arc::clone(&self.connections), endpoint.address, request).await;
+    }
+
+    async fn load(
+        &self,
+        _endpoint: &Endpoint,
+        _cache_sequence: u64,
+    ) -> Result<LoadReport, GatewayError> {
+        Err(transport_errors::malformed("not supported yet"))
+    }
+
+    async fn order(
+        &self,
+        _endpoint: &Endpoint,
+        _order: EndpointOrder,
+    ) -> Result<OrderOutcome, GatewayError> {
+        Err(transport_errors::malformed("not supported yet"))
+    }
+}
+
+async fn send(
+    request: RequestBuilder,
+    limits: &TimeLimits,
+    guard: &mut CallGuard,
+) -> Result<Response, GatewayError> {
+    let sent = limits.watch(request.send()).await;
+    if matches!(&sent, Err(error) if error.kind == ErrorKind::AnswerSilent) {
+        guard.forget_connections();
+    }
+    let sent = sent?.map_err(|error| transport_errors::of_send(&error));
+    if matches!(&sent, Err(error) if error.run == RunState::NotRun) {
+        guard.disarm();
+    }
+    sent
+}
+
+/// Passes a response with an answer on, and makes an error of any other.
+fn accept_completion(response: Response, guard: &mut CallGuard) -> Result<Response, GatewayError> {
+    if response.status().is_success() {
+        return Ok(response);
+    }
+    guard.disarm();
+    let response = refuse_not_run(response)?;
+    let status = response.status().as_u16();
+    Err(GatewayError::new(
+        ErrorKind::EndpointFailed,
+        format!("the endpoint answered with status {status}"),
+    ))
+}
+
+/// Makes an error of a response that says that the call did not run, and passes any other on.
+fn refuse_not_run(response: Response) -> Result<Response, GatewayError> {
+    let is_refusal = matches!(response.status().as_u16(), 429 | 503);
+    let run_state = response.headers().get(RUN_STATE_HEADER);
+    let is_not_run = run_state.is_some_and(|value| value == RunState::NotRun.as_str());
+    if !is_refusal || !is_not_run {
+        return Ok(response);
+    }
+    let mut error = GatewayError::new(
+        ErrorKind::EndpointRefused,
+        "the endpoint refused the call and did not run it",
+    );
+    error.retry_after = retry_after_of(&response);
+    Err(error)
+}
+
+fn retry_after_of(response: &Response) -> Option<std::time::Duration> {
+    let text = response.headers().get(RETRY_AFTER)?.to_str().ok()?;
+    let retry_after_s = text.parse().ok()?;
+    Some(std::time::Duration::from_secs(retry_after_s))
+}
+
+/// Returns the priority of a class; engines serve higher numbers first.
+const fn priority_of(class: WorkClass) -> u32 {
+    match class {
+        WorkClass::Interactive => 1,
+        WorkClass::Long => 0,
+    }
+}
--- /dev/null
+++ b/src/endpoint/service_answer.rs
@@ -0,0 +1,114 @@
+//! The checked answer of a plain service.
+
+use std::pin::Pin;
+
+use bytes::Bytes;
+use futures::stream;
+use futures::Stream;
+use futures::StreamExt;
+use reqwest::header::CONTENT_TYPE;
+use reqwest::Response;
+
+use super::call_guard::CallGuard;
+use super::timed_events::TimeLimits;
+use super::transport_errors;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::request::AnswerEvent;
+use crate::request::AnswerPayload;
+use crate::request::AnswerStream;
+use crate::request::RequestId;
+use crate::request::Usage;
+
+const DEFAULT_CONTENT_TYPE: &str = "application/octet-stream";
+
+type Body = Pin<Box<dyn Stream<Item = Result<Bytes, reqwest::Error>> + Send>>;
+
+/// The answer of a plain service while it is read.
+///
+/// The body is whole if its announced length came or its last chunk was marked; the HTTP client
+/// reports anything less as an error.
+pub(super) struct ServiceAnswer {
+    head: Option<AnswerPayload>,
+    body: Body,
+    request_id: RequestId,
+    next_offset: u64,
+    limits: TimeLimits,
+    guard: CallGuard,
+}
+
+impl ServiceAnswer {
+    /// Starts reading the answer that `response` carries.
+    pub(super) fn new(
+        response: Response,
+        request_id: RequestId,
+        limits: TimeLimits,
+        guard: CallGuard,
+    ) -> Self {
+        Self {
+            head: Some(head_of(&response)),
+            body: Box::pin(response.bytes_stream()),
+            request_id,
+            next_offset: 0,
+            limits,
+            guard,
+        }
+    }
+
+    /// Returns the events; the stream ends after the end mark or an error.
+    pub(super) fn into_stream(self) -> AnswerStream {
+        Box::pin(stream::unfold(Some(self), |answer| async move {
+            let mut answer = answer?;
+            match answer.next_payload().await {
+                Ok(payload) => {
+                    let is_end = matches!(payload, AnswerPayload::End(_));
+                    let event = answer.event(payload);
+                    Some((Ok(event), (!is_end).then_some(answer)))
+                }
+                Err(error) => Some((Err(error), None)),
+            }
+        }))
+    }
+
+    fn event(&mut self, payload: AnswerPayload) -> AnswerEvent {
+        let offset = self.next_offset;
+        if matches!(payload, AnswerPayload::Chunk(_)) {
+            self.next_offset += 1;
+        }
+        AnswerEvent {
+            request_id: self.request_id,
+            offset,
+            payload,
+        }
+    }
+
+    async fn next_payload(&mut self) -> Result<AnswerPayload, GatewayError> {
+        if let Some(head) = self.head.take() {
+            return Ok(head);
+        }
+        let received = self.limits.watch(self.body.next()).await;
+        if matches!(&received, Err(error) if error.kind == ErrorKind::AnswerSilent) {
+            self.guard.forget_connections();
+        }
+        match received? {
+            None => Ok(AnswerPayload::End(Usage::default())),
+            Some(Ok(bytes)) => {
+                self.limits.renew();
+                Ok(AnswerPayload::Chunk(bytes))
+            }
+            Some(Err(_)) => Err(transport_errors::truncated()),
+        }
+    }
+}
+
+fn head_of(response: &Response) -> AnswerPayload {
+    let content_type = response
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or(DEFAULT_CONTENT_TYPE);
+    AnswerPayload::Head {
+        status: response.status().as_u16(),
+        content_type: content_type.to_owned(),
+    }
+}
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the platform, model engines and plain services.
+
+pub mod engine;
--- a/tests/behaviour/caller/mod.rs
+++ b/tests/behaviour/caller/mod.rs
@@ -1,3 +1,5 @@
 //! Tests of the `caller` behaviour.
 
 mod error_table;
+mod streaming;
+pub mod support;
