Break failed answers off and notice callers that hang up

Cause: Rocket drops the error of a body's reader and ends the chunked body as if it were whole, and it does not notice that a caller is gone while nothing is sent. Excluded: a reader that returns an io error. Change: callers connect to a listener of ours, which relays to Rocket on loopback. While the end mark of a streamed answer has not come, the relay closes the socket in place of the last chunk. A hang-up cancels the request's work at once, whole answers and silent streams included. Shutdown waits for open answers.

--- a/src/caller/answer_body.rs
+++ b/src/caller/answer_body.rs
@@ -2,44 +2,49 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures::stream;
 use futures::Stream;
-use futures::StreamExt;
 use tokio::io::AsyncRead;
 use tokio_util::io::StreamReader;
 
+use super::answer_events::next_event;
+use super::caller_connection::CallerConnection;
 use super::sse_encoder::SseEncoder;
-use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
 use crate::request::AnswerEvent;
 use crate::request::AnswerPayload;
 use crate::request::AnswerStream;
 
 /// The body of a streamed answer.
+///
+/// The connection counts the answer as open until its end mark comes, so the relay never passes
+/// the end of a body on that was cut short for any reason.
 pub(super) struct AnswerBody {
     pending: Option<AnswerEvent>,
     events: AnswerStream,
     encoder: SseEncoder,
-    state: State,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Open,
-    Ended,
-    Failed,
+    connection: Arc<CallerConnection>,
+    is_finished: bool,
 }
 
 impl AnswerBody {
     /// Creates the body of the answer that starts with `first`.
-    pub(super) fn new(first: AnswerEvent, events: AnswerStream, encoder: SseEncoder) -> Self {
+    pub(super) fn new(
+        first: AnswerEvent,
+        events: AnswerStream,
+        encoder: SseEncoder,
+        connection: Arc<CallerConnection>,
+    ) -> Self {
+        connection.begin_answer();
         Self {
             pending: Some(first),
             events,
             encoder,
-            state: State::Open,
+            connection,
+            is_finished: false,
         }
     }
 
@@ -51,44 +56,43 @@
     fn into_byte_stream(self) -> Pin<Box<dyn Stream<Item = io::Result<Bytes>> + Send>> {
         Box::pin(stream::unfold(self, |mut body| async move {
             let bytes = body.next_bytes().await?;
-            Some((bytes, body))
+            Some((Ok(bytes), body))
         }))
     }
 
-    async fn next_bytes(&mut self) -> Option<io::Result<Bytes>> {
-        match self.state {
-            State::Open => Some(Ok(self.next_event().await)),
-            State::Ended => None,
-            State::Failed => Some(Err(io::ErrorKind::UnexpectedEof.into())),
+    async fn next_bytes(&mut self) -> Option<Bytes> {
+        if self.is_finished {
+            return None;
         }
-    }
-
-    async fn next_event(&mut self) -> Bytes {
-        let next = match self.pending.take() {
-            Some(event) => Some(Ok(event)),
-            None => self.events.next().await,
+        let next = tokio::select! {
+            biased;
+            () = self.connection.hung_up() => return None,
+            next = pending_or_next(&mut self.pending, &mut self.events) => next,
         };
         match next {
-            Some(Ok(event)) => {
-                if matches!(event.payload, AnswerPayload::End(_)) {
-                    self.state = State::Ended;
-                }
-                self.encoder.encode(event.payload)
+            Ok(event) => Some(self.encode(event)),
+            Err(error) => {
+                self.is_finished = true;
+                Some(self.encoder.encode_error(&error))
             }
-            Some(Err(error)) => self.fail(&error),
-            None => self.fail(&truncated()),
         }
     }
 
-    fn fail(&mut self, error: &GatewayError) -> Bytes {
-        self.state = State::Failed;
-        self.encoder.encode_error(error)
+    fn encode(&mut self, event: AnswerEvent) -> Bytes {
+        if matches!(event.payload, AnswerPayload::End(_)) {
+            self.is_finished = true;
+            self.connection.end_answer();
+        }
+        self.encoder.encode(event.payload)
     }
 }
 
-fn truncated() -> GatewayError {
-    GatewayError::new(
-        ErrorKind::AnswerTruncated,
-        "the answer ended without its end mark",
-    )
+async fn pending_or_next(
+    pending: &mut Option<AnswerEvent>,
+    events: &mut AnswerStream,
+) -> Result<AnswerEvent, GatewayError> {
+    match pending.take() {
+        Some(event) => Ok(event),
+        None => next_event(events).await,
+    }
 }
--- a/src/caller/caller_headers.rs
+++ b/src/caller/caller_headers.rs
@@ -1,11 +1,15 @@
 //! The headers of a caller's request.
 
+use std::sync::Arc;
+
 use rocket::async_trait;
 use rocket::http::HeaderMap;
 use rocket::request::FromRequest;
 use rocket::request::Outcome;
 use rocket::Request;
 
+use super::caller_connection::CallerConnection;
+use super::caller_state::CallerState;
 use crate::catalog::KeyDigest;
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
@@ -16,7 +20,7 @@
 const BEARER: &str = "bearer";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
-/// The headers of a caller's request, and the identifier that the request is given.
+/// What comes with a caller's request besides its body, and the identifier that it is given.
 ///
 /// The key is reduced to its digest here and goes no further.
 #[derive(Clone, Debug)]
@@ -25,6 +29,8 @@
     pub(super) id: RequestId,
     /// The key and the idempotency key, or why they can't be read.
     pub(super) credentials: Result<Credentials, GatewayError>,
+    /// The connection that the request came on; none if it did not come through the listener.
+    pub(super) connection: Option<Arc<CallerConnection>>,
 }
 
 /// What a caller shows.
@@ -42,8 +48,20 @@
         Self {
             id: RequestId(rand::random()),
             credentials: Credentials::read(request.headers()),
+            connection: find_connection(request),
         }
     }
+
+    /// Returns the connection that the request came on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::MalformedRequest`] if the request did not come through the listener.
+    pub(super) fn connection(&self) -> Result<Arc<CallerConnection>, GatewayError> {
+        self.connection
+            .clone()
+            .ok_or_else(|| malformed("the request did not come through the callers' address"))
+    }
 }
 
 impl Credentials {
@@ -68,6 +86,11 @@
     }
 }
 
+fn find_connection(request: &Request<'_>) -> Option<Arc<CallerConnection>> {
+    let state = request.rocket().state::<CallerState>()?;
+    state.connections.find(request.remote()?)
+}
+
 fn read_key(headers: &HeaderMap<'_>) -> Result<Option<KeyDigest>, GatewayError> {
     let Some(value) = single(headers, AUTHORIZATION)? else {
         return Ok(None);
--- a/src/caller/caller_server.rs
+++ b/src/caller/caller_server.rs
@@ -1,10 +1,14 @@
 //! The HTTP server towards callers.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rocket::routes;
 
+use super::caller_connections::CallerConnections;
+use super::caller_listener::CallerListener;
 use super::caller_state::CallerState;
 use super::completion_routes;
 use super::information_routes;
@@ -15,9 +19,13 @@
 use super::LaunchError;
 use crate::clock::Clock;
 
+/// The HTTP server is reached by the listener alone.
+const SERVER_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// A running server towards callers.
 #[derive(Debug)]
 pub struct CallerServer {
+    listener: CallerListener,
     server: HttpServer,
 }
 
@@ -33,29 +41,36 @@
         clock: Arc<dyn Clock>,
         limits: CallerLimits,
     ) -> Result<Self, LaunchError> {
+        let connections = Arc::new(CallerConnections::default());
         let state = CallerState {
             gateway,
             clock,
             limits,
+            connections: Arc::clone(&connections),
         };
-        let rocket = HttpServer::build(bind_address)
+        let rocket = HttpServer::build(SERVER_ADDRESS)
             .manage(state)
             .mount("/", routes![completion_routes::complete])
             .mount("/", routes![information_routes::models])
             .mount("/", routes![information_routes::entries])
             .mount("/", service_routes());
-        Ok(Self {
-            server: HttpServer::launch(rocket).await?,
-        })
+        let server = HttpServer::launch(rocket).await?;
+        let listener = CallerListener::start(bind_address, server.address(), connections).await?;
+        Ok(Self { listener, server })
     }
 
     /// Returns the address that the server listens on.
     pub const fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.listener.address()
     }
 
     /// Stops the server.
+    ///
+    /// New connections are refused and idle ones closed at once; answers that are being sent are
+    /// sent to their end, however long that takes.
     pub async fn shutdown(self) {
+        self.listener.stop_accepting();
         self.server.stop_accepting();
+        self.listener.closed().await;
     }
 }
--- a/src/caller/caller_state.rs
+++ b/src/caller/caller_state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::caller_connections::CallerConnections;
 use super::CallerLimits;
 use super::Gateway;
 use crate::clock::Clock;
@@ -14,4 +15,6 @@
     pub(super) clock: Arc<dyn Clock>,
     /// The limits.
     pub(super) limits: CallerLimits,
+    /// The open connections.
+    pub(super) connections: Arc<CallerConnections>,
 }
--- a/src/caller/completion_answer.rs
+++ b/src/caller/completion_answer.rs
@@ -1,16 +1,16 @@
 //! Answers of models.
 
-use bytes::Bytes;
-use futures::StreamExt;
+use std::sync::Arc;
+
 use serde::Serialize;
 
 use super::answer_body::AnswerBody;
+use super::answer_events::next_content;
 use super::caller_answer::CallerAnswer;
+use super::caller_connection::CallerConnection;
 use super::sse_encoder::SseEncoder;
 use crate::endpoint::UsageWire;
-use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
-use crate::request::AnswerEvent;
 use crate::request::AnswerPayload;
 use crate::request::AnswerStream;
 use crate::request::RequestId;
@@ -60,10 +60,11 @@
 pub(super) async fn streamed(
     meta: CompletionMeta,
     mut events: AnswerStream,
+    connection: Arc<CallerConnection>,
 ) -> Result<CallerAnswer, GatewayError> {
     let first = next_content(&mut events).await?;
     let encoder = SseEncoder::new(meta.id, meta.model, meta.created_unix_s);
-    let body = AnswerBody::new(first, events, encoder);
+    let body = AnswerBody::new(first, events, encoder, connection);
     Ok(CallerAnswer::events(meta.id, body))
 }
 
@@ -109,57 +110,3 @@
         }
     }
 }
-
-/// Collects the body of a plain service's answer.
-///
-/// # Errors
-///
-/// Returns the failure that ended the answer early, or an error if it is over `max_bytes`.
-pub(super) async fn service(
-    id: RequestId,
-    mut events: AnswerStream,
-    max_bytes: usize,
-) -> Result<CallerAnswer, GatewayError> {
-    let mut head = None;
-    let mut body = Vec::new();
-    loop {
-        match next_content(&mut events).await?.payload {
-            AnswerPayload::Head {
-                status,
-                content_type,
-            } => head = Some((status, content_type)),
-            AnswerPayload::Chunk(bytes) => body.extend_from_slice(&bytes),
-            AnswerPayload::End(_) => break,
-            AnswerPayload::KeepAlive => {}
-        }
-        if body.len() > max_bytes {
-            return Err(GatewayError::new(
-                ErrorKind::EndpointFailed,
-                format!("the answer of the endpoint is longer than {max_bytes} bytes"),
-            ));
-        }
-    }
-    let (status, content_type) = head.ok_or_else(|| {
-        GatewayError::new(ErrorKind::EndpointFailed, "the answer came without a head")
-    })?;
-    Ok(CallerAnswer::whole(
-        id,
-        status,
-        content_type,
-        Bytes::from(body),
-    ))
-}
-
-async fn next_content(events: &mut AnswerStream) -> Result<AnswerEvent, GatewayError> {
-    loop {
-        let event = events.next().await.unwrap_or_else(|| {
-            Err(GatewayError::new(
-                ErrorKind::AnswerTruncated,
-                "the answer ended without its end mark",
-            ))
-        })?;
-        if event.payload != AnswerPayload::KeepAlive {
-            return Ok(event);
-        }
-    }
-}
--- a/src/caller/completion_routes.rs
+++ b/src/caller/completion_routes.rs
@@ -1,5 +1,7 @@
 //! The route of completions.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use rocket::data::ToByteUnit;
 use rocket::post;
@@ -38,6 +40,7 @@
     state: &CallerState,
 ) -> Result<CallerAnswer, GatewayError> {
     let received_at = state.clock.now();
+    let connection = headers.connection()?;
     let credentials = headers.credentials?;
     let body = read_body(data, state.limits.body_max_bytes).await?;
     let wire = CompletionWire::parse(&body)?;
@@ -59,12 +62,15 @@
         idempotency_key: credentials.idempotency_key,
         received_at,
     };
-    let events = state.gateway.call(call).await?;
-    if is_stream {
-        completion_answer::streamed(meta, events).await
-    } else {
-        completion_answer::whole(meta, events).await
-    }
+    let answer = async {
+        let events = state.gateway.call(call).await?;
+        if is_stream {
+            completion_answer::streamed(meta, events, Arc::clone(&connection)).await
+        } else {
+            completion_answer::whole(meta, events).await
+        }
+    };
+    connection.run_while_open(answer).await
 }
 
 /// Reads the body of a request.
--- a/src/caller/http_server.rs
+++ b/src/caller/http_server.rs
@@ -1,6 +1,7 @@
 //! A Rocket server whose life is governed by the program alone.
 
 use std::collections::HashSet;
+use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
@@ -24,6 +25,10 @@
     /// The address can't be listened on, or the routes collide.
     #[error("the server did not start: {0}")]
     Server(String),
+
+    /// The address can't be listened on.
+    #[error("the address can't be listened on: {0}")]
+    Listen(#[from] io::Error),
 }
 
 /// A running Rocket server.
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -1,20 +1,26 @@
 //! The HTTP interface towards callers.
 
 mod answer_body;
+mod answer_events;
 mod caller_answer;
+mod caller_connection;
+mod caller_connections;
 mod caller_headers;
 mod caller_limits;
+mod caller_listener;
 mod caller_server;
 mod caller_state;
 mod completion_answer;
 mod completion_routes;
 mod completion_wire;
+mod connection_relay;
 mod error_wire;
 mod gateway;
 mod http_server;
 mod information_routes;
 mod information_wire;
 mod prompt;
+mod service_answer;
 mod service_route;
 mod sse_encoder;
 
--- /dev/null
+++ b/src/caller/service_answer.rs
@@ -0,0 +1,51 @@
+//! Answers of plain services.
+
+use bytes::Bytes;
+
+use super::answer_events::next_content;
+use super::caller_answer::CallerAnswer;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::request::AnswerPayload;
+use crate::request::AnswerStream;
+use crate::request::RequestId;
+
+/// Collects the body of a plain service's answer.
+///
+/// # Errors
+///
+/// Returns the failure that ended the answer early, or an error if it is over `max_bytes`.
+pub(super) async fn collect(
+    id: RequestId,
+    mut events: AnswerStream,
+    max_bytes: usize,
+) -> Result<CallerAnswer, GatewayError> {
+    let mut head = None;
+    let mut body = Vec::new();
+    loop {
+        match next_content(&mut events).await?.payload {
+            AnswerPayload::Head {
+                status,
+                content_type,
+            } => head = Some((status, content_type)),
+            AnswerPayload::Chunk(bytes) => body.extend_from_slice(&bytes),
+            AnswerPayload::End(_) => break,
+            AnswerPayload::KeepAlive => {}
+        }
+        if body.len() > max_bytes {
+            return Err(GatewayError::new(
+                ErrorKind::EndpointFailed,
+                format!("the answer of the endpoint is longer than {max_bytes} bytes"),
+            ));
+        }
+    }
+    let (status, content_type) = head.ok_or_else(|| {
+        GatewayError::new(ErrorKind::EndpointFailed, "the answer came without a head")
+    })?;
+    Ok(CallerAnswer::whole(
+        id,
+        status,
+        content_type,
+        Bytes::from(body),
+    ))
+}
--- a/src/caller/service_route.rs
+++ b/src/caller/service_route.rs
@@ -12,8 +12,8 @@
 use super::caller_answer::CallerAnswer;
 use super::caller_headers::CallerHeaders;
 use super::caller_state::CallerState;
-use super::completion_answer;
 use super::completion_routes::read_body;
+use super::service_answer;
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
 use crate::request::CallBody;
@@ -58,6 +58,7 @@
     state: &CallerState,
 ) -> Result<CallerAnswer, GatewayError> {
     let received_at = state.clock.now();
+    let connection = headers.connection()?;
     let credentials = headers.credentials?;
     let method = http_method(request.method())?;
     let content_type = request.headers().get_one("content-type");
@@ -76,8 +77,11 @@
         idempotency_key: credentials.idempotency_key,
         received_at,
     };
-    let events = state.gateway.call(call).await?;
-    completion_answer::service(headers.id, events, state.limits.service_answer_max_bytes).await
+    let answer = async {
+        let events = state.gateway.call(call).await?;
+        service_answer::collect(headers.id, events, state.limits.service_answer_max_bytes).await
+    };
+    connection.run_while_open(answer).await
 }
 
 const fn rocket_method(method: HttpMethod) -> Method {
--- a/tests/behaviour/caller/mod.rs
+++ b/tests/behaviour/caller/mod.rs
@@ -1,5 +1,7 @@
 //! Tests of the `caller` behaviour.
 
+mod broken_answers;
 mod error_table;
+mod hang_up;
 mod streaming;
 pub mod support;
--- a/tests/behaviour/caller/support.rs
+++ b/tests/behaviour/caller/support.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use figramp::caller::CallerLimits;
 use figramp::caller::CallerServer;
 use figramp::caller::EntryAnswer;
@@ -27,11 +28,19 @@
 use figramp::endpoint::HttpEndpointClient;
 use figramp::errors::ErrorKind;
 use figramp::errors::GatewayError;
+use figramp::request::AnswerEvent;
+use figramp::request::AnswerPayload;
 use figramp::request::AnswerStream;
 use figramp::request::CallBody;
 use figramp::request::IncomingCall;
 use figramp::stand_in::engine::EngineOptions;
 use figramp::stand_in::engine::EngineServer;
+use futures::stream;
+use futures::StreamExt;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 pub const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
@@ -54,6 +63,77 @@
     }
 }
 
+/// What a scripted answer does after its events.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Then {
+    Fail,
+    Stop,
+    Hang,
+}
+
+/// Answers every call with the same events.
+pub struct ScriptedGateway {
+    pub events: Vec<AnswerPayload>,
+    pub then: Then,
+    /// Completes when a call has come.
+    pub called: CancellationToken,
+    /// Completes when the answer is dropped.
+    pub dropped: CancellationToken,
+}
+
+impl ScriptedGateway {
+    pub fn new(tokens: &[&'static str], then: Then) -> Self {
+        let chunks = tokens
+            .iter()
+            .map(|token| AnswerPayload::Chunk(Bytes::from(*token)));
+        Self {
+            events: chunks.collect(),
+            then,
+            called: CancellationToken::new(),
+            dropped: CancellationToken::new(),
+        }
+    }
+}
+
+#[async_trait]
+impl Gateway for ScriptedGateway {
+    async fn call(&self, call: IncomingCall) -> Result<AnswerStream, GatewayError> {
+        self.called.cancel();
+        let guard = self.dropped.clone().drop_guard();
+        let events = (0..)
+            .zip(self.events.clone())
+            .map(move |(offset, payload)| {
+                Ok(AnswerEvent {
+                    request_id: call.id,
+                    offset,
+                    payload,
+                })
+            });
+        let failure = GatewayError::new(ErrorKind::AnswerSilent, "silent");
+        let end: AnswerStream = match self.then {
+            Then::Fail => Box::pin(stream::iter([Err(failure)])),
+            Then::Stop => Box::pin(stream::empty()),
+            Then::Hang => Box::pin(stream::pending()),
+        };
+        let answer = stream::iter(events).chain(end).map(move |event| {
+            let _ = &guard;
+            event
+        });
+        Ok(Box::pin(answer))
+    }
+
+    fn entries(&self, _key_digest: Option<KeyDigest>) -> EntryList {
+        EntryList {
+            entries: Vec::new(),
+            time_to_live: Duration::ZERO,
+        }
+    }
+
+    fn models(&self, _key_digest: Option<KeyDigest>) -> Result<ModelList, GatewayError> {
+        Ok(ModelList { models: Vec::new() })
+    }
+}
+
 /// Sends every call to one endpoint; the key `withdrawn` is refused.
 pub struct FixedGateway {
     pub endpoint: Endpoint,
@@ -122,3 +202,26 @@
     };
     (engine, launch_caller_server(gateway).await)
 }
+
+/// Opens a connection and sends a completion request over it.
+pub async fn send_raw_completion(address: SocketAddr, is_stream: bool) -> TcpStream {
+    let body = format!(
+        r#"{{"model":"advice","stream":{is_stream},"messages":[{{"role":"user","content":"hi"}}]}}"#
+    );
+    let length = body.len();
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: vm\r\ncontent-length: ";
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let request = format!("{head}{length}\r\n\r\n{body}");
+    socket.write_all(request.as_bytes()).await.unwrap();
+    socket
+}
+
+/// Reads until the other side closes; a test that never sees that fails by its time limit.
+pub async fn read_to_close(socket: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let reading = socket.read_to_end(&mut bytes);
+    let _ = tokio::time::timeout(Duration::from_secs(10), reading)
+        .await
+        .unwrap();
+    String::from_utf8(bytes).unwrap()
+}
