Add the peer transport: handshake, capnp-rpc, forwarding

Cause: VMs need control messages and forwarded calls between them. Excluded: one thread for both directions, as a slow reader of one would hold the other; acknowledging each batch before the next, as it costs a round trip between tokens. Control messages are wired when their types exist. Conclusion: compiles and lints clean; not yet tested.

--- /dev/null
+++ b/src/peer/forward_sender.rs
@@ -0,0 +1,53 @@
+//! Sends forwarded calls over a connection.
+
+use std::sync::Arc;
+
+use tokio::task::spawn_local;
+
+use super::answer_receiver::unreachable_peer;
+use super::answer_receiver::AnswerSink;
+use super::connection::Connection;
+use super::peer_worker::ForwardJob;
+use super::wire::write_forward;
+use super::MessageKind;
+use super::PeerContext;
+
+const WORD_BYTES: u64 = 8;
+
+/// Sends a call and keeps it open until its answer ends or is no longer wanted.
+pub(super) fn send_forward(context: &Arc<PeerContext>, connection: &Connection, job: ForwardJob) {
+    let ForwardJob {
+        mut request,
+        entry,
+        queued_at,
+    } = job;
+    request.call.remaining = request.call.remaining.saturating_sub(queued_at.elapsed());
+    let mut message = connection.peer.forward_request();
+    let builder = message.get().init_request();
+    if let Err(error) = write_forward(&request, &context.catalog.load(), builder) {
+        entry.refuse(unreachable_peer(entry.request_id, &error.to_string()));
+        return;
+    }
+    if !entry.delivery.claim_send() {
+        return;
+    }
+    let words = message.get().into_reader().total_size();
+    let bytes = words.map_or(0, |size| size.word_count * WORD_BYTES);
+    context.counters.add_sent(MessageKind::Forward, bytes);
+    message.get().set_sink(capnp_rpc::new_client(AnswerSink {
+        entry: entry.clone(),
+        counters: context.counters.clone(),
+    }));
+    let call = message.send();
+    let guard = connection.uses.enter();
+    let closed = connection.closed.clone();
+    spawn_local(async move {
+        tokio::select! {
+            _ = call.promise => {}
+            () = entry.abandoned() => {}
+            () = closed.cancelled() => {}
+        }
+        entry.lost.cancel();
+        drop(guard);
+    });
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,19 @@
 //! Messages and transport between VMs.
+//!
+//! Each connection starts with an authenticated [`handshake`] and then carries capnp-rpc, whose
+//! objects live on one thread: one for the [`CapnpPeerLink`], which dials, and one for the
+//! [`PeerServer`], which accepts.
 
+mod answer_pump;
+mod answer_receiver;
+mod backoff;
+mod capnp_peer_link;
+mod connection;
+mod connection_use;
+mod control_sender;
+mod delivery;
 mod forward_request;
+mod forward_sender;
 #[allow(
     clippy::all,
     missing_docs,
@@ -9,13 +22,36 @@
     unsafe_code
 )]
 pub mod generated;
+pub mod handshake;
+mod link_dispatcher;
+mod peer_context;
+mod peer_counters;
 mod peer_handler;
 mod peer_link;
 mod peer_message;
+mod peer_secret;
+mod peer_server;
+mod peer_service;
+mod peer_thread;
+mod peer_timings;
+mod peer_worker;
+pub mod wire;
 mod wire_error;
 
+pub use capnp_peer_link::CapnpPeerLink;
 pub use forward_request::ForwardRequest;
+pub use handshake::ConnectionPurpose;
+pub use handshake::HandshakeError;
+pub use peer_context::PeerContext;
+pub use peer_counters::MessageKind;
+pub use peer_counters::PeerCounters;
+pub use peer_counters::PeerFault;
+pub use peer_counters::Traffic;
 pub use peer_handler::PeerHandler;
 pub use peer_link::PeerLink;
 pub use peer_message::PeerMessage;
+pub use peer_secret::PeerSecret;
+pub use peer_secret::PeerSecretError;
+pub use peer_server::PeerServer;
+pub use peer_timings::PeerTimings;
 pub use wire_error::WireError;
--- /dev/null
+++ b/src/peer/peer_server.rs
@@ -0,0 +1,223 @@
+//! Accepts connections of other VMs.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener as StdTcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+use super::connection::Connection;
+use super::connection::ConnectionEnd;
+use super::control_sender::send_control;
+use super::handshake;
+use super::handshake::Dialer;
+use super::peer_service::PeerService;
+use super::peer_thread::spawn_local_thread;
+use super::ConnectionPurpose;
+use super::HandshakeError;
+use super::PeerContext;
+use super::PeerFault;
+use super::PeerHandler;
+use crate::peer::generated::peer_capnp::peer;
+
+/// The connections whose handshake may run at once; more are closed.
+const HANDSHAKES_MAX: usize = 64;
+const REPLY_QUEUE_MESSAGES: usize = 64;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections of other VMs until it is shut down or dropped.
+#[derive(Debug)]
+pub struct PeerServer {
+    address: SocketAddr,
+    shutdown: CancellationToken,
+    _guard: DropGuard,
+}
+
+/// What the tasks of a server share.
+#[derive(Clone)]
+struct Acceptor {
+    context: Arc<PeerContext>,
+    handler: Arc<dyn PeerHandler>,
+    runtime: Handle,
+    handshakes: Arc<Semaphore>,
+}
+
+impl PeerServer {
+    /// Binds `address` and starts to accept, on a thread of its own.
+    ///
+    /// Forwarded calls run on the present tokio runtime. The handler also takes what comes in over
+    /// the boot connections that the link of the same context opens.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if the address cannot be bound.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn launch(
+        address: SocketAddr,
+        context: Arc<PeerContext>,
+        handler: Arc<dyn PeerHandler>,
+    ) -> io::Result<Self> {
+        let listener = StdTcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        context.set_handler(&handler);
+        let acceptor = Acceptor {
+            context,
+            handler,
+            runtime: Handle::current(),
+            handshakes: Arc::new(Semaphore::new(HANDSHAKES_MAX)),
+        };
+        let shutdown = CancellationToken::new();
+        let stop = shutdown.clone();
+        spawn_local_thread("peer-server", move || async move {
+            tokio::select! {
+                () = accept_all(listener, acceptor) => {}
+                () = stop.cancelled() => {}
+            }
+        })?;
+        Ok(Self {
+            address,
+            _guard: shutdown.clone().drop_guard(),
+            shutdown,
+        })
+    }
+
+    /// Returns the address that is bound.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes all connections; running forwarded calls are cancelled.
+    pub fn shutdown(&self) {
+        self.shutdown.cancel();
+    }
+}
+
+async fn accept_all(listener: StdTcpListener, acceptor: Acceptor) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("the peer port cannot be served: {error}");
+            return;
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => acceptor.admit(stream),
+            Err(error) => {
+                log::warn!("a peer connection was not accepted: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+impl Acceptor {
+    fn admit(&self, stream: TcpStream) {
+        let Ok(permit) = self.handshakes.clone().try_acquire_owned() else {
+            self.context.counters.add_fault(PeerFault::Handshake);
+            return;
+        };
+        spawn_local(self.clone().serve(stream, permit));
+    }
+
+    async fn serve(self, mut stream: TcpStream, permit: OwnedSemaphorePermit) {
+        let dialer = match self.greet(&mut stream).await {
+            Ok(dialer) => dialer,
+            Err(error) => {
+                self.context.counters.add_fault(PeerFault::Handshake);
+                log::warn!("a peer handshake failed: {error}");
+                return;
+            }
+        };
+        drop(permit);
+        if let Err(error) = self.run(stream, dialer).await {
+            log::debug!("a peer connection failed: {error}");
+        }
+    }
+
+    async fn greet(&self, stream: &mut TcpStream) -> Result<Dialer, HandshakeError> {
+        let context = &self.context;
+        let greeting = handshake::accept(stream, &context.secret, &context.own, |name| {
+            context.is_known(name)
+        });
+        timeout(context.timings.connect_timeout, greeting)
+            .await
+            .unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
+    }
+
+    async fn run(&self, stream: TcpStream, dialer: Dialer) -> io::Result<()> {
+        let closed = CancellationToken::new();
+        let service = PeerService {
+            context: self.context.clone(),
+            handler: self.handler.clone(),
+            runtime: self.runtime.clone(),
+            from: dialer.name.clone(),
+            closed: closed.clone(),
+        };
+        let connection = Connection::start(
+            stream,
+            ConnectionEnd::Acceptor,
+            dialer.purpose,
+            &self.context.counters,
+            Some(capnp_rpc::new_client::<peer::Client, _>(service)),
+            closed,
+        )?;
+        if dialer.purpose == ConnectionPurpose::Boot {
+            self.open_reply_path(&connection, &dialer);
+        }
+        self.watch(&connection).await;
+        Ok(())
+    }
+
+    /// Lets control messages to the dialer travel back on its own connection.
+    fn open_reply_path(&self, connection: &Connection, dialer: &Dialer) {
+        let (sender, mut replies) = mpsc::channel(REPLY_QUEUE_MESSAGES);
+        self.context.add_reply_path(dialer.name.clone(), sender);
+        let context = self.context.clone();
+        let connection = connection.clone();
+        spawn_local(async move {
+            loop {
+                tokio::select! {
+                    reply = replies.recv() => match reply {
+                        Some(message) => send_control(&context, &connection, &message),
+                        None => return,
+                    },
+                    () = connection.closed.cancelled() => return,
+                }
+            }
+        });
+    }
+
+    /// Closes the connection once no byte has come for too long.
+    async fn watch(&self, connection: &Connection) {
+        let limit = self.context.timings.accepted_silence_timeout;
+        while !connection.is_closed() {
+            let silence = connection.silence();
+            let Some(left) = limit.checked_sub(silence).filter(|left| !left.is_zero()) else {
+                self.context.counters.add_fault(PeerFault::Silent);
+                connection.closed.cancel();
+                return;
+            };
+            tokio::select! {
+                () = sleep(left) => {}
+                () = connection.closed.cancelled() => {}
+            }
+        }
+    }
+}
--- a/src/peer/wire_error.rs
+++ b/src/peer/wire_error.rs
@@ -42,3 +42,11 @@
         }
     }
 }
+
+impl From<std::str::Utf8Error> for WireError {
+    fn from(error: std::str::Utf8Error) -> Self {
+        Self::Malformed {
+            reason: error.to_string(),
+        }
+    }
+}
