Test the handshake and forwarding between VMs

Cause: the transport was untested. Change: pairs of VMs on loopback with scripted handlers; a relay that falls silent. Not covered: control messages, whose types come from other modules.

--- /dev/null
+++ b/tests/behaviour/peer/forwarding.rs
@@ -0,0 +1,202 @@
+//! Calls that are handed to another VM.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use figramp::errors::ErrorKind;
+use figramp::errors::GatewayError;
+use figramp::errors::RunState;
+use figramp::peer::MessageKind;
+use figramp::peer::PeerLink;
+use figramp::request::AnswerEvent;
+use figramp::request::AnswerStream;
+use futures::StreamExt;
+use futures::TryStreamExt;
+use tokio::io::copy_bidirectional;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use super::fixture::forward_request;
+use super::fixture::loopback;
+use super::fixture::pair;
+use super::fixture::pair_through;
+use super::fixture::wait_for;
+use super::fixture::whole_answer;
+use super::fixture::Pair;
+use super::fixture::Script;
+
+async fn forward(pair: &Pair) -> Result<AnswerStream, GatewayError> {
+    let request = forward_request(&pair.catalog.load());
+    pair.link.forward(pair.serving, request).await
+}
+
+async fn last_error(answer: AnswerStream) -> GatewayError {
+    let result: Result<Vec<AnswerEvent>, GatewayError> = answer.try_collect().await;
+    result.expect_err("the answer is not whole")
+}
+
+#[tokio::test]
+async fn an_answer_arrives_whole_and_in_few_messages() {
+    const CHUNKS: u64 = 20_000;
+    let mut pair = pair(Script::Answer(CHUNKS));
+    let request = forward_request(&pair.catalog.load());
+    let answer = pair.link.forward(pair.serving, request.clone()).await;
+    let events: Vec<AnswerEvent> = answer.unwrap().try_collect().await.unwrap();
+    assert_eq!(events, whole_answer(request.call.id, CHUNKS));
+    let received = pair.requests.recv().await.unwrap();
+    assert!(received.call.remaining <= request.call.remaining);
+    let batches = pair.server_context.counters.sent(MessageKind::Answer);
+    assert!(batches.messages < CHUNKS / 4, "{batches:?}");
+}
+
+#[tokio::test]
+async fn a_refusal_travels_back_as_it_is() {
+    let refusal = GatewayError::new(ErrorKind::Overloaded, "the queue is full")
+        .with_retry_after(Duration::from_millis(1_500));
+    let pair = pair(Script::Refuse(refusal.clone()));
+    assert_eq!(forward(&pair).await.err(), Some(refusal));
+}
+
+#[tokio::test]
+async fn a_dropped_answer_cancels_the_call() {
+    for script in [Script::Endless, Script::Stall] {
+        let pair = pair(script);
+        let mut answer = forward(&pair).await.unwrap();
+        answer.next().await.unwrap().unwrap();
+        assert_eq!(pair.running.load(Ordering::SeqCst), 1);
+        drop(answer);
+        let running = pair.running.clone();
+        wait_for("the end of the call", || {
+            running.load(Ordering::SeqCst) == 0
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn a_slow_reader_holds_the_sender_back() {
+    let pair = pair(Script::Endless);
+    let answer = forward(&pair).await.unwrap();
+    let counters = pair.server_context.counters.clone();
+    let mut before = u64::MAX;
+    let mut now = 0;
+    while before != now {
+        before = now;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        now = counters.sent(MessageKind::Answer).bytes;
+    }
+    assert!(now < 1_024 * 1_024, "{now} bytes are under way");
+    drop(answer);
+}
+
+#[tokio::test]
+async fn a_peer_that_dies_mid_stream_leaves_the_outcome_open() {
+    let pair = pair(Script::Stall);
+    let mut answer = forward(&pair).await.unwrap();
+    answer.next().await.unwrap().unwrap();
+    pair.server.shutdown();
+    let error = last_error(answer).await;
+    assert_eq!(error.kind, ErrorKind::PeerUnreachable);
+    assert_eq!(error.run, RunState::MayHaveRun);
+}
+
+#[tokio::test]
+async fn a_peer_that_was_never_reached_has_not_run_the_call() {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let silent = listener.local_addr().unwrap();
+    let refusing = loopback();
+    for address in [silent, refusing] {
+        let pair = pair_through(Script::Answer(1), |_| address);
+        for _ in 0..2 {
+            let error = forward(&pair).await.err().unwrap();
+            assert_eq!(error.kind, ErrorKind::PeerUnreachable);
+            assert_eq!(error.run, RunState::NotRun);
+        }
+    }
+}
+
+/// A relay that can fall silent without closing its connections.
+struct Relay {
+    is_silent: Arc<AtomicBool>,
+}
+
+impl Relay {
+    fn launch(to: SocketAddr) -> (Self, SocketAddr) {
+        let is_silent = Arc::new(AtomicBool::new(false));
+        let listener = std::net::TcpListener::bind(loopback()).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let listener = TcpListener::from_std(listener).unwrap();
+        let address = listener.local_addr().unwrap();
+        let silent = is_silent.clone();
+        tokio::spawn(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let silent = silent.clone();
+                tokio::spawn(async move {
+                    let mut far = TcpStream::connect(to).await.unwrap();
+                    if silent.load(Ordering::SeqCst) {
+                        let _ = copy_bidirectional(&mut near, &mut far).await;
+                        return;
+                    }
+                    relay_until_silent(near, far, &silent).await;
+                });
+            }
+        });
+        (Self { is_silent }, address)
+    }
+}
+
+/// Relays until `silent` is set, then keeps both connections open and moves nothing.
+async fn relay_until_silent(mut near: TcpStream, mut far: TcpStream, silent: &AtomicBool) {
+    let mut near_bytes = [0; 4096];
+    let mut far_bytes = [0; 4096];
+    loop {
+        tokio::select! {
+            read = near.read(&mut near_bytes) => {
+                let read = read.unwrap_or(0);
+                if silent.load(Ordering::SeqCst) {
+                    std::future::pending::<()>().await;
+                }
+                if read == 0 || far.write_all(&near_bytes[..read]).await.is_err() {
+                    return;
+                }
+            }
+            read = far.read(&mut far_bytes) => {
+                let read = read.unwrap_or(0);
+                if silent.load(Ordering::SeqCst) {
+                    std::future::pending::<()>().await;
+                }
+                if read == 0 || near.write_all(&far_bytes[..read]).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_given_up_and_does_not_block_a_new_one() {
+    let relay = std::cell::OnceCell::new();
+    let pair = pair_through(Script::Stall, |address| {
+        let (started, reached) = Relay::launch(address);
+        assert!(relay.set(started).is_ok());
+        reached
+    });
+    let mut answer = forward(&pair).await.unwrap();
+    answer.next().await.unwrap().unwrap();
+    relay.get().unwrap().is_silent.store(true, Ordering::SeqCst);
+    let error = last_error(answer).await;
+    assert_eq!(error.kind, ErrorKind::PeerUnreachable);
+    assert_eq!(error.run, RunState::MayHaveRun);
+    let counters = pair.link_context.counters.clone();
+    wait_for("the close of the silent connection", || {
+        counters.faults(figramp::peer::PeerFault::Silent) > 0
+    })
+    .await;
+    let mut answer = forward(&pair).await.unwrap();
+    answer.next().await.unwrap().unwrap();
+}
