--- /dev/null
+++ b/src/telemetry/day_statistics.rs
@@ -0,0 +1,121 @@
+//! What happened since midnight.
+
+use std::collections::BTreeMap;
+
+use super::Absorb;
+use super::AccountStatistics;
+use super::RequestEnd;
+use super::RequestOutcome;
+use crate::catalog::Name;
+use crate::clock::WallTime;
+
+/// The hours of a day.
+pub const HOURS_PER_DAY: usize = 24;
+
+const HOUR_MS: u64 = 3_600_000;
+const DAY_MS: u64 = 24 * HOUR_MS;
+
+/// A day, counted in UTC since the Unix epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Day(pub u64);
+
+/// Requests that ended in one hour.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HourCounts {
+    /// Answered in full.
+    pub answered: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Accepted and not answered in full.
+    pub failed: u64,
+}
+
+/// What happened since midnight, in UTC, or since the VM started.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DayStatistics {
+    /// The day.
+    pub day: Day,
+    /// Requests by the hour.
+    pub hours: [HourCounts; HOURS_PER_DAY],
+    /// What each client account got; `None` stands for requests without a valid key.
+    pub accounts: BTreeMap<Option<Name>, AccountStatistics>,
+}
+
+impl Day {
+    /// Returns the day that `time` falls on.
+    pub const fn of(time: WallTime) -> Self {
+        Self(time.unix_ms / DAY_MS)
+    }
+}
+
+impl DayStatistics {
+    /// Starts anew if `now` falls on a later day.
+    pub fn roll_over(&mut self, now: WallTime) {
+        let day = Day::of(now);
+        if day > self.day {
+            *self = Self {
+                day,
+                ..Self::default()
+            };
+        }
+    }
+
+    /// Adds what another VM has counted; of different days, the later one stays.
+    pub fn merge(&mut self, other: &Self) {
+        if other.day > self.day {
+            *self = other.clone();
+            return;
+        }
+        if other.day < self.day {
+            return;
+        }
+        for (hour, counts) in self.hours.iter_mut().zip(&other.hours) {
+            hour.answered += counts.answered;
+            hour.refused += counts.refused;
+            hour.failed += counts.failed;
+        }
+        for (account, statistics) in &other.accounts {
+            let own = self.accounts.entry(account.clone()).or_default();
+            own.merge(statistics);
+        }
+    }
+
+    /// Returns what all accounts together got.
+    pub fn total(&self) -> AccountStatistics {
+        let mut total = AccountStatistics::default();
+        for statistics in self.accounts.values() {
+            total.merge(statistics);
+        }
+        total
+    }
+
+    /// Returns the accounts, the worst-served first.
+    pub fn worst_served_first(&self) -> Vec<(&Name, &AccountStatistics)> {
+        let mut accounts: Vec<_> = self
+            .accounts
+            .iter()
+            .filter_map(|(name, statistics)| Some((name.as_ref()?, statistics)))
+            .collect();
+        accounts.sort_by(|(_, first), (_, second)| first.compare_service(second));
+        accounts
+    }
+}
+
+impl Absorb for DayStatistics {
+    type Item = RequestOutcome;
+
+    fn absorb(&mut self, outcome: RequestOutcome) {
+        self.roll_over(outcome.ended_at);
+        let hour = outcome.ended_at.unix_ms % DAY_MS / HOUR_MS;
+        let hour = usize::try_from(hour).unwrap_or(0);
+        let counts = &mut self.hours[hour];
+        match outcome.end {
+            RequestEnd::Answered => counts.answered += 1,
+            RequestEnd::Refused(_) => counts.refused += 1,
+            RequestEnd::Failed(_) => counts.failed += 1,
+            RequestEnd::Cancelled => {}
+        }
+        let account = outcome.client_account.clone();
+        self.accounts.entry(account).or_default().add(&outcome);
+    }
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,1 +1,36 @@
-//! Counters, histograms and their export.
+//! Statistics and metrics of what the VM did.
+//!
+//! The path of a request hands one [`RequestOutcome`] to [`Telemetry::record`], which takes no lock
+//! unless its queue is full. Counters and histograms are updated when somebody reads them.
+
+mod account_statistics;
+mod answer_timer;
+mod day_statistics;
+mod latency_histogram;
+mod metric_labels;
+mod metrics;
+mod peer_collector;
+mod queued;
+mod recorder;
+mod request_outcome;
+
+pub use account_statistics::AccountStatistics;
+pub use account_statistics::BookingCounts;
+pub use answer_timer::AnswerTimer;
+pub use answer_timer::AnswerTimes;
+pub use day_statistics::Day;
+pub use day_statistics::DayStatistics;
+pub use day_statistics::HourCounts;
+pub use day_statistics::HOURS_PER_DAY;
+pub use latency_histogram::LatencyBucket;
+pub use latency_histogram::LatencyHistogram;
+pub use metrics::Metrics;
+pub use queued::Absorb;
+pub use queued::Queued;
+pub use recorder::OpenStream;
+pub use recorder::Telemetry;
+pub use request_outcome::BookingOutcome;
+pub use request_outcome::RateStanding;
+pub use request_outcome::RequestEnd;
+pub use request_outcome::RequestOutcome;
+pub use request_outcome::ServedIn;
--- /dev/null
+++ b/src/telemetry/recorder.rs
@@ -0,0 +1,97 @@
+//! Takes what the path of a request has to tell.
+
+use std::sync::Arc;
+
+use prometheus_client::metrics::gauge::Gauge;
+
+use super::Absorb;
+use super::DayStatistics;
+use super::Metrics;
+use super::Queued;
+use super::RequestOutcome;
+use crate::clock::WallTime;
+use crate::peer::PeerCounters;
+
+const QUEUE_OUTCOMES: usize = 1024;
+
+/// Takes what the path of a request has to tell, and gives statistics and metrics of it.
+#[derive(Debug)]
+pub struct Telemetry {
+    state: Queued<TelemetryState>,
+    open_streams: Gauge,
+}
+
+#[derive(Debug)]
+struct TelemetryState {
+    statistics: DayStatistics,
+    metrics: Metrics,
+}
+
+/// Counts an answer as being sent, for its own life.
+#[derive(Debug)]
+pub struct OpenStream(Gauge);
+
+impl Telemetry {
+    /// Creates empty statistics.
+    pub fn new(peer_counters: Arc<PeerCounters>) -> Self {
+        let metrics = Metrics::new(peer_counters);
+        let open_streams = metrics.open_streams().clone();
+        let state = TelemetryState {
+            statistics: DayStatistics::default(),
+            metrics,
+        };
+        Self {
+            state: Queued::new(state, QUEUE_OUTCOMES),
+            open_streams,
+        }
+    }
+
+    /// Records a request that has ended.
+    pub fn record(&self, outcome: RequestOutcome) {
+        self.state.put(outcome);
+    }
+
+    /// Works off what was recorded; called from time to time so that no request has to do it.
+    pub fn catch_up(&self) {
+        self.state.read(|_| ());
+    }
+
+    /// Counts an answer as being sent until the returned guard is dropped.
+    pub fn open_stream(&self) -> OpenStream {
+        self.open_streams.inc();
+        OpenStream(self.open_streams.clone())
+    }
+
+    /// Returns the number of answers that are being sent.
+    pub fn open_stream_count(&self) -> u64 {
+        u64::try_from(self.open_streams.get()).unwrap_or(0)
+    }
+
+    /// Returns the statistics of the day that `now` falls on.
+    pub fn statistics(&self, now: WallTime) -> DayStatistics {
+        self.state.read(|state| {
+            state.statistics.roll_over(now);
+            state.statistics.clone()
+        })
+    }
+
+    /// Returns all metrics in the text format of OpenMetrics.
+    pub fn metrics_text(&self) -> String {
+        self.state.read(|state| state.metrics.to_text())
+    }
+}
+
+impl Absorb for TelemetryState {
+    type Item = RequestOutcome;
+
+    fn absorb(&mut self, outcome: RequestOutcome) {
+        self.metrics.add(&outcome);
+        self.statistics.absorb(outcome);
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
