Test the records of non-idempotent calls and the hard filters of routing

Fleets of controllers run in virtual time under lost, doubled and reordered messages, cuts, replaced and paused VMs, any views and a roster that changes VM by VM.

--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -16,6 +16,9 @@
 const UNKNOWN_BANDWIDTH_BITS_PER_S: u64 = 100_000_000;
 
 /// Returns the expected time to the first event if `call` goes to `endpoint`.
+///
+/// An engine shares its time between the requests of a batch, so a prompt takes the longer the more
+/// requests run beside it.
 pub fn expected_first_event(
     now: Monotonic,
     query: &RouteQuery<'_>,
@@ -27,7 +30,12 @@
     let prefill = load
         .prompt_token_time()
         .saturating_mul(u32::try_from(prefill_tokens).unwrap_or(u32::MAX));
-    prefill + waiting_time(now, query, endpoint, load) + network_time(query, endpoint.region)
+    let requests = expected_requests(now, query, endpoint, load);
+    let shared = prefill.saturating_mul(requests) / endpoint.concurrency.max(1);
+    prefill
+        + shared
+        + waiting_time(now, query, endpoint, load)
+        + network_time(query, endpoint.region)
 }
 
 /// Returns the number of requests expected to be at an endpoint now, from all VMs.
--- /dev/null
+++ b/tests/behaviour/idempotency/at_most_once.rs
@@ -0,0 +1,320 @@
+//! No sequence of faults lets a call run twice.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use figramp::catalog::Catalog;
+use figramp::idempotency::replica_set;
+use figramp::idempotency::CallOutcome;
+use figramp::idempotency::IdempotencyAnswer;
+use figramp::idempotency::RecordId;
+use figramp::membership::Liveness;
+use figramp::request::RequestId;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::TestResult;
+
+use super::fleet::stored_answer;
+use super::fleet::Fleet;
+use super::fleet::VM_COUNT;
+use crate::routing::published;
+use crate::routing::seed;
+
+const KEY_COUNT: usize = 2;
+const STEPS: usize = 120;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Submit {
+        vm: usize,
+        key: usize,
+    },
+    Deliver {
+        position: usize,
+    },
+    Double {
+        position: usize,
+    },
+    Lose {
+        position: usize,
+    },
+    Advance {
+        ms: u64,
+    },
+    Finish {
+        position: usize,
+        outcome: usize,
+    },
+    Replace {
+        vm: usize,
+    },
+    Pause {
+        vm: usize,
+    },
+    Resume {
+        vm: usize,
+    },
+    View {
+        vm: usize,
+        other: usize,
+        is_alive: bool,
+    },
+    Cut {
+        vm: usize,
+        other: usize,
+        is_cut: bool,
+    },
+    TakeOver {
+        vm: usize,
+    },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let vm = usize::arbitrary(g) % VM_COUNT;
+        let other = usize::arbitrary(g) % VM_COUNT;
+        let position = usize::arbitrary(g);
+        match u8::arbitrary(g) % 32 {
+            0..=3 => Self::Submit {
+                vm,
+                key: other % KEY_COUNT,
+            },
+            4..=17 => Self::Deliver { position },
+            18 => Self::Double { position },
+            19..=20 => Self::Lose { position },
+            21..=23 => Self::Advance {
+                ms: u64::arbitrary(g) % 150,
+            },
+            24 => Self::Advance {
+                ms: u64::arbitrary(g) % 5_000,
+            },
+            25 => Self::Finish {
+                position,
+                outcome: other,
+            },
+            26 => Self::Replace { vm },
+            27 => Self::Pause { vm },
+            28 => Self::Resume { vm },
+            29 => Self::View {
+                vm,
+                other,
+                is_alive: bool::arbitrary(g),
+            },
+            30 => Self::Cut {
+                vm,
+                other,
+                is_cut: bool::arbitrary(g),
+            },
+            _ => Self::TakeOver { vm },
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Steps(Vec<Step>);
+
+impl Arbitrary for Steps {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self((0..STEPS).map(|_| Step::arbitrary(g)).collect())
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        Box::new(self.0.shrink().map(Self))
+    }
+}
+
+fn outcome(number: usize) -> CallOutcome {
+    match number % 4 {
+        0 => CallOutcome::NotRun,
+        1 => CallOutcome::Unknown,
+        2 => CallOutcome::RanUnkept,
+        _ => CallOutcome::Completed(stored_answer()),
+    }
+}
+
+fn apply(fleet: &mut Fleet, step: &Step) {
+    let mail_count = fleet.mail.len().max(1);
+    match *step {
+        Step::Submit { vm, key } if !fleet.nodes[vm].is_paused => {
+            fleet.submit(vm, key);
+        }
+        Step::Deliver { position } => deliver(fleet, position % mail_count),
+        Step::Double { position } => {
+            if let Some(envelope) = fleet.mail.get(position % mail_count) {
+                let double = super::fleet::Envelope {
+                    to: envelope.to,
+                    from: envelope.from,
+                    message: envelope.message.clone(),
+                };
+                fleet.mail.push(double);
+            }
+        }
+        Step::Lose { position } if !fleet.mail.is_empty() => {
+            fleet.mail.remove(position % mail_count);
+        }
+        Step::Advance { ms } => fleet.advance(Duration::from_millis(ms)),
+        Step::Finish {
+            position,
+            outcome: number,
+        } if !fleet.running.is_empty() => {
+            let position = position % fleet.running.len();
+            if !fleet.nodes[fleet.running[position].0].is_paused {
+                fleet.finish(position, outcome(number));
+            }
+        }
+        // A second replacement before the first VM has read the records is not protected.
+        Step::Replace { vm } if fleet.is_settled() => fleet.replace(vm),
+        Step::Pause { vm } => fleet.nodes[vm].is_paused = true,
+        Step::Resume { vm } => fleet.nodes[vm].is_paused = false,
+        Step::View {
+            vm,
+            other,
+            is_alive,
+        } => {
+            let liveness = if is_alive {
+                Liveness::Alive
+            } else {
+                Liveness::Dead
+            };
+            fleet.set_liveness(vm, other, liveness);
+        }
+        Step::Cut { vm, other, is_cut } => fleet.set_cut(vm, other, is_cut),
+        _ => {}
+    }
+}
+
+fn deliver(fleet: &mut Fleet, position: usize) {
+    let is_deliverable = fleet
+        .mail
+        .get(position)
+        .is_some_and(|envelope| !fleet.nodes[envelope.to].is_paused);
+    if is_deliverable {
+        fleet.deliver(position);
+    }
+}
+
+fn no_key_runs_twice(steps: Steps) -> TestResult {
+    let mut fleet = Fleet::new();
+    let limit = fleet.now + fleet.settings.settle_all;
+    for step in &steps.0 {
+        if fleet.now < limit {
+            apply(&mut fleet, step);
+        }
+        if let Some((key, runs)) = fleet.runs.iter().find(|(_, runs)| **runs > 1) {
+            return TestResult::error(format!("key {key} ran {runs} times"));
+        }
+    }
+    TestResult::passed()
+}
+
+#[test]
+fn a_call_runs_at_most_once_under_any_faults() {
+    seed::checker(2_000).quickcheck(no_key_runs_twice as fn(Steps) -> TestResult);
+}
+
+/// A VM leaves the roster, and each VM hears of it at another time.
+fn no_key_runs_twice_over_a_roster_change(steps: Steps, gone: usize) -> TestResult {
+    let mut fleet = Fleet::new();
+    let after = without_vm(&fleet, gone % VM_COUNT);
+    let limit = fleet.now + fleet.settings.hand_over;
+    for step in &steps.0 {
+        match step {
+            Step::TakeOver { vm } => take_over(&mut fleet, *vm, &after),
+            Step::Replace { .. } => {}
+            _ if fleet.now < limit => apply(&mut fleet, step),
+            _ => {}
+        }
+        if fleet.runs.values().any(|runs| *runs > 1) {
+            return TestResult::error("a key ran twice");
+        }
+    }
+    TestResult::passed()
+}
+
+fn without_vm(fleet: &Fleet, gone: usize) -> Arc<Catalog> {
+    let mut after = super::fleet::published(VM_COUNT);
+    after
+        .objects
+        .retain(|(name, _)| name.as_str() != format!("north-vm{gone}"));
+    Arc::new(after.build(&fleet.catalog))
+}
+
+fn take_over(fleet: &mut Fleet, vm: usize, catalog: &Arc<Catalog>) {
+    fleet.nodes[vm]
+        .controller
+        .on_catalog(fleet.now, catalog.clone());
+}
+
+#[test]
+fn a_roster_change_copies_records_to_the_new_replicas() {
+    let mut fleet = Fleet::new();
+    for key in 0..10 {
+        fleet.submit(0, key);
+        fleet.deliver_all();
+        fleet.finish(0, CallOutcome::Completed(stored_answer()));
+        fleet.deliver_all();
+    }
+    let after = without_vm(&fleet, 0);
+    for vm in 1..VM_COUNT {
+        take_over(&mut fleet, vm, &after);
+    }
+    fleet.nodes[0].is_paused = true;
+    fleet.advance(Duration::from_secs(1));
+    fleet.deliver_all();
+    fleet.advance(fleet.settings.hand_over);
+    for key in 0..10 {
+        let id = RecordId::of_call(&fleet.call(RequestId(1), key)).unwrap();
+        let region = published::region(&after, "north");
+        for replica in replica_set(&after, region, &id) {
+            let vm = fleet.nodes.iter().position(|node| node.key == replica);
+            let repeat = fleet.submit(vm.unwrap(), key);
+            let answer = &fleet.told[&repeat].answer;
+            assert_eq!(*answer, IdempotencyAnswer::Repeated(stored_answer()));
+        }
+    }
+}
+
+#[test]
+fn a_roster_change_that_spreads_lets_no_call_run_twice() {
+    seed::checker(3_000)
+        .quickcheck(no_key_runs_twice_over_a_roster_change as fn(Steps, usize) -> TestResult);
+}
+
+#[test]
+fn a_paused_coordinator_that_wakes_late_does_not_proceed() {
+    let mut fleet = Fleet::new();
+    let first = fleet.submit(0, 0);
+    fleet.nodes[0].is_paused = true;
+    fleet.deliver_all();
+    fleet.now = fleet.now + Duration::from_secs(3_600);
+    fleet.nodes[0].is_paused = false;
+    fleet.deliver_all();
+    assert!(!fleet.proceeded.contains(&first));
+    let IdempotencyAnswer::Failed(error) = &fleet.told[&first].answer else {
+        panic!("the submission is refused");
+    };
+    assert_eq!(error.run, figramp::errors::RunState::NotRun);
+}
+
+#[test]
+fn a_coordinator_that_has_just_started_has_no_vote_of_its_own() {
+    let mut fleet = Fleet::new();
+    let id = RecordId::of_call(&fleet.call(RequestId(1), 0)).unwrap();
+    let region = published::region(&fleet.catalog, "north");
+    let replicas: Vec<usize> = replica_set(&fleet.catalog, region, &id)
+        .into_iter()
+        .map(|key| fleet.nodes.iter().position(|node| node.key == key).unwrap())
+        .collect();
+    fleet.set_cut(replicas[0], replicas[2], true);
+    fleet.submit(replicas[0], 0);
+    fleet.deliver_all();
+    fleet.advance(fleet.settings.ack_timeout / 2);
+    assert_eq!(fleet.runs[&0], 1);
+    fleet.replace(replicas[0]);
+    fleet.set_cut(replicas[0], replicas[2], false);
+    fleet.set_cut(replicas[0], replicas[1], true);
+    fleet.submit(replicas[0], 0);
+    fleet.deliver_all();
+    fleet.advance(fleet.settings.ack_timeout / 2);
+    assert_eq!(fleet.runs[&0], 1);
+}
--- a/tests/behaviour/idempotency/mod.rs
+++ b/tests/behaviour/idempotency/mod.rs
@@ -1,1 +1,6 @@
 //! Tests of the `idempotency` behaviour.
+
+mod at_most_once;
+mod fleet;
+mod repeats;
+mod wire;
--- /dev/null
+++ b/tests/behaviour/routing/load_reports.rs
@@ -0,0 +1,181 @@
+//! Load reports that lag, go missing or come twice.
+
+use std::time::Duration;
+
+use figramp::catalog::Catalog;
+use figramp::catalog::ClientAccountKey;
+use figramp::catalog::EndpointKey;
+use figramp::catalog::Repeatability;
+use figramp::catalog::WorkClass;
+use figramp::clock::Monotonic;
+use figramp::endpoint::LoadReport;
+use figramp::request::Call;
+use figramp::request::Usage;
+use figramp::routing::choose;
+use figramp::routing::class_slots;
+use figramp::routing::slot_count;
+use figramp::routing::EndpointLoad;
+use figramp::routing::EndpointLoads;
+use figramp::routing::Exclusion;
+use figramp::routing::RouteChoice;
+use figramp::routing::RouteDecision;
+use figramp::routing::RouteQuery;
+use figramp::routing::RouteRefusal;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+
+use super::published;
+use super::published::Published;
+
+const START: Monotonic = Monotonic::from_ms(10_000);
+const SECOND: Duration = Duration::from_secs(1);
+
+pub struct Site {
+    pub catalog: Catalog,
+    pub loads: EndpointLoads,
+    pub call: Call,
+    pub queue_wait: Duration,
+    pub rng: StdRng,
+}
+
+impl Site {
+    /// Makes a region with two endpoints of four slots, and another one with one.
+    pub fn new() -> Self {
+        let catalog = Published::default()
+            .regions(&["north", "south"], 55_000, 140_000_000)
+            .vms("north", 2)
+            .vms("south", 1)
+            .route("tips", WorkClass::Interactive, Repeatability::Idempotent)
+            .endpoints("north", &["tips"], 2, 4)
+            .endpoints("south", &["tips"], 1, 4)
+            .account("garden", &["north", "south"], 1)
+            .build(&Catalog::default());
+        let account: ClientAccountKey = published::account(&catalog, "garden");
+        Self {
+            loads: EndpointLoads::default().for_catalog(&catalog),
+            call: published::completion(published::route(&catalog, "tips"), Some(account), 10),
+            catalog,
+            queue_wait: Duration::ZERO,
+            rng: StdRng::seed_from_u64(1),
+        }
+    }
+
+    pub fn endpoint(&self, text: &str) -> EndpointKey {
+        published::endpoint(&self.catalog, text)
+    }
+
+    pub fn load(&self, text: &str) -> &EndpointLoad {
+        self.loads.get(self.endpoint(text)).unwrap()
+    }
+
+    pub fn choose(&mut self, now: Monotonic) -> Result<RouteDecision, RouteRefusal> {
+        let view = published::view(&self.catalog, published::vm(&self.catalog, "north-vm0"));
+        let query = RouteQuery {
+            catalog: &self.catalog,
+            view: &view,
+            loads: &self.loads,
+            call: &self.call,
+            excluded: &[],
+            crossings_max: 1,
+            queue_wait: self.queue_wait,
+        };
+        choose(now, &query, &mut self.rng)
+    }
+}
+
+fn report(running: u32, age_ms: u64) -> LoadReport {
+    LoadReport {
+        running,
+        age_ms,
+        ..LoadReport::default()
+    }
+}
+
+#[test]
+fn a_late_report_is_corrected_by_what_was_sent_since() {
+    let site = Site::new();
+    let load = site.load("north-tips-0");
+    let first = load.on_sent(START, &site.call);
+    let taken = START + SECOND;
+    let arrived = taken + SECOND;
+    load.on_sent(taken + SECOND / 2, &site.call);
+    load.on_report(arrived, &report(3, 1_000));
+    let reported = load.report(arrived).unwrap();
+    assert_eq!(reported.taken_at, taken);
+    assert_eq!(reported.own_requests, 1);
+    assert_eq!(reported.others(), 2);
+    load.on_done(arrived, first, Usage::default());
+    assert_eq!(load.own_requests(), 1);
+}
+
+#[test]
+fn an_older_report_does_not_replace_a_newer_one_and_a_stale_one_is_not_used() {
+    let site = Site::new();
+    let load = site.load("north-tips-0");
+    load.on_report(START, &report(3, 0));
+    load.on_report(START + SECOND, &report(1, 2_000));
+    assert_eq!(load.report(START + SECOND).unwrap().running, 3);
+    assert_eq!(load.report(START + 10 * SECOND), None);
+}
+
+#[test]
+fn the_less_loaded_of_two_endpoints_gets_more() {
+    let mut site = Site::new();
+    site.load("north-tips-0").on_report(START, &report(3, 0));
+    site.load("north-tips-1").on_report(START, &report(0, 0));
+    let busy = site.endpoint("north-tips-0");
+    let busy_count = (0..400)
+        .filter(|_| site.choose(START).unwrap().choice == RouteChoice::Local(busy))
+        .count();
+    assert!(busy_count < 200, "{busy_count} of 400");
+}
+
+#[test]
+fn a_full_region_queues_unless_another_one_is_sooner() {
+    let mut site = Site::new();
+    for endpoint in ["north-tips-0", "north-tips-1"] {
+        for _ in 0..4 {
+            site.load(endpoint).on_sent(START, &site.call);
+        }
+    }
+    let far = site.load("south-tips-0");
+    for _ in 0..8 {
+        far.on_sent(START, &site.call);
+    }
+    assert_eq!(site.choose(START).unwrap().choice, RouteChoice::Queue);
+    site.queue_wait = 20 * SECOND;
+    let choice = site.choose(START).unwrap().choice;
+    assert!(matches!(choice, RouteChoice::Forward { .. }));
+}
+
+#[test]
+fn an_endpoint_over_its_memory_gets_nothing() {
+    let mut site = Site::new();
+    let full = LoadReport {
+        cache_used_permille: 1_000,
+        ..LoadReport::default()
+    };
+    for endpoint in ["north-tips-0", "north-tips-1", "south-tips-0"] {
+        site.load(endpoint).on_report(START, &full);
+    }
+    let refusal = site.choose(START).unwrap_err();
+    let notes = &refusal.explanation.left_out;
+    assert!(notes
+        .iter()
+        .all(|note| note.exclusion == Exclusion::OverMemory));
+    assert_eq!(notes.len(), 3);
+}
+
+#[test]
+fn vms_that_share_an_endpoint_keep_a_part_each() {
+    let site = Site::new();
+    let load = site.load("north-tips-0");
+    assert_eq!(slot_count(START, load, 16, 4), 4);
+    load.on_report(START, &report(4, 0));
+    assert!(slot_count(START, load, 16, 4) >= 4);
+    load.on_report(START + SECOND, &report(16, 0));
+    assert_eq!(slot_count(START + SECOND, load, 16, 4), 4);
+    assert_eq!(slot_count(START, load, 1, 9), 1);
+    assert!(class_slots(4, WorkClass::Long) < 4);
+    assert_eq!(class_slots(1, WorkClass::Long), 1);
+}
