Check endpoints' answers and resume them; give the stand-ins their faults

Cause: answers that are silent, cut short, crossed or repeated have to be dealt with or fail loudly. Change: load reports, orders and cancellation by attempt in HttpEndpointClient; ResumingAnswer asks for the rest of a failed answer from the next chunk as a policy allows. The stand-in engine has places with priorities, a prefix cache with events, lagging load reports, fencing and switches for its faults; the stand-in service logs each execution. Excluded: cancelling by request id alone, since the cancellation of a failed attempt could reach the engine after the resume.

--- a/src/endpoint/call_guard.rs
+++ b/src/endpoint/call_guard.rs
@@ -17,6 +17,7 @@
     connections: Arc<Connections>,
     address: SocketAddr,
     request_id: RequestId,
+    attempt: u64,
     is_armed: bool,
 }
 
@@ -31,10 +32,16 @@
             connections,
             address,
             request_id,
+            attempt: rand::random(),
             is_armed: true,
         }
     }
 
+    /// Returns the number that tells this attempt from others at the same request.
+    pub(super) const fn attempt(&self) -> u64 {
+        self.attempt
+    }
+
     /// Records that nothing is left to cancel.
     pub(super) fn disarm(&mut self) {
         self.is_armed = false;
@@ -55,21 +62,30 @@
             return;
         };
         let connections = Arc::clone(&self.connections);
-        runtime.spawn(send_cancel(connections, self.address, self.request_id));
+        let attempt = Some(self.attempt);
+        runtime.spawn(send_cancel(
+            connections,
+            self.address,
+            self.request_id,
+            attempt,
+        ));
     }
 }
 
-/// Tells the engine at `address` that an answer is no longer wanted; a failure is of no
-/// consequence.
+/// Tells the engine at `address` that one attempt at an answer, or all of them, are no longer
+/// wanted; a failure is of no consequence.
 pub(super) async fn send_cancel(
     connections: Arc<Connections>,
     address: SocketAddr,
     request_id: RequestId,
+    attempt: Option<u64>,
 ) {
     let Ok(client) = connections.pool(address) else {
         return;
     };
     let url = format!("http://{address}/v1/cancel/{request_id}");
+    let attempt = attempt.map(|attempt| format!("?attempt={attempt}"));
+    let url = url + attempt.as_deref().unwrap_or_default();
     let sent = client.post(url).timeout(CANCEL_TIMEOUT).send().await;
     if let Err(error) = sent {
         log::debug!(request_id:% = request_id; "cancel was not delivered: {error}");
--- a/src/endpoint/engine_wire.rs
+++ b/src/endpoint/engine_wire.rs
@@ -16,6 +16,9 @@
 
 /// The header that names the request.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// The header that tells attempts at one request apart, so that the cancellation of one leaves the
+/// others alone.
+pub const ATTEMPT_HEADER: &str = "x-attempt";
 /// The header that carries the class of work.
 pub const PRIORITY_HEADER: &str = "x-priority";
 /// The header that names the first wanted chunk.
--- a/src/endpoint/http_endpoint_client.rs
+++ b/src/endpoint/http_endpoint_client.rs
@@ -1,6 +1,8 @@
 //! The HTTP client towards endpoints.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use reqwest::header::CONTENT_TYPE;
@@ -8,6 +10,8 @@
 use reqwest::Method;
 use reqwest::RequestBuilder;
 use reqwest::Response;
+use reqwest::StatusCode;
+use serde::de::DeserializeOwned;
 
 use super::call_guard::send_cancel;
 use super::call_guard::CallGuard;
@@ -20,13 +24,18 @@
 use super::EndpointCall;
 use super::EndpointClient;
 use super::EndpointOrder;
+use super::FencedWire;
 use super::LoadReport;
+use super::LoadReportWire;
 use super::OrderOutcome;
+use super::OrderWire;
+use super::ATTEMPT_HEADER;
 use super::PRIORITY_HEADER;
 use super::REQUEST_ID_HEADER;
 use super::RESUME_OFFSET_HEADER;
 use super::RUN_STATE_HEADER;
 use crate::catalog::Endpoint;
+use crate::catalog::TicketNumber;
 use crate::catalog::WorkClass;
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
@@ -37,6 +46,8 @@
 use crate::request::RequestId;
 use crate::request::ServiceCall;
 
+/// The longest time that a load report or an order takes.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 const JSON_TYPE: &str = "application/json";
 
 /// Talks HTTP to endpoints.
@@ -89,6 +100,19 @@
         }
         Ok(request)
     }
+
+    /// Sends a request that is not a call, and returns the head of its answer.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: RequestBuilder,
+    ) -> Result<Response, GatewayError> {
+        let sent = request.timeout(EXCHANGE_TIMEOUT).send().await;
+        if matches!(&sent, Err(error) if error.is_timeout()) {
+            self.connections.forget(address);
+        }
+        sent.map_err(|error| transport_errors::of_send(&error))
+    }
 }
 
 #[async_trait]
@@ -104,14 +128,15 @@
             }
             CallBody::Service(service) => self.service_request(endpoint, service)?,
         };
-        let request = request.header(REQUEST_ID_HEADER, call.request_id.to_string());
-
         let limits = TimeLimits::start(&call);
         let connections = Arc::clone(&self.connections);
         let mut guard = CallGuard::new(connections, endpoint.address, call.request_id);
         if matches!(call.body, CallBody::Service(_)) {
             guard.disarm();
         }
+        let request = request
+            .header(REQUEST_ID_HEADER, call.request_id.to_string())
+            .header(ATTEMPT_HEADER, guard.attempt());
         let response = send(request, &limits, &mut guard).await?;
         match call.body {
             CallBody::Completion(_) => {
@@ -127,26 +152,64 @@
     }
 
     async fn cancel(&self, endpoint: &Endpoint, request: RequestId) {
-        send_cancel(Arc::clone(&self.connections), endpoint.address, request).await;
+        send_cancel(
+            Arc::clone(&self.connections),
+            endpoint.address,
+            request,
+            None,
+        )
+        .await;
     }
 
     async fn load(
         &self,
-        _endpoint: &Endpoint,
-        _cache_sequence: u64,
+        endpoint: &Endpoint,
+        cache_sequence: u64,
     ) -> Result<LoadReport, GatewayError> {
-        Err(transport_errors::malformed("not supported yet"))
+        let client = self.connections.pool(endpoint.address)?;
+        let address = endpoint.address;
+        let url = format!("http://{address}/v1/load?after={cache_sequence}");
+        let response = self.exchange(address, client.get(url)).await?;
+        if !response.status().is_success() {
+            return Err(unexpected_status(&response));
+        }
+        let wire: LoadReportWire = parse_json(response).await?;
+        Ok(wire.into())
     }
 
     async fn order(
         &self,
-        _endpoint: &Endpoint,
-        _order: EndpointOrder,
+        endpoint: &Endpoint,
+        order: EndpointOrder,
     ) -> Result<OrderOutcome, GatewayError> {
-        Err(transport_errors::malformed("not supported yet"))
+        let client = self.connections.pool(endpoint.address)?;
+        let address = endpoint.address;
+        let url = format!("http://{address}/v1/orders");
+        let request = client.post(url).json(&OrderWire::from(order));
+        let response = self.exchange(address, request).await?;
+        match response.status() {
+            status if status.is_success() => Ok(OrderOutcome::Accepted),
+            StatusCode::CONFLICT => {
+                let wire: FencedWire = parse_json(response).await?;
+                let highest = TicketNumber(wire.highest);
+                Ok(OrderOutcome::Fenced { highest })
+            }
+            _ => Err(unexpected_status(&response)),
+        }
     }
 }
 
+async fn parse_json<T: DeserializeOwned>(response: Response) -> Result<T, GatewayError> {
+    response.json().await.map_err(|_| {
+        transport_errors::malformed("the endpoint's answer is cut short or not one of the protocol")
+    })
+}
+
+fn unexpected_status(response: &Response) -> GatewayError {
+    let status = response.status().as_u16();
+    transport_errors::malformed(format!("the endpoint answered with status {status}"))
+}
+
 async fn send(
     request: RequestBuilder,
     limits: &TimeLimits,
@@ -170,11 +233,7 @@
     }
     guard.disarm();
     let response = refuse_not_run(response)?;
-    let status = response.status().as_u16();
-    Err(GatewayError::new(
-        ErrorKind::EndpointFailed,
-        format!("the endpoint answered with status {status}"),
-    ))
+    Err(unexpected_status(&response))
 }
 
 /// Makes an error of a response that says that the call did not run, and passes any other on.
@@ -193,10 +252,10 @@
     Err(error)
 }
 
-fn retry_after_of(response: &Response) -> Option<std::time::Duration> {
+fn retry_after_of(response: &Response) -> Option<Duration> {
     let text = response.headers().get(RETRY_AFTER)?.to_str().ok()?;
     let retry_after_s = text.parse().ok()?;
-    Some(std::time::Duration::from_secs(retry_after_s))
+    Some(Duration::from_secs(retry_after_s))
 }
 
 /// Returns the priority of a class; engines serve higher numbers first.
--- /dev/null
+++ b/src/stand_in/engine/answer_job.rs
@@ -0,0 +1,185 @@
+//! The writing of one answer by the stand-in engine.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::engine_state::AttemptId;
+use super::engine_state::EngineState;
+use super::event_body;
+use super::slots::Slot;
+use super::EngineFaults;
+use crate::request::AnswerEvent;
+use crate::request::AnswerPayload;
+use crate::request::CompletionCall;
+use crate::request::RequestId;
+use crate::request::Usage;
+
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+const CROSSED_TEXT: &str = "crossed ";
+
+/// The writing of one answer.
+pub(super) struct AnswerJob {
+    /// The attempt.
+    pub(super) id: AttemptId,
+    /// The request.
+    pub(super) call: CompletionCall,
+    /// The priority; higher numbers come first.
+    pub(super) priority: u32,
+    /// The first wanted chunk.
+    pub(super) resume_offset: u64,
+    /// The whole answer.
+    pub(super) tokens: Vec<String>,
+    /// The faults of this answer.
+    pub(super) faults: EngineFaults,
+    /// The engine.
+    pub(super) state: Arc<EngineState>,
+    /// Where encoded events go.
+    pub(super) events: mpsc::Sender<Bytes>,
+}
+
+/// Why an answer ends before its end mark.
+enum Stop {
+    /// The connection is closed.
+    Closed,
+    /// A fault ends the body.
+    Truncated,
+}
+
+impl AnswerJob {
+    /// Writes the answer until its end, a fault, or its cancellation.
+    pub(super) async fn run(self) {
+        let cancelled = self.state.begin_job(self.id);
+        let written = tokio::select! {
+            biased;
+            () = cancelled.cancelled() => Err(Stop::Closed),
+            written = self.write() => written,
+        };
+        let mut counts = self.state.counts.lock();
+        match written {
+            Ok(()) => counts.finished += 1,
+            Err(Stop::Closed) => counts.cancelled += 1,
+            Err(Stop::Truncated) => {}
+        }
+        drop(counts);
+        self.state.end_job(self.id);
+        self.state.record_load();
+    }
+
+    async fn write(&self) -> Result<(), Stop> {
+        sleep(Duration::from_millis(self.faults.first_event_delay_ms)).await;
+        let _slot = self.wait_for_slot().await?;
+        self.state.record_load();
+        let cached_tokens = self.prefill().await?;
+        for (offset, token) in self.wanted_tokens() {
+            self.stop_by_fault(offset).await?;
+            sleep(self.state.time_per_token()).await;
+            let payload = AnswerPayload::Chunk(Bytes::from(token.clone()));
+            self.send_with_faults(offset, payload).await?;
+        }
+        let token_count = u64::try_from(self.tokens.len()).unwrap_or(u64::MAX);
+        self.stop_by_fault(token_count).await?;
+        let usage = Usage {
+            prompt_tokens: self.call.prompt_tokens,
+            cached_tokens,
+            answer_tokens: token_count,
+        };
+        self.send_with_faults(token_count, AnswerPayload::End(usage))
+            .await
+    }
+
+    fn wanted_tokens(&self) -> impl Iterator<Item = (u64, &String)> {
+        let first = usize::try_from(self.resume_offset).unwrap_or(usize::MAX);
+        (0..).zip(&self.tokens).skip(first)
+    }
+
+    async fn wait_for_slot(&self) -> Result<Slot, Stop> {
+        let mut granted = self.state.slots.acquire(self.priority);
+        self.state.record_load();
+        loop {
+            match timeout(KEEP_ALIVE_INTERVAL, &mut granted).await {
+                Ok(slot) => return slot.map_err(|_| Stop::Closed),
+                Err(_) => self.send_keep_alive().await?,
+            }
+        }
+    }
+
+    /// Reads the prompt and returns its cached part, in tokens.
+    async fn prefill(&self) -> Result<u64, Stop> {
+        let cached_tokens = self.state.read_prompt(&self.call);
+        let new_tokens = self.call.prompt_tokens - cached_tokens;
+        let per_token = self.state.options.prefill_time_per_token;
+        let mut remaining = per_token * u32::try_from(new_tokens).unwrap_or(u32::MAX);
+        while remaining > KEEP_ALIVE_INTERVAL {
+            sleep(KEEP_ALIVE_INTERVAL).await;
+            self.send_keep_alive().await?;
+            remaining -= KEEP_ALIVE_INTERVAL;
+        }
+        sleep(remaining).await;
+        Ok(cached_tokens)
+    }
+
+    async fn stop_by_fault(&self, chunk_count: u64) -> Result<(), Stop> {
+        if self.faults.silent_after_chunks == Some(chunk_count) {
+            match std::future::pending::<Infallible>().await {}
+        }
+        if self.faults.truncated_after_chunks == Some(chunk_count) {
+            return Err(Stop::Truncated);
+        }
+        Ok(())
+    }
+
+    async fn send_with_faults(&self, offset: u64, payload: AnswerPayload) -> Result<(), Stop> {
+        if self.faults.has_crossed_events {
+            let crossed = AnswerPayload::Chunk(Bytes::from_static(CROSSED_TEXT.as_bytes()));
+            let other = RequestId(self.id.request_id.0 ^ 1);
+            self.send(other, offset, crossed).await?;
+        }
+        if self.faults.missing_chunk == Some(offset) {
+            return Ok(());
+        }
+        let request_id = self.id.request_id;
+        self.send(request_id, offset, payload.clone()).await?;
+        if self.faults.has_repeated_events {
+            self.send(request_id, offset, payload).await?;
+            self.repeat_earlier(offset).await?;
+        }
+        Ok(())
+    }
+
+    async fn repeat_earlier(&self, offset: u64) -> Result<(), Stop> {
+        let Some(earlier) = offset.checked_sub(1) else {
+            return Ok(());
+        };
+        let index = usize::try_from(earlier).unwrap_or(usize::MAX);
+        let token = self.tokens.get(index).cloned().unwrap_or_default();
+        let payload = AnswerPayload::Chunk(Bytes::from(token));
+        self.send(self.id.request_id, earlier, payload).await
+    }
+
+    async fn send_keep_alive(&self) -> Result<(), Stop> {
+        let offset = self.resume_offset;
+        self.send(self.id.request_id, offset, AnswerPayload::KeepAlive)
+            .await
+    }
+
+    async fn send(
+        &self,
+        request_id: RequestId,
+        offset: u64,
+        payload: AnswerPayload,
+    ) -> Result<(), Stop> {
+        let event = AnswerEvent {
+            request_id,
+            offset,
+            payload,
+        };
+        let sent = self.events.send(event_body::encode(event)).await;
+        sent.map_err(|_| Stop::Closed)
+    }
+}
--- a/src/stand_in/engine/engine_server.rs
+++ b/src/stand_in/engine/engine_server.rs
@@ -5,8 +5,12 @@
 
 use rocket::routes;
 
-use super::engine_routes;
+use super::completion_route;
+use super::control_routes;
 use super::engine_state::EngineState;
+use super::operation_routes;
+use super::EngineCounts;
+use super::EngineFaults;
 use super::EngineOptions;
 use crate::caller::HttpServer;
 use crate::caller::LaunchError;
@@ -15,6 +19,7 @@
 #[derive(Debug)]
 pub struct EngineServer {
     server: HttpServer,
+    state: Arc<EngineState>,
 }
 
 impl EngineServer {
@@ -26,15 +31,41 @@
     pub async fn launch(options: EngineOptions) -> Result<Self, LaunchError> {
         let state = Arc::new(EngineState::new(options));
         let rocket = HttpServer::build(options.bind_address)
-            .manage(state)
-            .mount("/", routes![engine_routes::complete]);
-        Ok(Self {
-            server: HttpServer::launch(rocket).await?,
-        })
+            .manage(Arc::clone(&state))
+            .mount("/", routes![completion_route::complete])
+            .mount("/", routes![operation_routes::load])
+            .mount("/", routes![operation_routes::cancel])
+            .mount("/", routes![operation_routes::order])
+            .mount("/", routes![control_routes::faults])
+            .mount("/", routes![control_routes::set_faults])
+            .mount("/", routes![control_routes::counts]);
+        let server = HttpServer::launch(rocket).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Runs an engine until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LaunchError`] if the address can't be listened on.
+    pub async fn run(options: EngineOptions) -> Result<(), LaunchError> {
+        let engine = Self::launch(options).await?;
+        log::info!("the stand-in engine listens on {}", engine.address());
+        std::future::pending().await
     }
 
     /// Returns the address that the engine listens on.
     pub const fn address(&self) -> SocketAddr {
         self.server.address()
     }
+
+    /// Sets all faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        *self.state.faults.lock() = faults;
+    }
+
+    /// Tells what the engine has done.
+    pub fn counts(&self) -> EngineCounts {
+        *self.state.counts.lock()
+    }
 }
--- a/src/stand_in/engine/engine_state.rs
+++ b/src/stand_in/engine/engine_state.rs
@@ -1,17 +1,147 @@
 //! The state of the stand-in engine.
 
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+
+use super::load_history::LoadHistory;
+use super::prefix_cache::PrefixCache;
+use super::slots::Slots;
+use super::EngineCounts;
+use super::EngineFaults;
 use super::EngineOptions;
+use crate::catalog::TicketNumber;
+use crate::clock::Clock;
+use crate::clock::SystemClock;
+use crate::endpoint::EndpointOrder;
+use crate::endpoint::LoadReport;
+use crate::endpoint::OrderOutcome;
+use crate::request::CompletionCall;
+use crate::request::RequestId;
+
+/// One submission of a request, as cancellations name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct AttemptId {
+    /// The request.
+    pub(super) request_id: RequestId,
+    /// The attempt.
+    pub(super) attempt: u64,
+}
 
 /// The state of the stand-in engine.
 #[derive(Debug)]
 pub(super) struct EngineState {
     /// The options.
     pub(super) options: EngineOptions,
+    /// The places in the batch.
+    pub(super) slots: Arc<Slots>,
+    /// The faults that are switched on.
+    pub(super) faults: Mutex<EngineFaults>,
+    /// What the engine has done.
+    pub(super) counts: Mutex<EngineCounts>,
+    clock: SystemClock,
+    cache: Mutex<PrefixCache>,
+    history: Mutex<LoadHistory>,
+    jobs: Mutex<HashMap<AttemptId, CancellationToken>>,
+    highest_order: Mutex<TicketNumber>,
 }
 
 impl EngineState {
     /// Creates the state of an idle engine.
     pub(super) fn new(options: EngineOptions) -> Self {
-        Self { options }
+        Self {
+            options,
+            slots: Slots::new(options.concurrency),
+            faults: Mutex::default(),
+            counts: Mutex::default(),
+            clock: SystemClock::new(),
+            cache: Mutex::new(PrefixCache::new(options.cache_tokens)),
+            history: Mutex::default(),
+            jobs: Mutex::default(),
+            highest_order: Mutex::default(),
+        }
+    }
+
+    /// Returns the time to write one token in the present batch.
+    pub(super) fn time_per_token(&self) -> Duration {
+        let others = self.slots.in_use().running.saturating_sub(1);
+        let slowdown = self.options.slowdown_per_request * f64::from(others);
+        self.options.time_per_token.mul_f64(1.0 + slowdown)
+    }
+
+    /// Reads the prompt of `call` through the cache and returns its cached part, in tokens.
+    pub(super) fn read_prompt(&self, call: &CompletionCall) -> u64 {
+        let mut cache = self.cache.lock();
+        let cached_tokens = cache.read(&call.prefix_hashes, call.prompt_tokens);
+        drop(cache);
+        let mut counts = self.counts.lock();
+        counts.cached_tokens += cached_tokens;
+        counts.prefilled_tokens += call.prompt_tokens - cached_tokens;
+        cached_tokens
+    }
+
+    /// Records that a job begins, and returns the token that cancels it.
+    pub(super) fn begin_job(&self, id: AttemptId) -> CancellationToken {
+        let cancelled = CancellationToken::new();
+        self.jobs.lock().insert(id, cancelled.clone());
+        cancelled
+    }
+
+    /// Records that a job is over.
+    pub(super) fn end_job(&self, id: AttemptId) {
+        self.jobs.lock().remove(&id);
+    }
+
+    /// Cancels one attempt at a request, or all of them.
+    pub(super) fn cancel(&self, request_id: RequestId, attempt: Option<u64>) {
+        for (id, cancelled) in self.jobs.lock().iter() {
+            let is_attempt = attempt.is_none_or(|attempt| attempt == id.attempt);
+            if id.request_id == request_id && is_attempt {
+                cancelled.cancel();
+            }
+        }
+    }
+
+    /// Records the present load for later reports.
+    pub(super) fn record_load(&self) {
+        let load = self.slots.in_use();
+        self.history.lock().record(load, self.clock.now());
+    }
+
+    /// Reports the load as it was, with the cache events after `cache_sequence`.
+    pub(super) fn report(&self, cache_sequence: u64) -> LoadReport {
+        let faults = *self.faults.lock();
+        let lag = faults.load_report_lag_ms.map(Duration::from_millis);
+        let lag = lag.unwrap_or(self.options.load_report_lag);
+        let load = self.history.lock().load_before(lag, self.clock.now());
+        let cache = self.cache.lock();
+        let mut cache_events = cache.events_after(cache_sequence);
+        if let Some(distance) = faults.cache_event_gap_every {
+            cache_events.retain(|event| event.sequence % distance.max(1) != 0);
+        }
+        let is_understated = faults.is_load_understated;
+        LoadReport {
+            running: if is_understated { 0 } else { load.running },
+            waiting: if is_understated { 0 } else { load.waiting },
+            cache_used_permille: cache.used_permille(),
+            age_ms: u64::try_from(lag.as_millis()).unwrap_or(u64::MAX),
+            cache_sequence: cache.sequence(),
+            cache_events,
+        }
+    }
+
+    /// Takes an order.
+    pub(super) fn order(&self, order: &EndpointOrder) -> OrderOutcome {
+        let mut highest = self.highest_order.lock();
+        let is_checked = self.options.checks_fencing && !self.faults.lock().is_fencing_ignored;
+        if is_checked && order.fencing < *highest {
+            return OrderOutcome::Fenced { highest: *highest };
+        }
+        *highest = order.fencing.max(*highest);
+        self.counts.lock().orders += 1;
+        OrderOutcome::Accepted
     }
 }
--- /dev/null
+++ b/src/stand_in/engine/prefix_cache.rs
@@ -0,0 +1,108 @@
+//! The prefix cache of the stand-in engine.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use crate::endpoint::CacheEvent;
+
+/// The number of cache events that are kept for readers.
+const EVENTS_MAX: usize = 4_096;
+/// The length of a prefix block, in tokens.
+const BLOCK_TOKENS: u64 = 256;
+
+/// Prefixes of prompts, the least recently used of which are evicted.
+#[derive(Debug)]
+pub(super) struct PrefixCache {
+    blocks_max: usize,
+    used_at: HashMap<u64, u64>,
+    uses: VecDeque<Use>,
+    next_use: u64,
+    sequence: u64,
+    events: VecDeque<CacheEvent>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    prefix_hash: u64,
+    number: u64,
+}
+
+impl PrefixCache {
+    /// Creates an empty cache of `cache_tokens`.
+    pub(super) fn new(cache_tokens: u64) -> Self {
+        Self {
+            blocks_max: usize::try_from(cache_tokens / BLOCK_TOKENS).unwrap_or(usize::MAX),
+            used_at: HashMap::new(),
+            uses: VecDeque::new(),
+            next_use: 0,
+            sequence: 0,
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Returns the part of a prompt of `prompt_tokens` that is cached, and caches it all.
+    pub(super) fn read(&mut self, prefix_hashes: &[u64], prompt_tokens: u64) -> u64 {
+        let is_cached = |hash: &&u64| self.used_at.contains_key(hash);
+        let hit_count = prefix_hashes.iter().take_while(is_cached).count();
+        for hash in prefix_hashes {
+            self.touch(*hash);
+        }
+        self.evict();
+        let block_count = u64::try_from(prefix_hashes.len()).unwrap_or(u64::MAX);
+        let hit_count = u64::try_from(hit_count).unwrap_or(u64::MAX);
+        prompt_tokens.saturating_mul(hit_count) / block_count.max(1)
+    }
+
+    /// Returns the number of the last event.
+    pub(super) const fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Returns the share of the cache in use, in thousandths.
+    pub(super) fn used_permille(&self) -> u32 {
+        let permille = self.used_at.len().saturating_mul(1_000) / self.blocks_max.max(1);
+        u32::try_from(permille).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the events after `sequence`, as far as they are kept.
+    pub(super) fn events_after(&self, sequence: u64) -> Vec<CacheEvent> {
+        let events = self.events.iter().copied();
+        events.filter(|event| event.sequence > sequence).collect()
+    }
+
+    fn touch(&mut self, prefix_hash: u64) {
+        let number = self.next_use;
+        self.next_use += 1;
+        self.uses.push_back(Use {
+            prefix_hash,
+            number,
+        });
+        if self.used_at.insert(prefix_hash, number).is_none() {
+            self.publish(prefix_hash, true);
+        }
+    }
+
+    fn evict(&mut self) {
+        while self.used_at.len() > self.blocks_max {
+            let Some(oldest) = self.uses.pop_front() else {
+                return;
+            };
+            if self.used_at.get(&oldest.prefix_hash) == Some(&oldest.number) {
+                self.used_at.remove(&oldest.prefix_hash);
+                self.publish(oldest.prefix_hash, false);
+            }
+        }
+    }
+
+    fn publish(&mut self, prefix_hash: u64, is_stored: bool) {
+        self.sequence += 1;
+        self.events.push_back(CacheEvent {
+            sequence: self.sequence,
+            prefix_hash,
+            is_stored,
+        });
+        if self.events.len() > EVENTS_MAX {
+            self.events.pop_front();
+        }
+    }
+}
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -1,3 +1,4 @@
 //! Stand-ins for the platform, model engines and plain services.
 
 pub mod engine;
+pub mod service;
--- /dev/null
+++ b/src/stand_in/service/service_options.rs
@@ -0,0 +1,23 @@
+//! Options of the stand-in service.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Options of the stand-in service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceOptions {
+    /// The address to listen on; port 0 chooses a free one.
+    pub bind_address: SocketAddr,
+    /// The time that one call takes.
+    pub call_time: Duration,
+}
+
+impl Default for ServiceOptions {
+    fn default() -> Self {
+        Self {
+            bind_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            call_time: Duration::from_millis(5),
+        }
+    }
+}
--- a/tests/behaviour/endpoint/mod.rs
+++ b/tests/behaviour/endpoint/mod.rs
@@ -1,1 +1,9 @@
 //! Tests of the `endpoint` behaviour.
+
+mod answer_checks;
+mod engine_faults;
+mod operations;
+mod pooled_connections;
+mod resume;
+mod service_faults;
+mod support;
--- /dev/null
+++ b/tests/behaviour/endpoint/operations.rs
@@ -0,0 +1,127 @@
+//! Load reports, cache events and orders.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use figramp::catalog::Name;
+use figramp::catalog::TicketNumber;
+use figramp::catalog::WorkClass;
+use figramp::endpoint::EndpointClient;
+use figramp::endpoint::EndpointOrder;
+use figramp::endpoint::HttpEndpointClient;
+use figramp::endpoint::OrderOutcome;
+use figramp::request::CallBody;
+use figramp::stand_in::engine::EngineFaults;
+use figramp::stand_in::engine::EngineOptions;
+use figramp::stand_in::engine::EngineServer;
+use futures::StreamExt;
+
+use super::support::completion;
+use super::support::engine_at;
+use super::support::outcome;
+
+fn order(fencing: u64) -> EndpointOrder {
+    EndpointOrder {
+        fencing: TicketNumber(fencing),
+        model: Name::new("advice").unwrap(),
+        version: Name::new("v2").unwrap(),
+    }
+}
+
+#[tokio::test]
+async fn an_old_order_is_fenced_unless_the_engine_ignores_fencing() {
+    let engine = EngineServer::launch(EngineOptions::default())
+        .await
+        .unwrap();
+    let endpoint = engine_at(engine.address());
+    let client = HttpEndpointClient::new();
+    let fenced = OrderOutcome::Fenced {
+        highest: TicketNumber(7),
+    };
+    for (fencing, expected) in [
+        (7, OrderOutcome::Accepted),
+        (7, OrderOutcome::Accepted),
+        (6, fenced),
+    ] {
+        assert_eq!(client.order(&endpoint, order(fencing)).await, Ok(expected));
+    }
+    engine.set_faults(EngineFaults {
+        is_fencing_ignored: true,
+        ..EngineFaults::default()
+    });
+    assert_eq!(
+        client.order(&endpoint, order(6)).await,
+        Ok(OrderOutcome::Accepted)
+    );
+}
+
+#[tokio::test]
+async fn reports_tell_load_and_cache_events_after_a_number() {
+    let options = EngineOptions {
+        load_report_lag: Duration::ZERO,
+        ..EngineOptions::default()
+    };
+    let engine = EngineServer::launch(options).await.unwrap();
+    let endpoint = engine_at(engine.address());
+    let client = HttpEndpointClient::new();
+    let mut call = completion();
+    if let CallBody::Completion(completion) = &mut call.body {
+        completion.body =
+            r#"{"model":"m","messages":[{"role":"a","content":"x"},{"role":"b"}]}"#.into();
+    }
+    let mut events = client
+        .call(&endpoint, call)
+        .await
+        .unwrap_or_else(|error| panic!("{error}"));
+    events.next().await.unwrap().unwrap();
+    let report = client.load(&endpoint, 0).await.unwrap();
+    assert_eq!((report.running, report.waiting), (1, 0));
+    assert_eq!((report.cache_sequence, report.cache_events.len()), (2, 2));
+    assert_eq!(
+        client.load(&endpoint, 1).await.unwrap().cache_events.len(),
+        1
+    );
+    engine.set_faults(EngineFaults {
+        is_load_understated: true,
+        cache_event_gap_every: Some(2),
+        ..EngineFaults::default()
+    });
+    let report = client.load(&endpoint, 0).await.unwrap();
+    assert_eq!((report.running, report.cache_events.len()), (0, 1));
+}
+
+#[tokio::test]
+async fn interactive_work_overtakes_long_work_inside_the_engine() {
+    let options = EngineOptions {
+        concurrency: 1,
+        time_per_token: Duration::from_millis(20),
+        load_report_lag: Duration::ZERO,
+        ..EngineOptions::default()
+    };
+    let engine = EngineServer::launch(options).await.unwrap();
+    let endpoint = engine_at(engine.address());
+    let client = HttpEndpointClient::new();
+    let order = Mutex::new(Vec::new());
+    let call = |class, waiting_before| {
+        let (endpoint, client, order) = (&endpoint, &client, &order);
+        async move {
+            loop {
+                let report = client.load(endpoint, 0).await.unwrap();
+                if report.running + report.waiting == waiting_before {
+                    break;
+                }
+            }
+            let mut call = completion();
+            call.class = class;
+            assert_eq!(outcome(client.call(endpoint, call).await).await.end, Ok(()));
+            order.lock().unwrap().push(class);
+        }
+    };
+    futures::join!(
+        call(WorkClass::Long, 0),
+        call(WorkClass::Long, 1),
+        call(WorkClass::Interactive, 2)
+    );
+    let expected = [WorkClass::Long, WorkClass::Interactive, WorkClass::Long];
+    assert_eq!(order.into_inner().unwrap(), expected);
+}
--- /dev/null
+++ b/tests/behaviour/endpoint/pooled_connections.rs
@@ -0,0 +1,83 @@
+//! Pooled connections that have gone silent.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use figramp::endpoint::EndpointClient;
+use figramp::endpoint::HttpEndpointClient;
+use figramp::errors::ErrorKind;
+use figramp::request::HttpMethod;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use super::support::impatient;
+use super::support::outcome;
+use super::support::service_at;
+use super::support::service_call;
+use crate::caller::support::LOOPBACK;
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Answers each request of a connection until the connection has gone silent.
+async fn serve(mut socket: TcpStream, is_silent: Arc<AtomicBool>) {
+    let mut buffer = [0; 4_096];
+    while let Ok(count @ 1..) = socket.read(&mut buffer).await {
+        if is_silent.load(Ordering::SeqCst) {
+            std::future::pending().await
+        }
+        if buffer[..count].windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+            socket.write_all(ANSWER).await.unwrap();
+        }
+    }
+}
+
+/// Listens; the connections that are open when the returned switch is set go silent for good.
+async fn listen() -> (std::net::SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind(LOOPBACK).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let is_silent = Arc::new(AtomicBool::new(false));
+    let switch = Arc::clone(&is_silent);
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            let is_new_one_silent = switch.load(Ordering::SeqCst);
+            let own = if is_new_one_silent {
+                Arc::default()
+            } else {
+                Arc::clone(&switch)
+            };
+            tokio::spawn(serve(socket, own));
+        }
+    });
+    (address, is_silent)
+}
+
+#[tokio::test]
+async fn one_silent_connection_discards_the_others_of_its_pool() {
+    let (address, is_silent) = listen().await;
+    let endpoint = service_at(address);
+    let client = HttpEndpointClient::new();
+    let call = || client.call(&endpoint, impatient(service_call(HttpMethod::Get, "")));
+    for answer in futures::future::join_all((0..4).map(|_| call())).await {
+        assert_eq!(outcome(answer).await.end, Ok(()));
+    }
+    is_silent.store(true, Ordering::SeqCst);
+    let error = outcome(call().await).await.end.unwrap_err();
+    assert_eq!(error.kind, ErrorKind::AnswerSilent);
+    for _ in 0..4 {
+        assert_eq!(outcome(call().await).await.end, Ok(()));
+    }
+}
+
+#[tokio::test]
+async fn an_unsafe_call_never_goes_over_a_pooled_connection() {
+    let (address, is_silent) = listen().await;
+    let endpoint = service_at(address);
+    let client = HttpEndpointClient::new();
+    let call = |method| client.call(&endpoint, impatient(service_call(method, "")));
+    assert_eq!(outcome(call(HttpMethod::Get).await).await.end, Ok(()));
+    is_silent.store(true, Ordering::SeqCst);
+    assert_eq!(outcome(call(HttpMethod::Post).await).await.end, Ok(()));
+}
