--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod engine;
 pub mod platform;
+pub mod service;
