--- a/src/audit/event.rs
+++ b/src/audit/event.rs
@@ -96,6 +96,16 @@
         /// The duty.
         duty: String,
     },
+    /// This VM became the home of the tokens of some shards of client accounts.
+    LeaseAcquired {
+        /// The number of shards.
+        shard_count: usize,
+    },
+    /// This VM gave up being the home of some shards of client accounts.
+    LeaseLost {
+        /// The number of shards.
+        shard_count: usize,
+    },
     /// An order was given to an endpoint.
     OrderGiven {
         /// The endpoint.
@@ -148,6 +158,8 @@
             Self::EndpointTakenBack { .. } => "endpoint_taken_back",
             Self::HomeTakenOver { .. } => "home_taken_over",
             Self::HomeGivenUp { .. } => "home_given_up",
+            Self::LeaseAcquired { .. } => "lease_acquired",
+            Self::LeaseLost { .. } => "lease_lost",
             Self::OrderGiven { .. } => "order_given",
             Self::OrderFenced { .. } => "order_fenced",
             Self::DrainStarted { .. } => "drain_started",
@@ -210,6 +222,18 @@
                 client_account,
                 duty,
             } => write!(f, "gave up {duty} of {client_account}"),
+            Self::LeaseAcquired { shard_count } => {
+                write!(
+                    f,
+                    "home of the tokens of {shard_count} more shards of accounts"
+                )
+            }
+            Self::LeaseLost { shard_count } => {
+                write!(
+                    f,
+                    "no longer home of the tokens of {shard_count} shards of accounts"
+                )
+            }
             Self::OrderGiven {
                 endpoint,
                 model,
