--- a/tests/behaviour/retry/mod.rs
+++ b/tests/behaviour/retry/mod.rs
@@ -1,1 +1,3 @@
 //! Tests of the `retry` behaviour.
+
+mod retry_rules;
--- a/tests/behaviour/routing/hard_filters.rs
+++ b/tests/behaviour/routing/hard_filters.rs
@@ -14,6 +14,7 @@
 use figramp::membership::Liveness;
 use figramp::request::Call;
 use figramp::routing::choose;
+use figramp::routing::EndpointFailure;
 use figramp::routing::EndpointLoads;
 use figramp::routing::Exclusion;
 use figramp::routing::RouteChoice;
@@ -95,14 +96,13 @@
 fn follow(world: &World) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(world.seed);
     let catalog = world.catalog(&mut rng);
-    let loads = EndpointLoads::default().for_catalog(&catalog);
     let account = published::account(&catalog, "garden");
     let mut call = published::completion(published::route(&catalog, "tips"), Some(account), 10);
     let first = format!("{}-vm0", REGIONS[rng.random_range(0..REGIONS.len())]);
     let mut vm = published::vm(&catalog, &first);
     let mut excluded: Vec<EndpointKey> = Vec::new();
     for _ in 0..100 {
-        let choice = step(world, &catalog, &loads, &call, vm, &excluded, &mut rng);
+        let choice = step(world, &catalog, &call, vm, &excluded, &mut rng);
         match choice {
             None | Some(RouteChoice::Queue) => return Ok(()),
             Some(RouteChoice::Local(endpoint)) => {
@@ -129,7 +129,6 @@
 fn step(
     world: &World,
     catalog: &Catalog,
-    loads: &EndpointLoads,
     call: &Call,
     vm: VmKey,
     excluded: &[EndpointKey],
@@ -141,10 +140,11 @@
             other.liveness = Liveness::Dead;
         }
     }
+    let loads = failing_loads(catalog, call, rng);
     let query = RouteQuery {
         catalog,
         view: &view,
-        loads,
+        loads: &loads,
         call,
         excluded,
         crossings_max: usize::from(world.crossings_max),
@@ -155,6 +155,20 @@
         .map(|decision| decision.choice)
 }
 
+/// Makes what one VM knows of the endpoints, some of which have failed for it.
+fn failing_loads(catalog: &Catalog, call: &Call, rng: &mut StdRng) -> EndpointLoads {
+    let loads = EndpointLoads::default().for_catalog(catalog);
+    for (_, load) in loads.iter() {
+        if rng.random_range(0..3) == 0 {
+            for _ in 0..3 {
+                let attempt = load.on_sent(NOW, call);
+                load.on_failed(NOW, attempt, EndpointFailure::Broken);
+            }
+        }
+    }
+    loads
+}
+
 fn check_endpoint(catalog: &Catalog, call: &Call, endpoint: EndpointKey) -> Result<(), String> {
     let endpoint = &catalog.endpoints[endpoint];
     let account = &catalog.client_accounts[call.client_account.unwrap()];
