--- a/src/operator/render/format.rs
+++ b/src/operator/render/format.rs
@@ -85,3 +85,9 @@
         number(row.unknown)
     )
 }
+
+/// Returns a number of VMs.
+pub(super) fn vms(count: usize) -> String {
+    let noun = if count == 1 { "VM" } else { "VMs" };
+    format!("{count} {noun}")
+}
--- a/src/operator/render/html.rs
+++ b/src/operator/render/html.rs
@@ -26,7 +26,7 @@
                     p class=(format!("verdict {}", page.verdict_level)) { (page.verdict) }
                     p class="made" {
                         "Since 00:00 UTC or the start of each VM; made " (format::time(page.made_at_unix_ms))
-                        "; " (page.vms.len()) " VMs reported"
+                        "; " (format::vms(page.vms.len())) " reported"
                         @if !page.missing_vms.is_empty() {
                             span class="late" {
                                 ", no report from " (page.missing_vms.join(", "))
--- a/src/operator/render/html_sections.rs
+++ b/src/operator/render/html_sections.rs
@@ -51,7 +51,10 @@
                     }
                 }
             }
-            p class="note" { "By the hour, UTC: answered, refused (amber), not answered in full (red)" }
+            p class="note" {
+                "By the hour, UTC: answered, refused (amber), not answered in full (red); at most "
+                (format::number(svg::busiest_hour(&page.hours))) " in one hour"
+            }
             (svg::hours(&page.hours))
         }
     }
@@ -141,7 +144,7 @@
             ul {
                 @for (index, row) in page.configuration.iter().enumerate() {
                     li {
-                        "Ticket " strong { (row.ticket) } ": " (row.vms.len()) " VMs"
+                        "Ticket " strong { (row.ticket) } ": " (format::vms(row.vms.len()))
                         @if index > 0 {
                             span class="late" { " (behind: " (row.vms.join(", ")) ")" }
                         }
--- a/src/operator/render/svg.rs
+++ b/src/operator/render/svg.rs
@@ -6,24 +6,28 @@
 use crate::operator::wire::HourRow;
 use crate::operator::wire::LatencyRow;
 
-const HOUR_STEP: u64 = 24;
-const BAR_WIDTH: u64 = 18;
+const HOUR_STEP: u64 = 15;
+const BAR_WIDTH: u64 = 11;
+const BAR_OFFSET: u64 = 2;
 const PLOT_HEIGHT: u64 = 90;
 const AXIS_HEIGHT: u64 = 18;
 const LABEL_STEP_HOURS: usize = 6;
-const LATENCY_WIDTH: u64 = 576;
+const LATENCY_WIDTH: u64 = 360;
 const LATENCY_ROW_HEIGHT: u64 = 22;
-const LATENCY_LABEL_WIDTH: u64 = 36;
-const LATENCY_VALUE_WIDTH: u64 = 84;
+const LATENCY_LABEL_WIDTH: u64 = 30;
+const LATENCY_VALUE_WIDTH: u64 = 70;
 
-/// Draws the requests of each hour of the day.
-pub(super) fn hours(rows: &[HourRow]) -> Markup {
-    let most = rows
-        .iter()
+/// Returns the most requests of one hour.
+pub(super) fn busiest_hour(rows: &[HourRow]) -> u64 {
+    rows.iter()
         .map(|row| row.answered + row.refused + row.failed)
         .max()
         .unwrap_or(0)
-        .max(1);
+}
+
+/// Draws the requests of each hour of the day.
+pub(super) fn hours(rows: &[HourRow]) -> Markup {
+    let most = busiest_hour(rows).max(1);
     let width = HOUR_STEP * u64::try_from(rows.len()).unwrap_or(0);
     let height = PLOT_HEIGHT + AXIS_HEIGHT;
     html! {
@@ -53,11 +57,11 @@
     html! {
         @for (y, height, colour) in bars {
             @if height > 0 {
-                rect x=(x + 3) y=(y) width=(BAR_WIDTH) height=(height) fill=(colour) {}
+                rect x=(x + BAR_OFFSET) y=(y) width=(BAR_WIDTH) height=(height) fill=(colour) {}
             }
         }
         @if index.is_multiple_of(LABEL_STEP_HOURS) {
-            text x=(x + 3) y=(PLOT_HEIGHT + AXIS_HEIGHT - 5) { (format!("{index:02}:00")) }
+            text x=(x + BAR_OFFSET) y=(PLOT_HEIGHT + AXIS_HEIGHT - 5) { (format!("{index:02}:00")) }
         }
     }
 }
@@ -88,7 +92,7 @@
                 text x="0" y=(y + 15) { (label) }
                 rect x=(LATENCY_LABEL_WIDTH) y=(y + 4) width=(bar) height="14" rx="2"
                     fill=(colour(label, us, target_us)) {}
-                text x=(LATENCY_LABEL_WIDTH + bar + 6) y=(y + 15) { (super::format::latency(us)) }
+                text x=(LATENCY_WIDTH) y=(y + 15) text-anchor="end" { (super::format::latency(us)) }
             }
             line x1=(target_x) x2=(target_x) y1="0" y2=(LATENCY_ROW_HEIGHT * 3)
                 stroke="var(--soft)" stroke-dasharray="3 3" {}
--- a/src/operator/render/text.rs
+++ b/src/operator/render/text.rs
@@ -102,9 +102,9 @@
             String::new()
         };
         text.push_str(&format!(
-            "  ticket {}: {} VMs{behind}\n",
+            "  ticket {}: {}{behind}\n",
             row.ticket,
-            row.vms.len()
+            format::vms(row.vms.len())
         ));
     }
     for vm in &page.vms {
--- a/tests/behaviour/peer/forwarding.rs
+++ b/tests/behaviour/peer/forwarding.rs
@@ -112,6 +112,19 @@
     assert_eq!(error.run, RunState::MayHaveRun);
 }
 
+/// The connection lives, but nothing is heard of the call.
+#[tokio::test]
+async fn a_call_without_signs_of_life_is_given_up() {
+    let timings = PeerTimings {
+        forward_alive_interval: WAIT_MAX * 2,
+        ..timings()
+    };
+    let pair = pair_through(Script::Stall, timings, |address| address);
+    let error = last_error(forward(&pair).await.unwrap()).await;
+    assert_eq!(error.kind, ErrorKind::PeerUnreachable);
+    assert_eq!(error.run, RunState::MayHaveRun);
+}
+
 #[tokio::test]
 async fn a_peer_that_was_never_reached_has_not_run_the_call() {
     let listener = TcpListener::bind(loopback()).await.unwrap();
