--- a/src/peer/control_sender.rs
+++ b/src/peer/control_sender.rs
@@ -22,10 +22,7 @@
 ) {
     let mut request = connection.peer.control_request();
     let builder = request.get().init_message();
-    if write_control(message, &context.catalog.load(), builder).is_err() {
-        context.counters.add_fault(PeerFault::UnknownName);
-        return;
-    }
+    write_control(message, &context.catalog.load(), builder);
     let words = request.get().into_reader().total_size();
     let bytes = words.map_or(0, |size| size.word_count * WORD_BYTES);
     let kind = MessageKind::of_message(message);
--- a/src/peer/wire/control_wire.rs
+++ b/src/peer/wire/control_wire.rs
@@ -1,25 +1,31 @@
 //! Control messages on the wire.
 
 use crate::catalog::Catalog;
+use crate::configuration::ConfigurationMessage;
+use crate::idempotency::IdempotencyMessage;
+use crate::limits::LimitsMessage;
+use crate::membership::MembershipMessage;
 use crate::peer::generated::peer_capnp::control_message;
 use crate::peer::PeerMessage;
 use crate::peer::WireError;
 
 /// Writes a control message.
-///
-/// # Errors
-///
-/// Returns [`WireError::UnknownName`] if an object of the message has left the catalog.
 pub fn write_control(
     message: &PeerMessage,
-    _catalog: &Catalog,
-    _builder: control_message::Builder<'_>,
-) -> Result<(), WireError> {
+    catalog: &Catalog,
+    mut builder: control_message::Builder<'_>,
+) {
     match message {
-        PeerMessage::Membership(message) => match *message {},
-        PeerMessage::Configuration(message) => match *message {},
-        PeerMessage::Limits(message) => match *message {},
-        PeerMessage::Idempotency(message) => match *message {},
+        PeerMessage::Membership(message) => {
+            message.write(catalog, builder.reborrow().init_membership());
+        }
+        PeerMessage::Configuration(message) => {
+            message.write(builder.reborrow().init_configuration());
+        }
+        PeerMessage::Limits(message) => message.write(catalog, builder.reborrow().init_limits()),
+        PeerMessage::Idempotency(message) => {
+            message.write(catalog, builder.reborrow().init_idempotency());
+        }
     }
 }
 
@@ -30,8 +36,19 @@
 /// Returns a [`WireError`] if the message is malformed or names an object that is unknown here.
 pub fn read_control(
     reader: control_message::Reader<'_>,
-    _catalog: &Catalog,
+    catalog: &Catalog,
 ) -> Result<PeerMessage, WireError> {
-    reader.which()?;
-    Err(WireError::OutOfRange { field: "message" })
+    use control_message::Which;
+    Ok(match reader.which()? {
+        Which::Membership(message) => {
+            PeerMessage::Membership(MembershipMessage::read(message?, catalog)?)
+        }
+        Which::Configuration(message) => {
+            PeerMessage::Configuration(ConfigurationMessage::read(message?)?)
+        }
+        Which::Limits(message) => PeerMessage::Limits(LimitsMessage::read(message?, catalog)?),
+        Which::Idempotency(message) => {
+            PeerMessage::Idempotency(IdempotencyMessage::read(message?, catalog)?)
+        }
+    })
 }
