Test the deadline and sharpen the tests of the answer checks

Cause: without the limit on silence no test failed, as the deadline hid it; the first quickcheck property rarely built a repeated event. Change: tests fail when an event or error takes longer than 15 s; a deadline has its own test; the properties start from a true answer and disturb it.

--- a/tests/behaviour/endpoint/answer_checks.rs
+++ b/tests/behaviour/endpoint/answer_checks.rs
@@ -9,48 +9,57 @@
 use figramp::request::Usage;
 use quickcheck::quickcheck;
 
-fn event(request: u8, offset: u8, is_end: bool) -> AnswerEvent {
+const REQUEST: RequestId = RequestId(7);
+
+fn chunk(request_id: RequestId, offset: u64) -> AnswerEvent {
+    AnswerEvent {
+        request_id,
+        offset,
+        payload: AnswerPayload::Chunk(Bytes::from_static(b"x")),
+    }
+}
+
+fn end(chunk_count: u64) -> AnswerEvent {
     AnswerEvent {
-        request_id: RequestId(u128::from(request % 2)),
-        offset: u64::from(offset % 8),
-        payload: if is_end {
-            AnswerPayload::End(Usage::default())
-        } else {
-            AnswerPayload::Chunk(Bytes::from_static(b"x"))
-        },
+        request_id: REQUEST,
+        offset: chunk_count,
+        payload: AnswerPayload::End(Usage::default()),
     }
 }
 
 quickcheck! {
-    fn passed_events_are_the_answer_without_gap_or_repeat(input: Vec<(u8, u8, bool)>) -> bool {
-        let mut checker = AnswerChecker::new(RequestId(0), 0);
-        let mut expected_offset = 0;
-        let mut is_ended = false;
-        for (request, offset, end) in input {
-            let event = event(request, offset, end);
-            match checker.check(&event) {
-                Ok(Verdict::Drop) => continue,
-                Err(_) => return !is_ended && event.request_id == RequestId(0),
-                Ok(Verdict::Pass) => {}
-            }
-            if is_ended || event.request_id != RequestId(0) || event.offset != expected_offset {
+    fn chunks_pass_once_among_repeated_and_crossed_events(first: u8, disturbances: Vec<u8>) -> bool {
+        let mut next = u64::from(first);
+        let mut checker = AnswerChecker::new(REQUEST, next);
+        for disturbance in disturbances {
+            let (event, expected) = match disturbance % 3 {
+                0 => (chunk(REQUEST, next), Verdict::Pass),
+                1 => (chunk(RequestId(u128::from(disturbance) + 8), next), Verdict::Drop),
+                _ => (chunk(REQUEST, next.saturating_sub(1)), Verdict::Drop),
+            };
+            let is_first_at_zero = next == 0 && event.offset == 0 && event.request_id == REQUEST;
+            let expected = if is_first_at_zero { Verdict::Pass } else { expected };
+            if checker.check(&event) != Ok(expected) {
                 return false;
             }
-            is_ended = end;
-            expected_offset += u64::from(!end);
+            next += u64::from(expected == Verdict::Pass);
         }
-        checker.is_ended() == is_ended && checker.next_offset() == expected_offset
+        checker.next_offset() == next
+            && checker.check(&end(next)) == Ok(Verdict::Pass)
+            && checker.is_ended()
+            && checker.check(&chunk(REQUEST, next)) == Ok(Verdict::Drop)
     }
 
-    fn an_undisturbed_answer_passes_whole(first: u8, count: u8) -> bool {
-        let offsets = u64::from(first)..u64::from(first) + u64::from(count);
-        let mut checker = AnswerChecker::new(RequestId(0), u64::from(first));
-        let chunks = offsets.clone().map(|offset| (offset, AnswerPayload::Chunk(Bytes::new())));
-        let end = (offsets.end, AnswerPayload::End(Usage::default()));
-        let all_pass = chunks.chain([end]).all(|(offset, payload)| {
-            let event = AnswerEvent { request_id: RequestId(0), offset, payload };
-            checker.check(&event) == Ok(Verdict::Pass)
-        });
-        all_pass && checker.is_ended()
+    fn a_gap_or_a_wrong_end_mark_is_an_error(chunk_count: u8, distance: u8) -> bool {
+        let chunk_count = u64::from(chunk_count);
+        let distance = u64::from(distance) + 1;
+        let mut checker = AnswerChecker::new(REQUEST, 0);
+        let all_pass = (0..chunk_count)
+            .all(|offset| checker.check(&chunk(REQUEST, offset)) == Ok(Verdict::Pass));
+        all_pass
+            && checker.clone().check(&chunk(REQUEST, chunk_count + distance)).is_err()
+            && checker.clone().check(&end(chunk_count + distance)).is_err()
+            && (chunk_count < distance || checker.check(&end(chunk_count - distance)).is_err())
+            && !checker.is_ended()
     }
 }
--- a/tests/behaviour/endpoint/engine_faults.rs
+++ b/tests/behaviour/endpoint/engine_faults.rs
@@ -112,6 +112,21 @@
     }
 }
 
+#[tokio::test]
+async fn a_passed_deadline_ends_an_answer_that_is_not_silent() {
+    let options = EngineOptions {
+        time_per_token: Duration::from_millis(200),
+        ..EngineOptions::default()
+    };
+    let engine = EngineServer::launch(options).await.unwrap();
+    let mut call = completion();
+    call.remaining = Duration::from_millis(500);
+    let client = HttpEndpointClient::new();
+    let outcome = outcome(client.call(&engine_at(engine.address()), call).await).await;
+    assert_eq!(outcome.end.unwrap_err().kind, ErrorKind::DeadlineExceeded);
+    assert!(outcome.text.len() < whole_text().len());
+}
+
 #[tokio::test]
 async fn a_closed_port_is_not_run() {
     let engine = EngineServer::launch(EngineOptions::default())
--- a/tests/behaviour/endpoint/support.rs
+++ b/tests/behaviour/endpoint/support.rs
@@ -18,6 +18,7 @@
 use figramp::request::ServiceCall;
 use figramp::stand_in::engine::answer_tokens;
 use futures::StreamExt;
+use tokio::time::timeout;
 
 use crate::caller::support::endpoint;
 
@@ -25,7 +26,9 @@
     r#"{"model":"advice","max_tokens":5,"messages":[{"role":"user","content":"hi"}]}"#;
 /// Limits of calls that are to be found silent, and of all others.
 const SHORT_SILENCE: Duration = Duration::from_millis(500);
-const LONG_SILENCE: Duration = Duration::from_secs(20);
+const LONG_SILENCE: Duration = Duration::from_secs(10);
+/// A test fails when an event or an error takes longer.
+const EVENT_LIMIT: Duration = Duration::from_secs(15);
 
 pub fn engine_at(address: SocketAddr) -> Endpoint {
     endpoint(EndpointKind::Engine, address)
@@ -98,7 +101,7 @@
         }
     };
     let mut is_ended = false;
-    while let Some(event) = events.next().await {
+    while let Some(event) = timeout(EVENT_LIMIT, events.next()).await.unwrap() {
         assert!(!is_ended, "an event after the end");
         match event.map(|event| event.payload) {
             Ok(AnswerPayload::Head { status, .. }) => outcome.status = Some(status),
