Add the daemon: control loop, dispatcher, admission and the path of a request

Cause: the decisions had no daemon around them. Change: the control loop owns the core; the dispatcher owns the queue; the path of a request resolves, reserves tokens, chooses, sends or forwards, relays, retries and settles; non-idempotent calls go by way of their record; a drain finishes what runs. An error never says 'not run' when an earlier attempt may have run.

--- /dev/null
+++ b/src/vm/admission.rs
@@ -0,0 +1,120 @@
+//! Admission: tokens are reserved before anything else is done for a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::RequestContext;
+use super::TokenNews;
+use crate::catalog::ClientAccount;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::limits::Reservation;
+use crate::limits::Shortfall;
+use crate::limits::TokenPool;
+use crate::request::Call;
+use crate::telemetry::RateStanding;
+
+/// The longest wait of a request for tokens of its account.
+const TOKEN_WAIT_MAX: Duration = Duration::from_millis(500);
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(60);
+
+/// Tokens that a running request holds.
+#[derive(Debug)]
+pub(super) struct HeldTokens {
+    pool: Arc<TokenPool>,
+    reservation: Reservation,
+}
+
+impl HeldTokens {
+    /// Charges `used_tokens` and gives the rest back.
+    pub(super) fn settle(self, used_tokens: u64) {
+        self.pool.settle(self.reservation, used_tokens);
+    }
+}
+
+/// A request that got no tokens.
+#[derive(Debug)]
+pub(super) struct AdmissionRefusal {
+    /// The answer.
+    pub(super) error: GatewayError,
+    /// Whether the account was inside its rate.
+    pub(super) standing: RateStanding,
+}
+
+/// Reserves the tokens of a call; calls without a client account need none.
+pub(super) async fn reserve(
+    context: &RequestContext,
+    call: &Call,
+) -> Result<Option<HeldTokens>, AdmissionRefusal> {
+    let Some(account_key) = call.client_account else {
+        return Ok(None);
+    };
+    let catalog = context.blackboard.catalog.load_full();
+    let pools = context.blackboard.token_pools.load_full();
+    let account = catalog.client_accounts.get(account_key);
+    let (Some(account), Some(pool)) = (account, pools.get(account_key)) else {
+        let error = GatewayError::new(ErrorKind::NotReady, "the account is not set up here yet");
+        return Err(AdmissionRefusal {
+            error: error.with_retry_after(RETRY_AFTER_MIN),
+            standing: RateStanding::Inside,
+        });
+    };
+    if call.reserved_tokens > account.burst_tokens {
+        return Err(exceeds_burst(account, call.reserved_tokens));
+    }
+    let started_at = context.clock.now();
+    loop {
+        let now = context.clock.now();
+        let shortfall = match pool.reserve(now, call.reserved_tokens) {
+            Ok(reservation) => {
+                return Ok(Some(HeldTokens {
+                    pool: Arc::clone(pool),
+                    reservation,
+                }))
+            }
+            Err(shortfall) => shortfall,
+        };
+        let wait = TOKEN_WAIT_MAX.saturating_sub(now.since(started_at));
+        let news = context
+            .control
+            .want_tokens(account_key, shortfall.missing_tokens);
+        match timeout(wait, news).await {
+            Ok(Some(TokenNews::Arrived)) => {}
+            Ok(Some(TokenNews::Denied)) => {
+                return Err(rate_limited(account, shortfall, RateStanding::Over))
+            }
+            Ok(None) | Err(_) => {
+                return Err(rate_limited(account, shortfall, RateStanding::Inside))
+            }
+        }
+    }
+}
+
+fn exceeds_burst(account: &ClientAccount, tokens: u64) -> AdmissionRefusal {
+    let burst = account.burst_tokens;
+    let message = format!("the request needs {tokens} tokens, the account's burst is {burst}");
+    AdmissionRefusal {
+        error: GatewayError::new(ErrorKind::ExceedsBurst, message),
+        standing: RateStanding::Over,
+    }
+}
+
+fn rate_limited(
+    account: &ClientAccount,
+    shortfall: Shortfall,
+    standing: RateStanding,
+) -> AdmissionRefusal {
+    let missing_ms = shortfall.missing_tokens.saturating_mul(1_000);
+    let accrual = Duration::from_millis(missing_ms / account.rate_tokens_per_s.max(1));
+    let retry_after = shortfall.retry_after.unwrap_or(accrual);
+    let message = match standing {
+        RateStanding::Over => "the account is over its rate",
+        RateStanding::Inside | RateStanding::Unknown => "no tokens could be drawn in time",
+    };
+    let error = GatewayError::new(ErrorKind::RateLimited, message)
+        .with_retry_after(retry_after.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX));
+    AdmissionRefusal { error, standing }
+}
--- /dev/null
+++ b/src/vm/call_task.rs
@@ -0,0 +1,418 @@
+//! The attempts of one call, and the relay of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use super::check_key;
+use super::progress::Progress;
+use super::RequestContext;
+use super::Slot;
+use crate::catalog::EndpointKey;
+use crate::catalog::EndpointKind;
+use crate::catalog::VmKey;
+use crate::catalog::WorkClass;
+use crate::clock::Monotonic;
+use crate::endpoint::EndpointCall;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::errors::RunState;
+use crate::peer::ForwardRequest;
+use crate::request::AnswerEvent;
+use crate::request::AnswerPayload;
+use crate::request::AnswerStream;
+use crate::request::Call;
+use crate::request::Usage;
+use crate::retry::AttemptFailure;
+use crate::retry::RetryDecision;
+use crate::routing::choose;
+use crate::routing::Attempt;
+use crate::routing::EndpointFailure;
+use crate::routing::EndpointLoad;
+use crate::routing::RouteChoice;
+use crate::routing::RouteDecision;
+use crate::routing::RouteQuery;
+use crate::telemetry::ServedIn;
+
+/// Where the events of an answer go.
+pub(super) type AnswerSink = mpsc::Sender<Result<AnswerEvent, GatewayError>>;
+
+/// What happens when the caller hangs up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HangUpPolicy {
+    /// The call is cancelled.
+    Cancel,
+    /// The call runs to its end, so that its outcome is known.
+    Finish,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum CallEnd {
+    /// The caller got the whole answer.
+    Whole(Usage),
+    /// The call was refused or failed.
+    Failed(GatewayError),
+    /// The caller hung up.
+    HungUp,
+}
+
+/// A call on its way through this VM.
+pub(super) struct CallTask {
+    pub(super) context: Arc<RequestContext>,
+    pub(super) call: Arc<Call>,
+    pub(super) deadline: Monotonic,
+    pub(super) sink: AnswerSink,
+    pub(super) hang_up: HangUpPolicy,
+    /// The crossings between VMs that the call may make in all.
+    pub(super) crossings_max: usize,
+    pub(super) progress: Progress,
+    pub(super) served_in: ServedIn,
+}
+
+/// Where the next attempt goes.
+enum Place {
+    Slot(Slot),
+    Peer {
+        vm: VmKey,
+        preferred_endpoint: EndpointKey,
+    },
+}
+
+/// What is known about the attempts so far.
+#[derive(Default)]
+struct Attempts {
+    count: u32,
+    excluded: Vec<EndpointKey>,
+    resume_at: Option<EndpointKey>,
+    expected_first_event: Duration,
+    may_have_run: bool,
+}
+
+impl Attempts {
+    /// Keeps an error from saying "not run" when an earlier attempt may have run.
+    fn with_earlier_runs(&mut self, error: GatewayError) -> GatewayError {
+        self.may_have_run |= error.run != RunState::NotRun;
+        if self.may_have_run && error.run == RunState::NotRun {
+            return error.with_run(RunState::MayHaveRun);
+        }
+        error
+    }
+}
+
+impl CallTask {
+    /// Makes attempts until one succeeds or no further one is allowed.
+    pub(super) async fn run(&mut self) -> CallEnd {
+        let mut attempts = Attempts::default();
+        loop {
+            let end = self.attempt(&mut attempts).await;
+            let CallEnd::Failed(error) = end else {
+                return end;
+            };
+            let error = attempts.with_earlier_runs(error);
+            match self.decide(error, &attempts) {
+                RetryDecision::RetryElsewhere => attempts.resume_at = None,
+                RetryDecision::ResumeFrom(_) => {
+                    attempts.resume_at = attempts.excluded.pop();
+                }
+                RetryDecision::GiveUp(error) => return CallEnd::Failed(error),
+            }
+        }
+    }
+
+    fn decide(&self, error: GatewayError, attempts: &Attempts) -> RetryDecision {
+        let is_model = matches!(self.call.body, crate::request::CallBody::Completion(_));
+        let failure = AttemptFailure {
+            error,
+            repeatability: self.call.repeatability,
+            can_resume: is_model && !attempts.excluded.is_empty(),
+            chunks_passed: self.progress.passed_chunks,
+            attempts: attempts.count,
+            remaining: self.remaining(),
+            expected_first_event: attempts.expected_first_event,
+        };
+        self.context
+            .retry_policy
+            .decide(failure, &self.context.retry_budget)
+    }
+
+    async fn attempt(&mut self, attempts: &mut Attempts) -> CallEnd {
+        attempts.count += 1;
+        let place = match self.place(attempts).await {
+            Ok(place) => place,
+            Err(error) => return CallEnd::Failed(error),
+        };
+        match place {
+            Place::Slot(slot) => {
+                attempts.excluded.push(slot.endpoint);
+                self.serve(slot).await
+            }
+            Place::Peer {
+                vm,
+                preferred_endpoint,
+            } => {
+                attempts.excluded.push(preferred_endpoint);
+                self.forward(vm, Some(preferred_endpoint)).await
+            }
+        }
+    }
+
+    async fn place(&self, attempts: &mut Attempts) -> Result<Place, GatewayError> {
+        let catalog = self.context.blackboard.catalog.load_full();
+        check_key(&catalog, &self.call)?;
+        if self.remaining().is_zero() {
+            return Err(GatewayError::new(
+                ErrorKind::DeadlineUnreachable,
+                "the deadline has passed",
+            ));
+        }
+        if let Some(endpoint) = attempts.resume_at {
+            return self.slot_at(endpoint).map(Place::Slot);
+        }
+        let class = self.class();
+        let decision = self.choose(class, &attempts.excluded)?;
+        attempts.expected_first_event = decision.expected_first_event;
+        match decision.choice {
+            RouteChoice::Local(endpoint) if !self.context.dispatcher.has_waiting(class) => {
+                self.slot_at(endpoint).map(Place::Slot)
+            }
+            RouteChoice::Local(_) | RouteChoice::Queue => {
+                let call = Arc::clone(&self.call);
+                let excluded = attempts.excluded.clone();
+                let slot = self
+                    .context
+                    .dispatcher
+                    .acquire(call, excluded, self.start_by());
+                slot.await.map(Place::Slot)
+            }
+            RouteChoice::Forward {
+                vm,
+                preferred_endpoint,
+                ..
+            } => Ok(Place::Peer {
+                vm,
+                preferred_endpoint,
+            }),
+        }
+    }
+
+    fn choose(
+        &self,
+        class: WorkClass,
+        excluded: &[EndpointKey],
+    ) -> Result<RouteDecision, GatewayError> {
+        let blackboard = &self.context.blackboard;
+        let catalog = blackboard.catalog.load();
+        let view = blackboard.membership.load();
+        let loads = blackboard.endpoint_loads.load();
+        let query = RouteQuery {
+            catalog: &catalog,
+            view: &view,
+            loads: &loads,
+            call: &self.call,
+            excluded,
+            crossings_max: self.crossings_max,
+            queue_wait: self.context.dispatcher.expected_wait(class),
+        };
+        let now = self.context.clock.now();
+        Ok(choose(now, &query, &mut self.context.rng())?)
+    }
+
+    fn slot_at(&self, endpoint: EndpointKey) -> Result<Slot, GatewayError> {
+        let load = self.load_of(endpoint)?;
+        let attempt = load.on_sent(self.context.clock.now(), &self.call);
+        Ok(Slot { endpoint, attempt })
+    }
+
+    fn load_of(&self, endpoint: EndpointKey) -> Result<Arc<EndpointLoad>, GatewayError> {
+        let loads = self.context.blackboard.endpoint_loads.load();
+        loads
+            .get(endpoint)
+            .cloned()
+            .ok_or_else(|| GatewayError::new(ErrorKind::NoEndpoint, "the endpoint has left"))
+    }
+
+    /// Sends the call to an endpoint and relays the answer.
+    async fn serve(&mut self, slot: Slot) -> CallEnd {
+        let catalog = self.context.blackboard.catalog.load_full();
+        let Some(endpoint) = catalog.endpoints.get(slot.endpoint) else {
+            let error = GatewayError::new(ErrorKind::NoEndpoint, "the endpoint has left");
+            return CallEnd::Failed(error);
+        };
+        let load = match self.load_of(slot.endpoint) {
+            Ok(load) => load,
+            Err(error) => return CallEnd::Failed(error),
+        };
+        let call = self.endpoint_call(endpoint.kind);
+        let context = Arc::clone(&self.context);
+        let mut attempt = slot.attempt;
+        let end = match context.endpoints.call(endpoint, call).await {
+            Ok(stream) => {
+                let on_first = |now: Monotonic| {
+                    let event = load.on_first_event(now, &mut attempt);
+                    context.audit_endpoint(slot.endpoint, event);
+                };
+                self.relay(stream, on_first).await
+            }
+            Err(error) => CallEnd::Failed(error),
+        };
+        self.release(slot.endpoint, &load, attempt, &end);
+        end
+    }
+
+    fn release(&self, endpoint: EndpointKey, load: &EndpointLoad, attempt: Attempt, end: &CallEnd) {
+        let now = self.context.clock.now();
+        let event = match end {
+            CallEnd::Whole(usage) => load.on_done(now, attempt, *usage),
+            CallEnd::Failed(error) => load.on_failed(now, attempt, endpoint_failure(error)),
+            CallEnd::HungUp => load.on_failed(now, attempt, EndpointFailure::Unrelated),
+        };
+        self.context.audit_endpoint(endpoint, event);
+        self.context.dispatcher.on_slot_freed();
+    }
+
+    /// Hands the call to a VM of another region and relays the answer.
+    pub(super) async fn forward(
+        &mut self,
+        to: VmKey,
+        preferred_endpoint: Option<EndpointKey>,
+    ) -> CallEnd {
+        let catalog = self.context.blackboard.catalog.load_full();
+        let own = self.context.blackboard.membership.load().own;
+        let Some(own_region) = catalog.vms.get(own).map(|vm| vm.region) else {
+            let error = GatewayError::new(ErrorKind::NotReady, "this VM left the roster");
+            return CallEnd::Failed(error);
+        };
+        let mut call = Call::clone(&self.call);
+        call.visited.push(own, own_region);
+        call.remaining = self.remaining();
+        let request = ForwardRequest {
+            call,
+            preferred_endpoint,
+        };
+        self.served_in = ServedIn::OtherRegion;
+        let peers = Arc::clone(&self.context.peers);
+        match peers.forward(to, request).await {
+            Ok(stream) => self.relay(stream, |_| {}).await,
+            Err(error) => CallEnd::Failed(error),
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        mut stream: AnswerStream,
+        mut on_first: impl FnMut(Monotonic),
+    ) -> CallEnd {
+        let context = Arc::clone(&self.context);
+        let sink = self.sink.clone();
+        let expiry = sleep(self.remaining());
+        tokio::pin!(expiry);
+        let mut is_first = true;
+        loop {
+            let item = tokio::select! {
+                item = stream.next() => item,
+                () = sink.closed(), if self.hang_up == HangUpPolicy::Cancel => {
+                    return CallEnd::HungUp;
+                }
+                () = &mut expiry => return CallEnd::Failed(self.deadline_error()),
+            };
+            let event = match item {
+                Some(Ok(event)) => event,
+                Some(Err(error)) => return CallEnd::Failed(error),
+                None => return CallEnd::Failed(truncated()),
+            };
+            let now = context.clock.now();
+            if std::mem::take(&mut is_first) {
+                on_first(now);
+            }
+            if let Some(end) = self.pass_on(now, event).await {
+                return end;
+            }
+        }
+    }
+
+    async fn pass_on(&mut self, now: Monotonic, event: AnswerEvent) -> Option<CallEnd> {
+        if event.payload == AnswerPayload::KeepAlive && self.progress.passed_chunks == 0 {
+            // Nothing goes out yet, so that a failure still has its own status.
+            return None;
+        }
+        self.progress.on_event(now, &event);
+        let usage = match &event.payload {
+            AnswerPayload::End(usage) => Some(*usage),
+            _ => None,
+        };
+        let is_heard = self.sink.send(Ok(event)).await.is_ok();
+        if !is_heard && self.hang_up == HangUpPolicy::Cancel {
+            return Some(CallEnd::HungUp);
+        }
+        usage.map(CallEnd::Whole)
+    }
+
+    fn endpoint_call(&self, kind: EndpointKind) -> EndpointCall {
+        let catalog = self.context.blackboard.catalog.load();
+        let route = catalog.routes.get(self.call.route);
+        let remaining = self.remaining();
+        let resume_offset = match kind {
+            EndpointKind::Engine => self.progress.passed_chunks,
+            EndpointKind::Service => 0,
+        };
+        EndpointCall {
+            request_id: self.call.id,
+            body: self.call.body.clone(),
+            class: self.class(),
+            resume_offset,
+            first_event_timeout: route.map_or(remaining, |route| {
+                Duration::from_millis(route.first_event_timeout_ms)
+            }),
+            silence_timeout: route.map_or(remaining, |route| {
+                Duration::from_millis(route.silence_timeout_ms)
+            }),
+            remaining,
+        }
+    }
+
+    fn class(&self) -> WorkClass {
+        let catalog = self.context.blackboard.catalog.load();
+        let route = catalog.routes.get(self.call.route);
+        route.map_or(WorkClass::Long, |route| route.class)
+    }
+
+    /// Returns the latest start that leaves the time to the first event.
+    fn start_by(&self) -> Monotonic {
+        let catalog = self.context.blackboard.catalog.load();
+        let route = catalog.routes.get(self.call.route);
+        let first_event_ms = route.map_or(0, |route| route.first_event_timeout_ms);
+        let now = self.context.clock.now();
+        let remaining = self.remaining();
+        now + remaining.min(Duration::from_millis(first_event_ms))
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.since(self.context.clock.now())
+    }
+
+    fn deadline_error(&self) -> GatewayError {
+        GatewayError::new(ErrorKind::DeadlineExceeded, "the deadline has passed")
+    }
+}
+
+/// Tells what the failure of an attempt says about its endpoint.
+fn endpoint_failure(error: &GatewayError) -> EndpointFailure {
+    match error.kind {
+        ErrorKind::EndpointRefused => EndpointFailure::Refused,
+        ErrorKind::AnswerSilent => EndpointFailure::Silent,
+        ErrorKind::EndpointFailed | ErrorKind::AnswerTruncated => EndpointFailure::Broken,
+        _ => EndpointFailure::Unrelated,
+    }
+}
+
+fn truncated() -> GatewayError {
+    GatewayError::new(
+        ErrorKind::AnswerTruncated,
+        "the answer ended without its end mark",
+    )
+    .with_run(RunState::MayHaveRun)
+}
--- /dev/null
+++ b/src/vm/control_loop.rs
@@ -0,0 +1,196 @@
+//! The loop that owns the core and carries its actions out.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::interval;
+use tokio::time::MissedTickBehavior;
+
+use super::control_handle::ControlCommand;
+use super::BeginReply;
+use super::Blackboard;
+use super::ControlHandle;
+use super::Core;
+use super::CoreAction;
+use super::CoreEvent;
+use super::Phase;
+use super::TokenNews;
+use crate::audit::AuditEvent;
+use crate::audit::AuditTrail;
+use crate::catalog::ClientAccountKey;
+use crate::clock::Clock;
+use crate::configuration::ServiceRead;
+use crate::peer::PeerLink;
+use crate::platform::PlatformClient;
+use crate::request::RequestId;
+
+const COMMANDS_MAX: usize = 4_096;
+const PERMILLE: u64 = 1_000;
+
+/// What the control loop acts on.
+#[derive(Clone)]
+pub struct ControlSurroundings {
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Where snapshots are published.
+    pub blackboard: Arc<Blackboard>,
+    /// The way to other VMs.
+    pub peers: Arc<dyn PeerLink>,
+    /// The platform.
+    pub platform: Arc<dyn PlatformClient>,
+    /// The audit trail.
+    pub audit: Arc<Mutex<AuditTrail>>,
+    /// The most requests that run through the VM.
+    pub running_max_requests: usize,
+}
+
+/// Owns the core, feeds it events and carries its actions out.
+pub struct ControlLoop {
+    core: Core,
+    surroundings: ControlSurroundings,
+    handle: ControlHandle,
+    commands: mpsc::Receiver<ControlCommand>,
+    token_waiters: HashMap<ClientAccountKey, Vec<oneshot::Sender<TokenNews>>>,
+    call_waiters: HashMap<RequestId, oneshot::Sender<BeginReply>>,
+}
+
+impl ControlLoop {
+    /// Creates the loop and the handle that reaches it.
+    pub fn new(core: Core, surroundings: ControlSurroundings) -> (Self, ControlHandle) {
+        let (sender, commands) = mpsc::channel(COMMANDS_MAX);
+        let handle = ControlHandle { commands: sender };
+        let control = Self {
+            core,
+            surroundings,
+            handle: handle.clone(),
+            commands,
+            token_waiters: HashMap::new(),
+            call_waiters: HashMap::new(),
+        };
+        (control, handle)
+    }
+
+    /// Runs until the task is aborted.
+    pub async fn run(mut self, tick: Duration) {
+        let mut ticks = interval(tick);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                command = self.commands.recv() => match command {
+                    Some(command) => self.obey(command),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let running = self
+            .surroundings
+            .blackboard
+            .running_count
+            .load(std::sync::atomic::Ordering::Relaxed);
+        let max = self.surroundings.running_max_requests.max(1) as u64;
+        let load_permille = u64::from(running) * PERMILLE / max;
+        let load_permille = u32::try_from(load_permille).unwrap_or(u32::MAX);
+        self.handle_event(CoreEvent::Tick { load_permille });
+        self.token_waiters.retain(|_, waiters| {
+            waiters.retain(|waiter| !waiter.is_closed());
+            !waiters.is_empty()
+        });
+        self.call_waiters.retain(|_, waiter| !waiter.is_closed());
+    }
+
+    fn obey(&mut self, command: ControlCommand) {
+        match command {
+            ControlCommand::Event(event) => self.handle_event(event),
+            ControlCommand::Audit(event) => self.audit(event),
+            ControlCommand::WantTokens {
+                account,
+                tokens,
+                reply,
+            } => {
+                self.token_waiters.entry(account).or_default().push(reply);
+                self.handle_event(CoreEvent::TokensWanted { account, tokens });
+            }
+            ControlCommand::BeginCall { call, reply } => {
+                self.call_waiters.insert(call.id, reply);
+                self.handle_event(CoreEvent::BeginCall(call));
+            }
+        }
+    }
+
+    fn handle_event(&mut self, event: CoreEvent) {
+        let now = self.surroundings.clock.now();
+        let mut actions = Vec::new();
+        self.core.handle(now, event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: CoreAction) {
+        let blackboard = &self.surroundings.blackboard;
+        match action {
+            CoreAction::Send { to, message } => self.surroundings.peers.send(to, message),
+            CoreAction::ReadService(read) => self.read_service(read),
+            CoreAction::PublishCatalog(catalog) => blackboard.publish_catalog(catalog),
+            CoreAction::PublishView(view) => blackboard.membership.store(view),
+            CoreAction::PublishPools(pools) => blackboard.token_pools.store(Arc::new(pools)),
+            CoreAction::TokensArrived(account) => self.tell(account, TokenNews::Arrived),
+            CoreAction::TokensDenied(account) => self.tell(account, TokenNews::Denied),
+            CoreAction::Proceed(id) => self.reply(id, BeginReply::Proceed),
+            CoreAction::AnswerCall { id, answer } => self.reply(id, BeginReply::Answer(answer)),
+            CoreAction::Ready => self.open(),
+            CoreAction::Audit(event) => self.audit(event),
+        }
+    }
+
+    fn read_service(&self, read: ServiceRead) {
+        let platform = Arc::clone(&self.surroundings.platform);
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let outcome = platform.tickets(read.after, read.wait).await;
+            let kind = read.kind;
+            handle.event(CoreEvent::ServiceRead { kind, outcome }).await;
+        });
+    }
+
+    fn tell(&mut self, account: ClientAccountKey, news: TokenNews) {
+        for waiter in self.token_waiters.remove(&account).unwrap_or_default() {
+            // A request that has given up does not listen any more.
+            let _ = waiter.send(news);
+        }
+    }
+
+    fn reply(&mut self, id: RequestId, reply: BeginReply) {
+        let is_proceed = reply == BeginReply::Proceed;
+        let is_heard = match self.call_waiters.remove(&id) {
+            Some(waiter) => waiter.send(reply).is_ok(),
+            None => false,
+        };
+        if is_proceed && !is_heard {
+            // Nobody will send this submission any more.
+            let outcome = crate::idempotency::CallOutcome::NotRun;
+            self.handle_event(CoreEvent::FinishCall { id, outcome });
+        }
+    }
+
+    fn open(&self) {
+        let phase = &self.surroundings.blackboard.phase;
+        if phase.load() == Phase::Booting {
+            phase.store(Phase::Serving);
+        }
+    }
+
+    fn audit(&self, event: AuditEvent) {
+        log::info!("{event}");
+        let time = self.surroundings.clock.wall_time();
+        self.surroundings.audit.lock().push(time, event);
+    }
+}
--- /dev/null
+++ b/src/vm/coordinator.rs
@@ -0,0 +1,319 @@
+//! Runs a call: straight to an endpoint, or by way of its record if it is non-idempotent.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::call_task::AnswerSink;
+use super::call_task::CallEnd;
+use super::call_task::CallTask;
+use super::call_task::HangUpPolicy;
+use super::progress::AnswerKeeping;
+use super::progress::Progress;
+use super::BeginReply;
+use super::RequestContext;
+use crate::catalog::RegionKey;
+use crate::catalog::Repeatability;
+use crate::catalog::VmKey;
+use crate::clock::Monotonic;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::errors::RunState;
+use crate::idempotency::home_region;
+use crate::idempotency::home_vm;
+use crate::idempotency::CallOutcome;
+use crate::idempotency::IdempotencyAnswer;
+use crate::idempotency::RecordId;
+use crate::idempotency::StoredAnswer;
+use crate::request::AnswerEvent;
+use crate::request::AnswerPayload;
+use crate::request::Call;
+use crate::request::RequestId;
+use crate::routing::CROSSINGS_MAX;
+use crate::telemetry::BookingOutcome;
+use crate::telemetry::ServedIn;
+
+/// The VMs of the home region that are asked to take a non-idempotent call.
+const HOME_VMS_ASKED_MAX: usize = 2;
+
+/// Who handed the call to this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    Caller,
+    Peer,
+}
+
+/// How a call went.
+pub(super) struct CallReport {
+    pub(super) end: CallEnd,
+    pub(super) progress: Progress,
+    pub(super) served_in: ServedIn,
+    pub(super) booking: Option<BookingOutcome>,
+}
+
+/// Runs one call.
+pub(super) struct Coordinator {
+    context: Arc<RequestContext>,
+    call: Arc<Call>,
+    deadline: Monotonic,
+    sink: AnswerSink,
+    origin: Origin,
+}
+
+impl Coordinator {
+    /// Creates the coordinator of a call that came from a caller.
+    pub(super) fn for_caller(
+        context: Arc<RequestContext>,
+        call: Call,
+        deadline: Monotonic,
+        sink: AnswerSink,
+    ) -> Self {
+        Self::new(context, call, deadline, sink, Origin::Caller)
+    }
+
+    /// Creates the coordinator of a call that another VM handed over.
+    pub(super) fn for_peer(
+        context: Arc<RequestContext>,
+        call: Call,
+        deadline: Monotonic,
+        sink: AnswerSink,
+    ) -> Self {
+        Self::new(context, call, deadline, sink, Origin::Peer)
+    }
+
+    fn new(
+        context: Arc<RequestContext>,
+        call: Call,
+        deadline: Monotonic,
+        sink: AnswerSink,
+        origin: Origin,
+    ) -> Self {
+        Self {
+            context,
+            call: Arc::new(call),
+            deadline,
+            sink,
+            origin,
+        }
+    }
+
+    /// Runs the call to its end.
+    pub(super) async fn run(self, received_at: Monotonic) -> CallReport {
+        match self.call.repeatability {
+            Repeatability::Idempotent => {
+                let mut task = self.task(
+                    received_at,
+                    HangUpPolicy::Cancel,
+                    CROSSINGS_MAX,
+                    AnswerKeeping::Dropped,
+                );
+                let end = task.run().await;
+                report(end, task, None)
+            }
+            Repeatability::NonIdempotent => self.run_recorded(received_at).await,
+        }
+    }
+
+    async fn run_recorded(self, received_at: Monotonic) -> CallReport {
+        let catalog = self.context.blackboard.catalog.load_full();
+        let view = self.context.blackboard.membership.load_full();
+        let record_id = RecordId::of_call(&self.call);
+        let home = record_id
+            .as_ref()
+            .and_then(|id| home_region(&catalog, self.call.route, id));
+        let (Some(record_id), Some(home)) = (record_id, home) else {
+            let message = "no allowed region serves this route";
+            return self.refused(received_at, ErrorKind::NoEndpoint, message);
+        };
+        let own_region = catalog.vms.get(view.own).map(|vm| vm.region);
+        if own_region == Some(home) {
+            return self.run_at_home(received_at).await;
+        }
+        match self.origin {
+            Origin::Caller => self.run_elsewhere(received_at, home, &record_id).await,
+            Origin::Peer => {
+                let message = "the call's home region is another one, or is changing";
+                self.refused(received_at, ErrorKind::RecordUnacknowledged, message)
+            }
+        }
+    }
+
+    /// Records the call and sends it to an endpoint of this region, at most once.
+    async fn run_at_home(self, received_at: Monotonic) -> CallReport {
+        let keeping = AnswerKeeping::Kept {
+            max_bytes: self.context.kept_answer_max_bytes,
+        };
+        let mut task = self.task(received_at, HangUpPolicy::Finish, 0, keeping);
+        match self
+            .context
+            .control
+            .begin_call(Call::clone(&self.call))
+            .await
+        {
+            Ok(BeginReply::Proceed) => {
+                let end = task.run().await;
+                let outcome = call_outcome(&end, &task.progress);
+                let booking = booking_outcome(&outcome);
+                self.context
+                    .control
+                    .finish_call(self.call.id, outcome)
+                    .await;
+                report(end, task, booking)
+            }
+            Ok(BeginReply::Answer(IdempotencyAnswer::Repeated(answer))) => {
+                let end = send_stored(&self.sink, self.call.id, answer).await;
+                report(end, task, Some(BookingOutcome::Repeated))
+            }
+            Ok(BeginReply::Answer(IdempotencyAnswer::Failed(error))) | Err(error) => {
+                let is_unknown = error.kind == ErrorKind::OutcomeUnknown;
+                let booking = is_unknown.then_some(BookingOutcome::Unknown);
+                report(CallEnd::Failed(error), task, booking)
+            }
+        }
+    }
+
+    /// Hands the call to a VM of its home region.
+    async fn run_elsewhere(
+        self,
+        received_at: Monotonic,
+        home: RegionKey,
+        record_id: &RecordId,
+    ) -> CallReport {
+        let mut task = self.task(
+            received_at,
+            HangUpPolicy::Cancel,
+            CROSSINGS_MAX,
+            AnswerKeeping::Dropped,
+        );
+        let mut end = CallEnd::Failed(GatewayError::new(
+            ErrorKind::PeerUnreachable,
+            "no VM of the call's home region is in reach",
+        ));
+        for vm in self.home_vms(home, record_id) {
+            end = task.forward(vm, None).await;
+            if !is_unreached(&end) {
+                break;
+            }
+        }
+        let booking = match &end {
+            CallEnd::Whole(_) => Some(BookingOutcome::Run),
+            CallEnd::Failed(error) if error.run != RunState::NotRun => {
+                Some(BookingOutcome::Unknown)
+            }
+            CallEnd::HungUp => Some(BookingOutcome::Unknown),
+            CallEnd::Failed(_) => None,
+        };
+        report(end, task, booking)
+    }
+
+    fn home_vms(&self, home: RegionKey, record_id: &RecordId) -> Vec<VmKey> {
+        let catalog = self.context.blackboard.catalog.load();
+        let view = self.context.blackboard.membership.load();
+        let first = home_vm(&catalog, &view, home, record_id);
+        let others = view.serving_in(&catalog, home);
+        let mut vms: Vec<VmKey> = first.into_iter().collect();
+        vms.extend(others.filter(|vm| Some(*vm) != first));
+        vms.truncate(HOME_VMS_ASKED_MAX);
+        vms
+    }
+
+    fn task(
+        &self,
+        received_at: Monotonic,
+        hang_up: HangUpPolicy,
+        crossings_max: usize,
+        keeping: AnswerKeeping,
+    ) -> CallTask {
+        CallTask {
+            context: Arc::clone(&self.context),
+            call: Arc::clone(&self.call),
+            deadline: self.deadline,
+            sink: self.sink.clone(),
+            hang_up,
+            crossings_max,
+            progress: Progress::new(received_at, keeping),
+            served_in: ServedIn::OwnRegion,
+        }
+    }
+
+    fn refused(&self, received_at: Monotonic, kind: ErrorKind, message: &str) -> CallReport {
+        CallReport {
+            end: CallEnd::Failed(GatewayError::new(kind, message)),
+            progress: Progress::new(received_at, AnswerKeeping::Dropped),
+            served_in: ServedIn::Nowhere,
+            booking: None,
+        }
+    }
+}
+
+fn report(end: CallEnd, task: CallTask, booking: Option<BookingOutcome>) -> CallReport {
+    let is_nowhere = matches!(&end, CallEnd::Failed(error) if error.run == RunState::NotRun);
+    CallReport {
+        end,
+        served_in: if is_nowhere {
+            ServedIn::Nowhere
+        } else {
+            task.served_in
+        },
+        progress: task.progress,
+        booking,
+    }
+}
+
+/// Tells whether a forwarded call certainly reached nobody who could run it.
+fn is_unreached(end: &CallEnd) -> bool {
+    match end {
+        CallEnd::Failed(error) => {
+            let is_passing = matches!(
+                error.kind,
+                ErrorKind::PeerUnreachable | ErrorKind::Draining | ErrorKind::NotReady
+            );
+            is_passing && error.run == RunState::NotRun
+        }
+        CallEnd::Whole(_) | CallEnd::HungUp => false,
+    }
+}
+
+fn call_outcome(end: &CallEnd, progress: &Progress) -> CallOutcome {
+    match end {
+        CallEnd::Whole(usage) => progress.whole_outcome(*usage),
+        CallEnd::Failed(error) => match error.run {
+            RunState::NotRun => CallOutcome::NotRun,
+            RunState::MayHaveRun => CallOutcome::Unknown,
+            RunState::Ran => CallOutcome::RanUnkept,
+        },
+        CallEnd::HungUp => CallOutcome::Unknown,
+    }
+}
+
+fn booking_outcome(outcome: &CallOutcome) -> Option<BookingOutcome> {
+    match outcome {
+        CallOutcome::Completed(_) | CallOutcome::RanUnkept => Some(BookingOutcome::Run),
+        CallOutcome::Unknown => Some(BookingOutcome::Unknown),
+        CallOutcome::NotRun => None,
+    }
+}
+
+/// Sends the kept answer of an earlier submission.
+async fn send_stored(sink: &AnswerSink, request_id: RequestId, answer: StoredAnswer) -> CallEnd {
+    let payloads = [
+        AnswerPayload::Head {
+            status: answer.status,
+            content_type: answer.content_type,
+        },
+        AnswerPayload::Chunk(Bytes::clone(&answer.body)),
+        AnswerPayload::End(answer.usage),
+    ];
+    // The head does not count as a chunk.
+    for (offset, payload) in [0, 0, 1].into_iter().zip(payloads) {
+        let event = AnswerEvent {
+            request_id,
+            offset,
+            payload,
+        };
+        if sink.send(Ok(event)).await.is_err() {
+            return CallEnd::HungUp;
+        }
+    }
+    CallEnd::Whole(answer.usage)
+}
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -1,19 +1,47 @@
 //! The daemon of one VM: its blackboard, its controllers and the path of a request.
 
+mod admission;
 mod blackboard;
+mod call_task;
+mod control_handle;
+mod control_loop;
+mod coordinator;
 mod core;
 mod core_action;
 mod core_event;
 mod core_settings;
+mod daemon;
+mod daemon_error;
+mod dispatcher;
+mod load_poller;
+mod outcome;
 mod phase;
+mod progress;
+mod report;
+mod request_context;
+mod request_path;
 mod resolve;
+mod running_guard;
 
 pub use blackboard::Blackboard;
+pub use control_handle::BeginReply;
+pub use control_handle::ControlHandle;
+pub use control_handle::TokenNews;
+pub use control_loop::ControlLoop;
+pub use control_loop::ControlSurroundings;
 pub use core::Core;
 pub use core_action::CoreAction;
 pub use core_event::CoreEvent;
 pub use core_settings::CoreSettings;
+pub use daemon::Daemon;
+pub use daemon::DaemonParts;
+pub use daemon_error::DaemonError;
+pub use dispatcher::Dispatcher;
+pub use dispatcher::DispatcherHandle;
+pub use dispatcher::Slot;
 pub use phase::Phase;
 pub use phase::PhaseCell;
+pub use request_context::RequestContext;
+pub use request_path::RequestPath;
 pub use resolve::check_key;
 pub use resolve::resolve;
--- /dev/null
+++ b/src/vm/outcome.rs
@@ -0,0 +1,108 @@
+//! Records how a caller's request went.
+
+use std::sync::Arc;
+
+use super::call_task::CallEnd;
+use super::coordinator::CallReport;
+use super::RequestContext;
+use crate::catalog::Catalog;
+use crate::catalog::Name;
+use crate::clock::Monotonic;
+use crate::errors::GatewayError;
+use crate::request::CallTarget;
+use crate::request::IncomingCall;
+use crate::telemetry::AnswerTimes;
+use crate::telemetry::RateStanding;
+use crate::telemetry::RequestEnd;
+use crate::telemetry::RequestOutcome;
+use crate::telemetry::ServedIn;
+
+/// Records how a caller's request went.
+pub(super) struct OutcomeRecorder {
+    context: Arc<RequestContext>,
+    received_at: Monotonic,
+    client_account: Option<Name>,
+    route: Option<Name>,
+    standing: RateStanding,
+}
+
+impl OutcomeRecorder {
+    pub(super) fn new(context: &Arc<RequestContext>, incoming: &IncomingCall) -> Self {
+        Self {
+            context: Arc::clone(context),
+            received_at: incoming.received_at,
+            client_account: None,
+            route: None,
+            standing: RateStanding::Unknown,
+        }
+    }
+
+    pub(super) const fn received_at(&self) -> Monotonic {
+        self.received_at
+    }
+
+    /// Notes whose request it is and what it asks for, as far as that is known.
+    pub(super) fn on_target(&mut self, catalog: &Catalog, incoming: &IncomingCall) {
+        let account = incoming
+            .key_digest
+            .and_then(|digest| catalog.client_account_of_key(&digest))
+            .and_then(|account| catalog.client_accounts.get(account));
+        self.client_account = account.map(|account| account.name.clone());
+        let route = match &incoming.target {
+            CallTarget::Model(name) => catalog.model_named(name),
+            CallTarget::Path(path) => catalog.service_for_path(path),
+        };
+        let route = route.and_then(|route| catalog.routes.get(route));
+        self.route = route.map(|route| route.name.clone());
+    }
+
+    pub(super) fn on_standing(&mut self, standing: RateStanding) {
+        self.standing = standing;
+    }
+
+    /// Notes that the request got its tokens.
+    pub(super) fn on_admitted(&mut self) {
+        self.standing = RateStanding::Inside;
+    }
+
+    /// Records a request that was refused before it was accepted.
+    pub(super) fn record_refusal(self, error: &GatewayError) {
+        let end = RequestEnd::Refused(error.kind);
+        let outcome = self.outcome(end, ServedIn::Nowhere, AnswerTimes::default());
+        self.context.telemetry.record(outcome);
+    }
+
+    /// Records a request that was admitted.
+    pub(super) fn record(self, report: CallReport, used_tokens: u64) {
+        let end = match &report.end {
+            CallEnd::Whole(_) => RequestEnd::Answered,
+            CallEnd::Failed(error) if is_refusal(error) => RequestEnd::Refused(error.kind),
+            CallEnd::Failed(error) => RequestEnd::Failed(error.kind),
+            CallEnd::HungUp => RequestEnd::Cancelled,
+        };
+        let times = report.progress.into_timer().into_times();
+        let mut outcome = self.outcome(end, report.served_in, times);
+        outcome.tokens = used_tokens;
+        outcome.booking = report.booking;
+        self.context.telemetry.record(outcome);
+    }
+
+    fn outcome(&self, end: RequestEnd, served_in: ServedIn, times: AnswerTimes) -> RequestOutcome {
+        RequestOutcome {
+            ended_at: self.context.clock.wall_time(),
+            client_account: self.client_account.clone(),
+            route: self.route.clone(),
+            end,
+            rate_standing: self.standing,
+            served_in,
+            tokens: 0,
+            times,
+            booking: None,
+        }
+    }
+}
+
+/// Tells whether the caller was told that nothing ran.
+fn is_refusal(error: &GatewayError) -> bool {
+    error.run == crate::errors::RunState::NotRun
+}
--- /dev/null
+++ b/src/vm/request_path.rs
@@ -0,0 +1,263 @@
+//! The path of a request through this VM.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use futures::StreamExt;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::admission::reserve;
+use super::admission::AdmissionRefusal;
+use super::admission::HeldTokens;
+use super::call_task::AnswerSink;
+use super::call_task::CallEnd;
+use super::check_key;
+use super::coordinator::Coordinator;
+use super::outcome::OutcomeRecorder;
+use super::resolve;
+use super::running_guard::RunningGuard;
+use super::CoreEvent;
+use super::Phase;
+use super::RequestContext;
+use crate::caller::EntryAnswer;
+use crate::caller::EntryList;
+use crate::caller::Gateway;
+use crate::caller::ModelList;
+use crate::catalog::KeyDigest;
+use crate::catalog::RouteKind;
+use crate::catalog::VmKey;
+use crate::errors::ErrorKind;
+use crate::errors::GatewayError;
+use crate::membership::EntryRanking;
+use crate::peer::ForwardRequest;
+use crate::peer::PeerHandler;
+use crate::peer::PeerMessage;
+use crate::request::AnswerStream;
+use crate::request::Call;
+use crate::request::IncomingCall;
+use crate::request::Usage;
+
+/// The events of an answer that wait for a slow caller.
+const SINK_EVENTS: usize = 16;
+
+/// The path of a request: it serves callers and the calls that other VMs hand over.
+#[derive(Clone)]
+pub struct RequestPath {
+    context: Arc<RequestContext>,
+    entries_ttl: Duration,
+}
+
+impl RequestPath {
+    /// Creates the path.
+    pub fn new(context: Arc<RequestContext>, entries_ttl: Duration) -> Self {
+        Self {
+            context,
+            entries_ttl,
+        }
+    }
+
+    fn admit(&self) -> Result<RunningGuard, GatewayError> {
+        match self.context.blackboard.phase.load() {
+            Phase::Booting => {
+                let message = "this VM is starting, use another one";
+                return Err(GatewayError::new(ErrorKind::NotReady, message));
+            }
+            Phase::Draining => {
+                let message = "this VM is leaving, use another one";
+                return Err(GatewayError::new(ErrorKind::Draining, message));
+            }
+            Phase::Serving => {}
+        }
+        let max = self.context.running_max_requests;
+        RunningGuard::try_new(&self.context.blackboard, max).ok_or_else(|| {
+            GatewayError::new(ErrorKind::Overloaded, "this VM runs as much as it may")
+                .with_retry_after(Duration::from_secs(1))
+        })
+    }
+
+    async fn serve_caller(
+        &self,
+        incoming: IncomingCall,
+        recorder: &mut OutcomeRecorder,
+    ) -> Result<Accepted, GatewayError> {
+        let guard = self.admit()?;
+        let catalog = self.context.blackboard.catalog.load_full();
+        recorder.on_target(&catalog, &incoming);
+        let received_at = incoming.received_at;
+        let call = resolve(&catalog, incoming)?;
+        self.context.retry_budget.on_request();
+        let held = match reserve(&self.context, &call).await {
+            Ok(held) => held,
+            Err(AdmissionRefusal { error, standing }) => {
+                recorder.on_standing(standing);
+                return Err(error);
+            }
+        };
+        recorder.on_admitted();
+        Ok(Accepted {
+            call,
+            held,
+            guard,
+            deadline: received_at,
+        })
+    }
+}
+
+/// A call that was admitted.
+struct Accepted {
+    call: Call,
+    held: Option<HeldTokens>,
+    guard: RunningGuard,
+    deadline: crate::clock::Monotonic,
+}
+
+impl Accepted {
+    /// Runs the call to its end, gives tokens back and records the outcome.
+    async fn run(self, context: Arc<RequestContext>, sink: AnswerSink, recorder: OutcomeRecorder) {
+        let deadline = self.deadline + self.call.remaining;
+        let prompt_tokens = prompt_tokens(&self.call);
+        let open_stream = context.telemetry.open_stream();
+        let coordinator = Coordinator::for_caller(context, self.call, deadline, sink.clone());
+        let report = coordinator.run(recorder.received_at()).await;
+        let passed_chunks = report.progress.passed_chunks;
+        let used_tokens = match &report.end {
+            CallEnd::Whole(usage) => used_tokens(*usage),
+            CallEnd::Failed(error) if error.run == crate::errors::RunState::NotRun => 0,
+            CallEnd::Failed(_) | CallEnd::HungUp => prompt_tokens + passed_chunks,
+        };
+        if let Some(held) = self.held {
+            held.settle(used_tokens);
+        }
+        if let CallEnd::Failed(error) = &report.end {
+            // A caller that has hung up does not listen any more.
+            let _ = sink.send(Err(error.clone())).await;
+        }
+        recorder.record(report, used_tokens);
+        drop(open_stream);
+        drop(self.guard);
+    }
+}
+
+fn prompt_tokens(call: &Call) -> u64 {
+    match &call.body {
+        crate::request::CallBody::Completion(completion) => completion.prompt_tokens,
+        crate::request::CallBody::Service(_) => call.reserved_tokens,
+    }
+}
+
+fn used_tokens(usage: Usage) -> u64 {
+    usage.prompt_tokens.saturating_add(usage.answer_tokens)
+}
+
+/// Waits for the first event, so that a refusal has a status of its own.
+async fn first_event(
+    mut receiver: mpsc::Receiver<Result<crate::request::AnswerEvent, GatewayError>>,
+) -> Result<AnswerStream, GatewayError> {
+    let first = receiver
+        .recv()
+        .await
+        .ok_or_else(|| GatewayError::new(ErrorKind::Internal, "the call ended without an event"))?;
+    let first = first?;
+    let rest = ReceiverStream::new(receiver);
+    Ok(futures::stream::iter([Ok(first)]).chain(rest).boxed())
+}
+
+#[async_trait]
+impl Gateway for RequestPath {
+    async fn call(&self, incoming: IncomingCall) -> Result<AnswerStream, GatewayError> {
+        let mut recorder = OutcomeRecorder::new(&self.context, &incoming);
+        let accepted = match self.serve_caller(incoming, &mut recorder).await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                recorder.record_refusal(&error);
+                return Err(error);
+            }
+        };
+        let (sink, receiver) = mpsc::channel(SINK_EVENTS);
+        tokio::spawn(accepted.run(Arc::clone(&self.context), sink, recorder));
+        first_event(receiver).await
+    }
+
+    fn entries(&self, key_digest: Option<KeyDigest>) -> EntryList {
+        let catalog = self.context.blackboard.catalog.load();
+        let view = self.context.blackboard.membership.load();
+        let tie = key_digest.map_or(0, |digest| {
+            let (head, _) = digest.as_bytes().split_at(8);
+            head.iter()
+                .fold(0, |hash, byte| (hash << 8) | u64::from(*byte))
+        });
+        let ranking = EntryRanking::new(&catalog, &view, None, tie, self.entries_ttl);
+        let entries = ranking
+            .vms
+            .into_iter()
+            .filter_map(|vm| {
+                let vm = catalog.vms.get(vm)?;
+                Some(EntryAnswer {
+                    vm: vm.name.clone(),
+                    region: catalog.regions.get(vm.region)?.name.clone(),
+                    address: vm.caller_address,
+                })
+            })
+            .collect();
+        EntryList {
+            entries,
+            time_to_live: ranking.time_to_live,
+        }
+    }
+
+    fn models(&self, key_digest: Option<KeyDigest>) -> Result<ModelList, GatewayError> {
+        let catalog = self.context.blackboard.catalog.load();
+        let account = key_digest.and_then(|digest| catalog.client_account_of_key(&digest));
+        if key_digest.is_some() && account.is_none() {
+            return Err(GatewayError::new(
+                ErrorKind::InvalidKey,
+                "the key is not valid",
+            ));
+        }
+        let mut models: Vec<_> = catalog
+            .routes
+            .values()
+            .filter(|route| route.kind == RouteKind::Model)
+            .filter(|route| route.is_open || account.is_some())
+            .map(|route| route.name.clone())
+            .collect();
+        models.sort();
+        Ok(ModelList { models })
+    }
+}
+
+#[async_trait]
+impl PeerHandler for RequestPath {
+    fn on_message(&self, from: VmKey, message: PeerMessage) {
+        // Control messages may be lost; the sender repeats what matters.
+        self.context
+            .control
+            .try_event(CoreEvent::Peer { from, message });
+    }
+
+    async fn on_forward(
+        &self,
+        _from: VmKey,
+        request: ForwardRequest,
+    ) -> Result<AnswerStream, GatewayError> {
+        let guard = self.admit()?;
+        let call = request.call;
+        check_key(&self.context.blackboard.catalog.load(), &call)?;
+        let (sink, receiver) = mpsc::channel(SINK_EVENTS);
+        let received_at = self.context.clock.now();
+        let deadline = received_at + call.remaining;
+        let context = Arc::clone(&self.context);
+        tokio::spawn(async move {
+            let coordinator = Coordinator::for_peer(context, call, deadline, sink.clone());
+            let report = coordinator.run(received_at).await;
+            if let CallEnd::Failed(error) = report.end {
+                // The other VM may have given up.
+                let _ = sink.send(Err(error)).await;
+            }
+            drop(guard);
+        });
+        first_event(receiver).await
+    }
+}
