Add the demo deployment and a whole path over three regions

Cause: nothing ran all parts together. Change: demo::Deployment launches the stand-ins and the daemons, publishes the configuration and waits until all VMs serve; a mixed load of streams, short answers and bookings judges each answer and counts each booking's executions.

--- /dev/null
+++ b/src/demo/load_summary.rs
@@ -0,0 +1,74 @@
+//! What came of the mixed load.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use super::CallKind;
+
+/// What came of one call.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// The whole answer came.
+    Answered,
+    /// The call was refused, and the refusal said that it did not run.
+    Refused {
+        /// The kind of the refusal.
+        kind: String,
+    },
+    /// The call was accepted and not answered in full.
+    Broken {
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+/// What came of all calls.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LoadSummary {
+    counts: BTreeMap<(CallKind, Outcome), u64>,
+    /// The bookings that were answered and did not run exactly once.
+    pub miscounted_bookings: Vec<u64>,
+}
+
+impl LoadSummary {
+    /// Counts the outcome of a call.
+    pub fn add(&mut self, kind: CallKind, outcome: Outcome) {
+        *self.counts.entry((kind, outcome)).or_default() += 1;
+    }
+
+    /// Returns the number of calls of an outcome.
+    pub fn count(&self, is_counted: impl Fn(&Outcome) -> bool) -> u64 {
+        self.counts
+            .iter()
+            .filter(|((_, outcome), _)| is_counted(outcome))
+            .map(|(_, count)| count)
+            .sum()
+    }
+
+    /// Tells whether every accepted call was answered in full and every booking ran once.
+    pub fn is_clean(&self) -> bool {
+        let broken = self.count(|outcome| matches!(outcome, Outcome::Broken { .. }));
+        broken == 0 && self.miscounted_bookings.is_empty()
+    }
+}
+
+impl fmt::Display for LoadSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{:<10} {:<48} {:>8}", "call", "outcome", "count")?;
+        for ((kind, outcome), count) in &self.counts {
+            let kind = match kind {
+                CallKind::Stream => "stream",
+                CallKind::Whole => "whole",
+                CallKind::Booking => "booking",
+            };
+            let outcome = match outcome {
+                Outcome::Answered => "answered in full".to_owned(),
+                Outcome::Refused { kind } => format!("refused as not run: {kind}"),
+                Outcome::Broken { reason } => format!("broken: {reason}"),
+            };
+            writeln!(f, "{kind:<10} {outcome:<48} {count:>8}")?;
+        }
+        let miscounted = self.miscounted_bookings.len();
+        writeln!(f, "bookings that did not run exactly once: {miscounted}")
+    }
+}
--- /dev/null
+++ b/src/demo/run.rs
@@ -0,0 +1,62 @@
+//! The demo as a program.
+
+use indicatif::ProgressBar;
+
+use super::run_load;
+use super::DemoError;
+use super::Deployment;
+use super::DeploymentPlan;
+
+const LOAD_CONCURRENCY: usize = 64;
+
+/// The options of a demo.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DemoOptions {
+    /// The number of requests to send; `None` keeps the deployment running instead.
+    pub requests: Option<u64>,
+}
+
+/// Runs a demo; tells whether every accepted call was answered in full and every booking ran once.
+///
+/// Without a number of requests, it runs until the process is interrupted.
+///
+/// # Errors
+///
+/// Returns a [`DemoError`] if a part does not start.
+pub async fn run_demo(options: DemoOptions) -> Result<bool, DemoError> {
+    println!("Starting three regions on loopback ...");
+    let deployment = Deployment::launch(&DeploymentPlan::three_regions()).await?;
+    for vm in &deployment.vms {
+        println!(
+            "{:<18} callers http://{}  operators http://{}/",
+            vm.name,
+            vm.daemon.caller_address(),
+            vm.daemon.operator_address(),
+        );
+    }
+    print_hint(&deployment);
+    let Some(requests) = options.requests else {
+        // An error here means that no signal can be waited for.
+        let _ = tokio::signal::ctrl_c().await;
+        return Ok(true);
+    };
+    let progress = ProgressBar::new(requests);
+    let summary = run_load(&deployment, requests, LOAD_CONCURRENCY, &progress).await?;
+    progress.finish();
+    println!("{summary}");
+    Ok(summary.is_clean())
+}
+
+fn print_hint(deployment: &Deployment) {
+    let vm = &deployment.vms[0].daemon;
+    println!("\nThe operators' page: http://{}/", vm.operator_address());
+    println!("Ask a model:");
+    println!(
+        "  curl -N http://{}/v1/chat/completions -H 'Authorization: Bearer key-bloomplan' \\",
+        vm.caller_address()
+    );
+    println!(
+        "    -d '{{\"model\":\"plant-tips\",\"stream\":true,\"max_tokens\":20,\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"Which fern?\"}}]}}'\n"
+    );
+}
--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -1,1 +1,3 @@
-//! Tests of the `vm` behaviour.
+//! Tests of whole VMs.
+
+mod whole_path;
