Measure the choice of an endpoint and mend its estimate of pace

Excluded: the crossing margin (50, 100, 200 ms gave the same share). Cause: the price of a prompt token was a mean of ratios, so the fixed part of short prompts with a cached prefix made each token dear, and endpoints never seen looked cheap. Change: a ratio of means, the mean pace of the seen endpoints as prior, the network time left out of what a forwarded request teaches, a margin for each class.

--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -1,5 +1,7 @@
 //! One request sent to one endpoint.
 
+use std::time::Duration;
+
 use crate::clock::Monotonic;
 use crate::request::Call;
 use crate::request::CallBody;
@@ -9,6 +11,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attempt {
     pub(super) sent_at: Monotonic,
+    pub(super) network: Duration,
     pub(super) first_event_at: Option<Monotonic>,
     pub(super) prompt_tokens: u64,
     pub(super) work_tokens: u64,
--- a/src/routing/chooser.rs
+++ b/src/routing/chooser.rs
@@ -6,11 +6,10 @@
 use rand::RngExt;
 
 use super::attempt::prefix_hashes;
-use super::estimate::expected_first_event;
-use super::estimate::expected_requests;
-use super::slots::class_slots;
-use super::slots::slot_count;
-use super::EndpointLoad;
+use super::estimate::network_time;
+use super::filters::serving_vms;
+use super::scored_endpoint::score;
+use super::scored_endpoint::ScoredEndpoint;
 use super::Exclusion;
 use super::Explanation;
 use super::Health;
@@ -18,32 +17,22 @@
 use super::RouteDecision;
 use super::RouteQuery;
 use super::RouteRefusal;
-use crate::catalog::Endpoint;
-use crate::catalog::EndpointKey;
-use crate::catalog::EndpointRole;
 use crate::catalog::RegionKey;
 use crate::catalog::VmKey;
+use crate::catalog::WorkClass;
 use crate::clock::Monotonic;
 use crate::membership::rendezvous_score;
 
-const MEMORY_MAX_PERMILLE: u32 = 980;
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(2);
 const LOAD_BOUND_PERCENT: u64 = 125;
-const CROSSING_MARGIN: Duration = Duration::from_millis(50);
+const CROSSING_MARGIN_SHORT: Duration = Duration::from_millis(100);
+const CROSSING_MARGIN_LONG: Duration = Duration::from_secs(1);
 
+/// One way that a call can go.
 #[derive(Clone, Copy, Debug)]
-struct Candidate {
-    endpoint: EndpointKey,
-    region: RegionKey,
-    expected: Duration,
-    requests: u32,
-    concurrency: u32,
-    has_slot: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Picked {
+struct Way {
     choice: RouteChoice,
+    network: Duration,
     expected: Duration,
 }
 
@@ -62,169 +51,97 @@
     rng: &mut impl Rng,
 ) -> Result<RouteDecision, RouteRefusal> {
     let mut explanation = Explanation::default();
-    let candidates = candidates(now, query, &mut explanation);
+    let scored = score(now, query, &mut explanation);
     let own_region = query.own_region();
-    let (local, remote): (Vec<Candidate>, Vec<Candidate>) = candidates
+    let (local, remote): (Vec<ScoredEndpoint>, Vec<ScoredEndpoint>) = scored
         .into_iter()
-        .partition(|candidate| Some(candidate.region) == own_region);
-    let local = pick_local(query, &local, rng);
-    let remote = pick_remote(query, &remote, rng);
-    let best = match (local, remote) {
-        (Some(local), Some(remote)) if remote.expected + CROSSING_MARGIN < local.expected => remote,
+        .partition(|endpoint| Some(endpoint.region) == own_region);
+    let local = local_way(query, &local, rng);
+    let remote = remote_way(query, &remote, rng);
+    let way = match (local, remote) {
+        (Some(local), Some(remote)) if is_worth_crossing(query, &local, &remote) => remote,
         (Some(local), _) => local,
         (None, Some(remote)) => remote,
         (None, None) => return Err(refusal(now, query, explanation)),
     };
     Ok(RouteDecision {
-        choice: best.choice,
-        expected_first_event: best.expected,
+        choice: way.choice,
+        network: way.network,
+        expected_first_event: way.expected,
         explanation,
     })
 }
 
-/// Picks an endpoint of the own region with a free slot, or the queue if there is none.
-fn pick_local(
+/// Tells whether a request is to cross, which costs bandwidth between the regions.
+fn is_worth_crossing(query: &RouteQuery<'_>, local: &Way, remote: &Way) -> bool {
+    let margin = match query.class() {
+        WorkClass::Interactive => CROSSING_MARGIN_SHORT,
+        WorkClass::Long => CROSSING_MARGIN_LONG,
+    };
+    remote.expected + margin < local.expected
+}
+
+/// Returns the way to an endpoint of the own region with a free slot, or to the queue if there is
+/// none.
+fn local_way(
     query: &RouteQuery<'_>,
-    candidates: &[Candidate],
+    endpoints: &[ScoredEndpoint],
     rng: &mut impl Rng,
-) -> Option<Picked> {
-    let free: Vec<Candidate> = candidates
+) -> Option<Way> {
+    let free: Vec<ScoredEndpoint> = endpoints
         .iter()
-        .filter(|candidate| candidate.has_slot)
+        .filter(|endpoint| endpoint.has_slot)
         .copied()
         .collect();
     if let Some(best) = pick(query, &free, rng) {
-        return Some(Picked {
-            choice: RouteChoice::Local(best.endpoint),
+        return Some(Way {
+            choice: RouteChoice::Local(best.key),
+            network: Duration::ZERO,
             expected: best.expected,
         });
     }
-    let soonest = candidates
-        .iter()
-        .map(|candidate| candidate.expected)
-        .min()?;
-    Some(Picked {
+    let soonest = endpoints.iter().map(|endpoint| endpoint.expected).min()?;
+    Some(Way {
         choice: RouteChoice::Queue,
+        network: Duration::ZERO,
         expected: soonest + query.queue_wait,
     })
 }
 
-fn pick_remote(
+fn remote_way(
     query: &RouteQuery<'_>,
-    candidates: &[Candidate],
+    endpoints: &[ScoredEndpoint],
     rng: &mut impl Rng,
-) -> Option<Picked> {
-    let best = pick(query, candidates, rng)?;
+) -> Option<Way> {
+    let best = pick(query, endpoints, rng)?;
     let choice = RouteChoice::Forward {
         vm: pick_vm(query, best.region, rng)?,
         region: best.region,
-        preferred_endpoint: best.endpoint,
+        preferred_endpoint: best.key,
     };
-    Some(Picked {
+    Some(Way {
         choice,
+        network: network_time(query, best.region),
         expected: best.expected,
     })
 }
 
-fn candidates(
-    now: Monotonic,
-    query: &RouteQuery<'_>,
-    explanation: &mut Explanation,
-) -> Vec<Candidate> {
-    let mut candidates = Vec::new();
-    let sharing_vms = query.sharing_vm_count();
-    for (key, endpoint) in &query.catalog.endpoints {
-        if !endpoint.serves(query.call.route) {
-            continue;
-        }
-        match exclusion(now, query, key, endpoint) {
-            Some(exclusion) => explanation.leave_out(key, exclusion),
-            None => {
-                if let Some(load) = query.loads.get(key) {
-                    candidates.push(candidate(now, query, key, endpoint, load, sharing_vms));
-                }
-            }
-        }
-    }
-    explanation.candidate_count = candidates.len() as u32;
-    candidates
-}
-
-fn exclusion(
-    now: Monotonic,
-    query: &RouteQuery<'_>,
-    key: EndpointKey,
-    endpoint: &Endpoint,
-) -> Option<Exclusion> {
-    if !query.allows_region(endpoint.region) {
-        return Some(Exclusion::RegionNotAllowed);
-    }
-    if endpoint.role != EndpointRole::Full {
-        return Some(Exclusion::WrongRole);
-    }
-    if !endpoint.takes_new_work() {
-        return Some(Exclusion::Leaving);
-    }
-    if query.excluded.contains(&key) {
-        return Some(Exclusion::AlreadyTried);
-    }
-    if Some(endpoint.region) != query.own_region() {
-        if let Some(exclusion) = crossing_exclusion(query, endpoint.region) {
-            return Some(exclusion);
-        }
-    }
-    let load = query.loads.get(key)?;
-    if matches!(load.health(now), Health::CoolingDown { .. }) {
-        return Some(Exclusion::CoolingDown);
-    }
-    let is_full = load
-        .report(now)
-        .is_some_and(|report| report.cache_used_permille > MEMORY_MAX_PERMILLE);
-    is_full.then_some(Exclusion::OverMemory)
-}
-
-fn crossing_exclusion(query: &RouteQuery<'_>, region: RegionKey) -> Option<Exclusion> {
-    if !query.may_cross() {
-        return Some(Exclusion::CrossingsSpent);
-    }
-    if query.call.visited.has_region(region) {
-        return Some(Exclusion::RegionVisited);
-    }
-    let has_vm = serving_vms(query, region).next().is_some();
-    (!has_vm).then_some(Exclusion::NoServingVm)
-}
-
-fn candidate(
-    now: Monotonic,
+fn pick(
     query: &RouteQuery<'_>,
-    key: EndpointKey,
-    endpoint: &Endpoint,
-    load: &EndpointLoad,
-    sharing_vms: u32,
-) -> Candidate {
-    let slots = slot_count(now, load, endpoint.concurrency, sharing_vms);
-    Candidate {
-        endpoint: key,
-        region: endpoint.region,
-        expected: expected_first_event(now, query, endpoint, load),
-        requests: expected_requests(now, query, endpoint, load),
-        concurrency: endpoint.concurrency.max(1),
-        has_slot: load.own_requests() < class_slots(slots, query.class()),
-    }
-}
-
-fn pick(query: &RouteQuery<'_>, candidates: &[Candidate], rng: &mut impl Rng) -> Option<Candidate> {
-    if candidates.is_empty() {
+    endpoints: &[ScoredEndpoint],
+    rng: &mut impl Rng,
+) -> Option<ScoredEndpoint> {
+    if endpoints.is_empty() {
         return None;
     }
-    let first = candidates[rng.random_range(0..candidates.len())];
-    let second = candidates[rng.random_range(0..candidates.len())];
+    let first = endpoints[rng.random_range(0..endpoints.len())];
+    let second = endpoints[rng.random_range(0..endpoints.len())];
     let random = if second.expected < first.expected {
         second
     } else {
         first
     };
-    match affine(query, candidates) {
+    match affine(query, endpoints) {
         Some(affine) if affine.expected <= random.expected => Some(affine),
         _ => Some(random),
     }
@@ -232,19 +149,19 @@
 
 /// Returns the endpoint that the prompt's first prefix hashes to, unless it has more than its part
 /// of the load.
-fn affine(query: &RouteQuery<'_>, candidates: &[Candidate]) -> Option<Candidate> {
+fn affine(query: &RouteQuery<'_>, endpoints: &[ScoredEndpoint]) -> Option<ScoredEndpoint> {
     let prefix = *prefix_hashes(query.call).first()?;
-    let home = candidates.iter().max_by_key(|candidate| {
-        let endpoint = &query.catalog.endpoints[candidate.endpoint];
+    let home = endpoints.iter().max_by_key(|endpoint| {
+        let endpoint = &query.catalog.endpoints[endpoint.key];
         rendezvous_score(prefix, &endpoint.name)
     })?;
-    let requests: u64 = candidates
+    let requests: u64 = endpoints
         .iter()
-        .map(|other| u64::from(other.requests))
+        .map(|endpoint| u64::from(endpoint.requests))
         .sum();
-    let capacity: u64 = candidates
+    let capacity: u64 = endpoints
         .iter()
-        .map(|other| u64::from(other.concurrency))
+        .map(|endpoint| u64::from(endpoint.concurrency))
         .sum();
     let mean_part = requests * u64::from(home.concurrency) / capacity;
     let bound = mean_part * LOAD_BOUND_PERCENT / 100 + 1;
@@ -266,16 +183,6 @@
     })
 }
 
-fn serving_vms<'a>(
-    query: &'a RouteQuery<'_>,
-    region: RegionKey,
-) -> impl Iterator<Item = VmKey> + 'a {
-    query
-        .view
-        .serving_in(query.catalog, region)
-        .filter(|vm| *vm != query.view.own && !query.call.visited.has_vm(*vm))
-}
-
 fn refusal(now: Monotonic, query: &RouteQuery<'_>, explanation: Explanation) -> RouteRefusal {
     let back_at = explanation
         .left_out
--- a/src/routing/endpoint_load.rs
+++ b/src/routing/endpoint_load.rs
@@ -12,10 +12,12 @@
 use super::attempt::prompt_tokens;
 use super::health::Breaker;
 use super::own_history::OwnHistory;
+use super::pace::ObservedPace;
 use super::Attempt;
 use super::EndpointEvent;
 use super::EndpointFailure;
 use super::Health;
+use super::Pace;
 use super::PrefixTable;
 use super::ReportedLoad;
 use crate::clock::Monotonic;
@@ -24,19 +26,14 @@
 use crate::request::Call;
 use crate::request::Usage;
 
-const PROMPT_TOKEN_FIRST_NS: u64 = 100_000;
-const SERVICE_TIME_FIRST_US: u64 = 1_000_000;
-const EWMA_SHIFT: u32 = 3;
-
 /// What one VM knows about the load of one endpoint.
 ///
 /// The path of a request updates it by atomics; one controller brings in the reports.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct EndpointLoad {
     own_requests: AtomicU32,
     own_prompt_tokens: AtomicU64,
-    prompt_token_ns: AtomicU64,
-    service_time_us: AtomicU64,
+    pace: ObservedPace,
     cache_sequence: AtomicU64,
     report: ArcSwapOption<ReportedLoad>,
     history: OwnHistory,
@@ -44,25 +41,15 @@
     prefixes: PrefixTable,
 }
 
-impl Default for EndpointLoad {
-    fn default() -> Self {
-        Self {
-            own_requests: AtomicU32::new(0),
-            own_prompt_tokens: AtomicU64::new(0),
-            prompt_token_ns: AtomicU64::new(PROMPT_TOKEN_FIRST_NS),
-            service_time_us: AtomicU64::new(SERVICE_TIME_FIRST_US),
-            cache_sequence: AtomicU64::new(0),
-            report: ArcSwapOption::empty(),
-            history: OwnHistory::default(),
-            breaker: Breaker::default(),
-            prefixes: PrefixTable::default(),
-        }
-    }
-}
-
 impl EndpointLoad {
     /// Notes that a request goes out to the endpoint.
     pub fn on_sent(&self, now: Monotonic, call: &Call) -> Attempt {
+        self.on_forwarded(now, call, Duration::ZERO)
+    }
+
+    /// Notes that a request goes out to a VM of the endpoint's region, with this time for the way
+    /// there and back.
+    pub fn on_forwarded(&self, now: Monotonic, call: &Call, network: Duration) -> Attempt {
         let prefix_hashes = prefix_hashes(call).to_vec();
         let prompt_tokens = self.uncached_tokens(prompt_tokens(call), &prefix_hashes);
         let is_probe = self.breaker.on_sent(now);
@@ -76,6 +63,7 @@
         }
         Attempt {
             sent_at: now,
+            network,
             first_event_at: None,
             prompt_tokens,
             work_tokens: ahead + prompt_tokens,
@@ -91,9 +79,8 @@
         }
         attempt.first_event_at = Some(now);
         sub(&self.own_prompt_tokens, attempt.prompt_tokens);
-        let elapsed_ns = now.since(attempt.sent_at).as_nanos() as u64;
-        let sample_ns = elapsed_ns / attempt.work_tokens.max(1);
-        average(&self.prompt_token_ns, sample_ns);
+        let elapsed = now.since(attempt.sent_at).saturating_sub(attempt.network);
+        self.pace.on_first_event(elapsed, attempt.work_tokens);
         self.breaker.on_success()
     }
 
@@ -105,8 +92,8 @@
         usage: Usage,
     ) -> Option<EndpointEvent> {
         let event = self.on_first_event(now, &mut attempt);
-        let elapsed_us = now.since(attempt.sent_at).as_micros() as u64;
-        average(&self.service_time_us, elapsed_us);
+        let elapsed = now.since(attempt.sent_at).saturating_sub(attempt.network);
+        self.pace.on_done(elapsed);
         if usage.cached_tokens > usage.prompt_tokens {
             self.prefixes.clear();
         }
@@ -217,14 +204,9 @@
             .map(|report| **report)
     }
 
-    /// Returns the expected time for one prompt token, queueing at the endpoint included.
-    pub fn prompt_token_time(&self) -> Duration {
-        Duration::from_nanos(self.prompt_token_ns.load(Ordering::Relaxed))
-    }
-
-    /// Returns the expected time from sending a request to the end of its answer.
-    pub fn service_time(&self) -> Duration {
-        Duration::from_micros(self.service_time_us.load(Ordering::Relaxed))
+    /// Returns how fast the endpoint works, or `None` before the first whole answer.
+    pub fn pace(&self) -> Option<Pace> {
+        self.pace.get()
     }
 
     /// Returns the prefixes that the endpoint is believed to have in its cache.
@@ -258,9 +240,3 @@
         Some(value.saturating_sub(amount))
     });
 }
-
-fn average(mean: &AtomicU64, sample: u64) {
-    let _ = mean.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |value| {
-        Some(value - (value >> EWMA_SHIFT) + (sample >> EWMA_SHIFT))
-    });
-}
--- a/src/routing/route_choice.rs
+++ b/src/routing/route_choice.rs
@@ -34,6 +34,8 @@
 pub struct RouteDecision {
     /// Where it goes.
     pub choice: RouteChoice,
+    /// The expected time for the way to another region and back.
+    pub network: Duration,
     /// The expected time to the first event.
     pub expected_first_event: Duration,
     /// What was left out.
--- /dev/null
+++ b/src/routing/scored_endpoint.rs
@@ -0,0 +1,87 @@
+//! Endpoints that passed the hard filters, with what is expected of them.
+
+use std::time::Duration;
+
+use super::estimate::expected_first_event;
+use super::estimate::expected_requests;
+use super::filters::exclusion;
+use super::slots::class_slots;
+use super::slots::slot_count;
+use super::EndpointLoad;
+use super::Explanation;
+use super::Pace;
+use super::RouteQuery;
+use crate::catalog::Endpoint;
+use crate::catalog::EndpointKey;
+use crate::catalog::RegionKey;
+use crate::clock::Monotonic;
+
+/// An endpoint that passed the hard filters.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ScoredEndpoint {
+    pub(super) key: EndpointKey,
+    pub(super) region: RegionKey,
+    /// The expected time to the first event, the way there and back included.
+    pub(super) expected: Duration,
+    /// The requests expected to be there, from all VMs.
+    pub(super) requests: u32,
+    pub(super) concurrency: u32,
+    /// Whether this VM may have a further request there.
+    pub(super) has_slot: bool,
+}
+
+/// Returns the endpoints that can take a call, and notes why the others cannot.
+pub(super) fn score(
+    now: Monotonic,
+    query: &RouteQuery<'_>,
+    explanation: &mut Explanation,
+) -> Vec<ScoredEndpoint> {
+    let sharing_vms = query.sharing_vm_count();
+    let prior = prior(query);
+    let mut scored = Vec::new();
+    for (key, endpoint) in &query.catalog.endpoints {
+        if !endpoint.serves(query.call.route) {
+            continue;
+        }
+        if let Some(exclusion) = exclusion(now, query, key, endpoint) {
+            explanation.leave_out(key, exclusion);
+            continue;
+        }
+        if let Some(load) = query.loads.get(key) {
+            let slots = slot_count(now, load, endpoint.concurrency, sharing_vms);
+            scored.push(score_one(now, query, key, endpoint, load, prior, slots));
+        }
+    }
+    explanation.candidate_count = u32::try_from(scored.len()).unwrap_or(u32::MAX);
+    scored
+}
+
+fn score_one(
+    now: Monotonic,
+    query: &RouteQuery<'_>,
+    key: EndpointKey,
+    endpoint: &Endpoint,
+    load: &EndpointLoad,
+    prior: Pace,
+    slots: u32,
+) -> ScoredEndpoint {
+    ScoredEndpoint {
+        key,
+        region: endpoint.region,
+        expected: expected_first_event(now, query, endpoint, load, prior),
+        requests: expected_requests(now, query, endpoint, load),
+        concurrency: endpoint.concurrency.max(1),
+        has_slot: load.own_requests() < class_slots(slots, query.class()),
+    }
+}
+
+/// Returns the mean pace of the endpoints of the route that this VM has seen work.
+fn prior(query: &RouteQuery<'_>) -> Pace {
+    let seen = query
+        .catalog
+        .endpoints
+        .iter()
+        .filter(|(_, endpoint)| endpoint.serves(query.call.route))
+        .filter_map(|(key, _)| query.loads.get(key)?.pace());
+    Pace::mean(seen)
+}
