Add golden files of sessions, bad input and a shutdown that cuts no answer

Cause: whole sessions were not recorded; a caller that vanished or took no bytes held its answer for good; input that reached no route got Rocket's HTML. Change: golden files of streams, whole answers, refusals, bookings, lists and bad input with ids and times taken out; JSON errors for what no route takes; forms that override their method are refused; TCP keepalive, a limit on unacknowledged bytes and a limit on the time that a caller takes no byte. Seen failing: without the write limit a_caller_that_takes_no_bytes failed; without waiting for open connections, and with Rocket's grace and mercy at 0, the shutdown test failed.

--- a/src/caller/caller_limits.rs
+++ b/src/caller/caller_limits.rs
@@ -1,9 +1,13 @@
 //! Limits of the interface towards callers.
 
+use std::time::Duration;
+
 /// The longest accepted body, in bytes, unless the settings say otherwise.
 const DEFAULT_BODY_MAX_BYTES: u64 = 4 << 20;
 /// The longest answer of a plain service, in bytes, unless the settings say otherwise.
 const DEFAULT_SERVICE_ANSWER_MAX_BYTES: usize = 16 << 20;
+/// The longest time that a caller takes no byte of its answer, unless the settings say otherwise.
+const DEFAULT_WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Limits of the interface towards callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,6 +16,8 @@
     pub body_max_bytes: u64,
     /// The longest answer of a plain service, in bytes.
     pub service_answer_max_bytes: usize,
+    /// The longest time that a caller takes no byte of its answer; later it counts as gone.
+    pub write_timeout: Duration,
 }
 
 impl Default for CallerLimits {
@@ -19,6 +25,7 @@
         Self {
             body_max_bytes: DEFAULT_BODY_MAX_BYTES,
             service_answer_max_bytes: DEFAULT_SERVICE_ANSWER_MAX_BYTES,
+            write_timeout: DEFAULT_WRITE_TIMEOUT,
         }
     }
 }
--- a/src/caller/caller_listener.rs
+++ b/src/caller/caller_listener.rs
@@ -5,22 +5,39 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
 use super::caller_connections::CallerConnections;
 use super::connection_relay::relay;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(15);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+const KEEPALIVE_RETRIES: u32 = 3;
+/// The longest time that sent bytes stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Accepts callers' connections and relays them to the HTTP server.
 #[derive(Debug)]
 pub(super) struct CallerListener {
     address: SocketAddr,
     accepting: JoinHandle<()>,
-    relays: TaskTracker,
+    open: TaskTracker,
+}
+
+/// What the relays of all connections share.
+#[derive(Clone, Debug)]
+struct Relays {
+    server: SocketAddr,
+    connections: Arc<CallerConnections>,
+    write_timeout: Duration,
+    open: TaskTracker,
 }
 
 impl CallerListener {
@@ -33,15 +50,21 @@
         bind_address: SocketAddr,
         server: SocketAddr,
         connections: Arc<CallerConnections>,
+        write_timeout: Duration,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(bind_address).await?;
         let address = listener.local_addr()?;
-        let relays = TaskTracker::new();
-        let accepting = tokio::spawn(accept(listener, server, connections, relays.clone()));
+        let open = TaskTracker::new();
+        let relays = Relays {
+            server,
+            connections,
+            write_timeout,
+            open: open.clone(),
+        };
         Ok(Self {
             address,
-            accepting,
-            relays,
+            accepting: tokio::spawn(relays.accept(listener)),
+            open,
         })
     }
 
@@ -53,12 +76,12 @@
     /// Accepts no more connections.
     pub(super) fn stop_accepting(&self) {
         self.accepting.abort();
-        self.relays.close();
+        self.open.close();
     }
 
     /// Completes once no connection is left.
     pub(super) async fn closed(&self) {
-        self.relays.wait().await;
+        self.open.wait().await;
     }
 }
 
@@ -68,42 +91,48 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    server: SocketAddr,
-    connections: Arc<CallerConnections>,
-    relays: TaskTracker,
-) {
-    loop {
-        match listener.accept().await {
-            Ok((caller, _)) => {
-                relays.spawn(serve(caller, server, Arc::clone(&connections)));
-            }
-            Err(error) => {
-                log::warn!("a caller's connection was not accepted: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+impl Relays {
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((caller, _)) => {
+                    let relays = self.clone();
+                    self.open.spawn(async move { relays.serve(caller).await });
+                }
+                Err(error) => {
+                    log::warn!("a caller's connection was not accepted: {error}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
             }
         }
     }
-}
 
-async fn serve(caller: TcpStream, server: SocketAddr, connections: Arc<CallerConnections>) {
-    if let Err(error) = try_serve(caller, server, &connections).await {
-        log::warn!("a caller's connection was not relayed: {error}");
+    async fn serve(&self, caller: TcpStream) {
+        if let Err(error) = self.try_serve(caller).await {
+            log::warn!("a caller's connection was not relayed: {error}");
+        }
+    }
+
+    async fn try_serve(&self, caller: TcpStream) -> io::Result<()> {
+        caller.set_nodelay(true)?;
+        notice_vanished_peer(&caller)?;
+        let server = TcpStream::connect(self.server).await?;
+        server.set_nodelay(true)?;
+        let peer = server.local_addr()?;
+        let connection = self.connections.open(peer);
+        relay(&connection, caller, server, self.write_timeout).await;
+        self.connections.close(peer);
+        Ok(())
     }
 }
 
-async fn try_serve(
-    caller: TcpStream,
-    server: SocketAddr,
-    connections: &CallerConnections,
-) -> io::Result<()> {
-    caller.set_nodelay(true)?;
-    let server = TcpStream::connect(server).await?;
-    server.set_nodelay(true)?;
-    let peer = server.local_addr()?;
-    let connection = connections.open(peer);
-    relay(&connection, caller, server).await;
-    connections.close(peer);
-    Ok(())
+/// Has the operating system close the connection when its other end no longer acknowledges.
+fn notice_vanished_peer(socket: &TcpStream) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    let socket = SockRef::from(socket);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
--- a/src/caller/caller_server.rs
+++ b/src/caller/caller_server.rs
@@ -5,11 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rocket::catchers;
 use rocket::routes;
 
 use super::caller_connections::CallerConnections;
 use super::caller_listener::CallerListener;
 use super::caller_state::CallerState;
+use super::catchers;
 use super::completion_routes;
 use super::information_routes;
 use super::service_route::service_routes;
@@ -53,9 +55,16 @@
             .mount("/", routes![completion_routes::complete])
             .mount("/", routes![information_routes::models])
             .mount("/", routes![information_routes::entries])
-            .mount("/", service_routes());
+            .mount("/", service_routes())
+            .register("/", catchers![catchers::unrouted]);
         let server = HttpServer::launch(rocket).await?;
-        let listener = CallerListener::start(bind_address, server.address(), connections).await?;
+        let listener = CallerListener::start(
+            bind_address,
+            server.address(),
+            connections,
+            limits.write_timeout,
+        )
+        .await?;
         Ok(Self { listener, server })
     }
 
--- a/src/caller/completion_wire.rs
+++ b/src/caller/completion_wire.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use serde::Deserialize;
+use serde_json::error::Category;
 
 use super::estimate_tokens;
 use super::prefix_hashes;
@@ -94,14 +95,8 @@
     /// Returns [`ErrorKind::MalformedRequest`] with the path of the field that is wrong.
     pub fn parse(body: &[u8]) -> Result<Self, GatewayError> {
         let mut deserializer = serde_json::Deserializer::from_slice(body);
-        let wire: Self = serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-            let inner = error.inner();
-            let place = format!("line {} column {}", inner.line(), inner.column());
-            malformed(match error.path().to_string().as_str() {
-                "." => format!("the body is not a completion request, at {place}"),
-                path => format!("the field {path} is missing or of a wrong type, at {place}"),
-            })
-        })?;
+        let wire: Self = serde_path_to_error::deserialize(&mut deserializer)
+            .map_err(|error| malformed(describe(&error)))?;
         deserializer
             .end()
             .map_err(|_| malformed("there is text after the JSON of the body"))?;
@@ -138,6 +133,24 @@
     }
 }
 
+/// Tells where a body is wrong, without any of its values.
+fn describe(error: &serde_path_to_error::Error<serde_json::Error>) -> String {
+    let inner = error.inner();
+    let place = format!("line {} column {}", inner.line(), inner.column());
+    let path = match error.path().to_string() {
+        path if path == "." => "the body".to_owned(),
+        path => path,
+    };
+    let text = inner.to_string();
+    match text.split_once(" at line ") {
+        Some((missing, _)) if text.starts_with("missing field") => {
+            format!("{missing} in {path}, at {place}")
+        }
+        _ if inner.classify() != Category::Data => format!("the body is not JSON, at {place}"),
+        _ => format!("{path} is of a wrong type or out of range, at {place}"),
+    }
+}
+
 fn malformed(message: impl Into<String>) -> GatewayError {
     GatewayError::new(ErrorKind::MalformedRequest, message)
 }
--- a/src/caller/connection_relay.rs
+++ b/src/caller/connection_relay.rs
@@ -28,21 +28,45 @@
     connection: &CallerConnection,
     mut caller: TcpStream,
     mut server: TcpStream,
+    write_timeout: Duration,
 ) {
     let (caller_read, caller_write) = caller.split();
     let (server_read, server_write) = server.split();
+    let caller_write = CallerWriter {
+        caller: caller_write,
+        write_timeout,
+    };
     let mut requests = std::pin::pin!(relay_requests(caller_read, server_write));
     let answers = relay_answers(connection, server_read, caller_write);
     tokio::select! {
         () = &mut requests => {}
-        _ = answers => {
-            // Closing a socket with unread bytes would take the answer back from the caller.
-            let _ = timeout(LINGER_TIMEOUT, requests).await;
+        written = answers => {
+            if written.is_ok() {
+                // Closing a socket with unread bytes would take the answer back from the caller.
+                let _ = timeout(LINGER_TIMEOUT, requests).await;
+            }
         }
     }
     connection.hang_up();
 }
 
+/// The writing half of a caller's connection.
+struct CallerWriter<'a> {
+    caller: WriteHalf<'a>,
+    write_timeout: Duration,
+}
+
+impl CallerWriter<'_> {
+    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let written = timeout(self.write_timeout, self.caller.write(rest)).await??;
+            rest = &rest[written..];
+        }
+        Ok(())
+    }
+}
+
 /// Relays the caller's bytes until the caller is gone.
 ///
 /// When the server takes no more, the rest is read and dropped.
@@ -59,7 +83,7 @@
 async fn relay_answers(
     connection: &CallerConnection,
     server: ReadHalf<'_>,
-    mut caller: WriteHalf<'_>,
+    mut caller: CallerWriter<'_>,
 ) -> io::Result<()> {
     let mut held_back = Vec::new();
     while let Some(bytes) = read_some(&server).await? {
@@ -67,7 +91,7 @@
         let is_answer_open = connection.is_answer_open();
         if is_answer_open && held_back.ends_with(LAST_CHUNK) {
             held_back.truncate(held_back.len() - LAST_CHUNK.len());
-            caller.write_all(&held_back).await?;
+            caller.write(&held_back).await?;
             break;
         }
         let kept_bytes = if is_answer_open {
@@ -76,10 +100,10 @@
             0
         };
         let free_bytes = held_back.len() - kept_bytes;
-        caller.write_all(&held_back[..free_bytes]).await?;
+        caller.write(&held_back[..free_bytes]).await?;
         held_back.drain(..free_bytes);
     }
-    caller.shutdown().await
+    caller.caller.shutdown().await
 }
 
 /// Returns the length of the longest proper beginning of the last chunk that `bytes` ends with.
--- a/src/caller/mod.rs
+++ b/src/caller/mod.rs
@@ -10,6 +10,7 @@
 mod caller_listener;
 mod caller_server;
 mod caller_state;
+mod catchers;
 mod completion_answer;
 mod completion_routes;
 mod completion_wire;
--- a/src/caller/service_route.rs
+++ b/src/caller/service_route.rs
@@ -25,6 +25,9 @@
 /// The rank of the routes of plain services, after all others.
 const RANK: isize = 100;
 
+/// The beginning of a form that Rocket reads a method from.
+const METHOD_OVERRIDE_FIELD: &[u8] = b"_method=";
+
 #[derive(Clone, Copy)]
 struct ServiceHandler;
 
@@ -64,6 +67,7 @@
     let content_type = request.headers().get_one("content-type");
     let content_type = content_type.map(str::to_owned);
     let body = read_body(data, state.limits.body_max_bytes).await?;
+    refuse_method_override(request, &body)?;
     let call = IncomingCall {
         id: headers.id,
         key_digest: credentials.key_digest,
@@ -84,6 +88,18 @@
     connection.run_while_open(answer).await
 }
 
+/// Refuses a form whose first field makes Rocket take the request for one of another method.
+fn refuse_method_override(request: &Request<'_>, body: &[u8]) -> Result<(), GatewayError> {
+    let is_form = request.content_type().is_some_and(|media| media.is_form());
+    if !is_form || !body.starts_with(METHOD_OVERRIDE_FIELD) {
+        return Ok(());
+    }
+    Err(GatewayError::new(
+        ErrorKind::MalformedRequest,
+        "a form must not start with the field _method",
+    ))
+}
+
 const fn rocket_method(method: HttpMethod) -> Method {
     match method {
         HttpMethod::Get => Method::Get,
--- a/src/endpoint/connections.rs
+++ b/src/endpoint/connections.rs
@@ -15,6 +15,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+/// The longest time that sent bytes stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
 const IDLE_MAX_PER_ENDPOINT: usize = 32;
 
 /// Pools of connections, one an endpoint.
@@ -73,6 +76,8 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(idle_max_per_endpoint)
         .tcp_nodelay(true)
+        .tcp_keepalive(KEEPALIVE_IDLE)
+        .tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT)
         .build()
         .map_err(|_| {
             GatewayError::new(ErrorKind::Internal, "the HTTP client could not be built")
--- a/tests/behaviour/caller/hang_up.rs
+++ b/tests/behaviour/caller/hang_up.rs
@@ -33,3 +33,13 @@
     assert_noticed(&["soil "], true).await;
     assert_noticed(&["soil "], false).await;
 }
+
+#[tokio::test]
+async fn a_caller_that_takes_no_bytes_counts_as_gone() {
+    let gateway = ScriptedGateway::new(&[], Then::Flood);
+    let dropped = gateway.dropped.clone();
+    let server = launch_caller_server(gateway).await;
+    let _socket = send_raw_completion(server.address(), true).await;
+    let noticed = tokio::time::timeout(NOTICE_LIMIT, dropped.cancelled()).await;
+    assert!(noticed.is_ok());
+}
--- a/tests/behaviour/caller/support.rs
+++ b/tests/behaviour/caller/support.rs
@@ -35,6 +35,8 @@
 use figramp::request::IncomingCall;
 use figramp::stand_in::engine::EngineOptions;
 use figramp::stand_in::engine::EngineServer;
+use figramp::stand_in::service::ServiceOptions;
+use figramp::stand_in::service::ServiceServer;
 use futures::stream;
 use futures::StreamExt;
 use tokio::io::AsyncReadExt;
@@ -69,6 +71,8 @@
     Fail,
     Stop,
     Hang,
+    /// Large chunks without end.
+    Flood,
 }
 
 /// Answers every call with the same events.
@@ -114,6 +118,13 @@
             Then::Fail => Box::pin(stream::iter([Err(failure)])),
             Then::Stop => Box::pin(stream::empty()),
             Then::Hang => Box::pin(stream::pending()),
+            Then::Flood => Box::pin(stream::repeat_with(move || {
+                Ok(AnswerEvent {
+                    request_id: call.id,
+                    offset: 0,
+                    payload: AnswerPayload::Chunk(Bytes::from(vec![b'x'; 100_000])),
+                })
+            })),
         };
         let answer = stream::iter(events).chain(end).map(move |event| {
             let _ = &guard;
@@ -187,13 +198,32 @@
     }
 }
 
+/// The longest body that the servers of tests accept.
+pub const BODY_MAX_BYTES: u64 = 2_000;
+
 pub async fn launch_caller_server(gateway: impl Gateway + 'static) -> CallerServer {
     let clock = Arc::new(SystemClock::new());
-    CallerServer::launch(LOOPBACK, Arc::new(gateway), clock, CallerLimits::default())
+    let limits = CallerLimits {
+        body_max_bytes: BODY_MAX_BYTES,
+        write_timeout: Duration::from_secs(1),
+        ..CallerLimits::default()
+    };
+    CallerServer::launch(LOOPBACK, Arc::new(gateway), clock, limits)
         .await
         .unwrap()
 }
 
+pub async fn launch_service_and_gateway() -> (ServiceServer, CallerServer) {
+    let service = ServiceServer::launch(ServiceOptions::default())
+        .await
+        .unwrap();
+    let gateway = FixedGateway {
+        endpoint: endpoint(EndpointKind::Service, service.address()),
+        client: HttpEndpointClient::new(),
+    };
+    (service, launch_caller_server(gateway).await)
+}
+
 pub async fn launch_engine_and_gateway(options: EngineOptions) -> (EngineServer, CallerServer) {
     let engine = EngineServer::launch(options).await.unwrap();
     let gateway = FixedGateway {
--- /dev/null
+++ b/tests/behaviour/sessions/completions.rs
@@ -0,0 +1,47 @@
+//! Sessions with a model.
+
+use figramp::stand_in::engine::EngineFaults;
+use figramp::stand_in::engine::EngineOptions;
+
+use super::transcript::Transcript;
+use crate::caller::support::launch_engine_and_gateway;
+
+const LINE: &str = "POST /v1/chat/completions";
+const STREAM: &str = r#"{"model":"advice","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"hi"}]}"#;
+const WHOLE: &str =
+    r#"{"model":"advice","max_tokens":3,"messages":[{"role":"user","content":"hi"}]}"#;
+
+#[tokio::test]
+async fn answers_and_refusals() {
+    let (engine, server) = launch_engine_and_gateway(EngineOptions::default()).await;
+    let mut session = Transcript::new(server.address());
+    let key = ["authorization: Bearer nursery"];
+    session.send("a stream", LINE, &key, STREAM).await;
+    session.send("a whole answer", LINE, &key, WHOLE).await;
+    let busy = ["authorization: Bearer busy"];
+    session
+        .send("an account over its rate", LINE, &busy, STREAM)
+        .await;
+    let withdrawn = ["authorization: Bearer withdrawn"];
+    session
+        .send("a withdrawn key", LINE, &withdrawn, WHOLE)
+        .await;
+    engine.set_faults(EngineFaults {
+        is_refusing: true,
+        ..EngineFaults::default()
+    });
+    session
+        .send("an engine that refuses", LINE, &key, STREAM)
+        .await;
+    engine.set_faults(EngineFaults {
+        truncated_after_chunks: Some(1),
+        ..EngineFaults::default()
+    });
+    session
+        .send("a stream that is cut short", LINE, &key, STREAM)
+        .await;
+    session
+        .send("a whole answer that is cut short", LINE, &key, WHOLE)
+        .await;
+    insta::assert_snapshot!(session.finish());
+}
