Test that keys stay at the gateway and that a hang-up reaches the engine

One fixed gateway serves all tests, faults are written in the form of the control interface. caller::streaming is replaced by the golden file of sessions::completions, which pins the same stream byte by byte. Excluded: a client built anew for each unsafe call; one that pools nothing does the same.

--- a/src/endpoint/connections.rs
+++ b/src/endpoint/connections.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -27,6 +28,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Connections {
     pools: ArcSwap<HashMap<SocketAddr, Client>>,
+    unpooled: OnceLock<Client>,
 }
 
 impl Connections {
@@ -48,13 +50,17 @@
         Ok(client)
     }
 
-    /// Returns a client that opens a new connection.
+    /// Returns a client that opens a new connection for each request.
     ///
     /// # Errors
     ///
     /// Returns [`ErrorKind::Internal`] if the HTTP client can't be built.
     pub(super) fn unpooled(&self) -> Result<Client, GatewayError> {
-        build_client(0)
+        if let Some(client) = self.unpooled.get() {
+            return Ok(client.clone());
+        }
+        let client = build_client(0)?;
+        Ok(self.unpooled.get_or_init(|| client).clone())
     }
 
     /// Drops the pool of `address`, so that later calls open new connections.
--- a/tests/behaviour/caller/mod.rs
+++ b/tests/behaviour/caller/mod.rs
@@ -3,7 +3,7 @@
 mod broken_answers;
 mod error_table;
 mod hang_up;
+mod keys;
 mod prompts;
 mod shutdown;
-mod streaming;
 pub mod support;
--- a/tests/behaviour/caller/support.rs
+++ b/tests/behaviour/caller/support.rs
@@ -31,14 +31,15 @@
 use figramp::request::AnswerEvent;
 use figramp::request::AnswerPayload;
 use figramp::request::AnswerStream;
-use figramp::request::CallBody;
 use figramp::request::IncomingCall;
+use figramp::request::RequestId;
 use figramp::stand_in::engine::EngineOptions;
 use figramp::stand_in::engine::EngineServer;
 use figramp::stand_in::service::ServiceOptions;
 use figramp::stand_in::service::ServiceServer;
 use futures::stream;
 use futures::StreamExt;
+use serde::de::DeserializeOwned;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -50,6 +51,11 @@
     Name::new(text).unwrap()
 }
 
+/// Parses faults in the form of the stand-ins' control interface.
+pub fn faults<T: DeserializeOwned>(json: &str) -> T {
+    serde_json::from_str(json).unwrap()
+}
+
 pub fn endpoint(kind: EndpointKind, address: SocketAddr) -> Endpoint {
     Endpoint {
         name: name("endpoint-1"),
@@ -65,8 +71,8 @@
     }
 }
 
-/// What a scripted answer does after its events.
-#[derive(Clone, Copy, PartialEq)]
+/// What a scripted answer does after its chunks.
+#[derive(Clone, Copy)]
 pub enum Then {
     Fail,
     Stop,
@@ -75,82 +81,38 @@
     Flood,
 }
 
-/// Answers every call with the same events.
-pub struct ScriptedGateway {
-    pub events: Vec<AnswerPayload>,
-    pub then: Then,
+/// Where the answers of a gateway come from.
+pub enum Source {
+    Endpoint(Endpoint, HttpEndpointClient),
+    Script(&'static [&'static str], Then),
+}
+
+/// Answers every call from one source; the keys `withdrawn` and `busy` are refused.
+pub struct FixedGateway {
+    source: Source,
     /// Completes when a call has come.
     pub called: CancellationToken,
-    /// Completes when the answer is dropped.
+    /// Completes when an answer is dropped.
     pub dropped: CancellationToken,
 }
 
-impl ScriptedGateway {
-    pub fn new(tokens: &[&'static str], then: Then) -> Self {
-        let chunks = tokens
-            .iter()
-            .map(|token| AnswerPayload::Chunk(Bytes::from(*token)));
+impl FixedGateway {
+    pub fn new(source: Source) -> Self {
         Self {
-            events: chunks.collect(),
-            then,
+            source,
             called: CancellationToken::new(),
             dropped: CancellationToken::new(),
         }
     }
-}
 
-#[async_trait]
-impl Gateway for ScriptedGateway {
-    async fn call(&self, call: IncomingCall) -> Result<AnswerStream, GatewayError> {
-        self.called.cancel();
-        let guard = self.dropped.clone().drop_guard();
-        let events = (0..)
-            .zip(self.events.clone())
-            .map(move |(offset, payload)| {
-                Ok(AnswerEvent {
-                    request_id: call.id,
-                    offset,
-                    payload,
-                })
-            });
-        let failure = GatewayError::new(ErrorKind::AnswerSilent, "silent");
-        let end: AnswerStream = match self.then {
-            Then::Fail => Box::pin(stream::iter([Err(failure)])),
-            Then::Stop => Box::pin(stream::empty()),
-            Then::Hang => Box::pin(stream::pending()),
-            Then::Flood => Box::pin(stream::repeat_with(move || {
-                Ok(AnswerEvent {
-                    request_id: call.id,
-                    offset: 0,
-                    payload: AnswerPayload::Chunk(Bytes::from(vec![b'x'; 100_000])),
-                })
-            })),
-        };
-        let answer = stream::iter(events).chain(end).map(move |event| {
-            let _ = &guard;
-            event
-        });
-        Ok(Box::pin(answer))
-    }
-
-    fn entries(&self, _key_digest: Option<KeyDigest>) -> EntryList {
-        EntryList {
-            entries: Vec::new(),
-            time_to_live: Duration::ZERO,
-        }
-    }
-
-    fn models(&self, _key_digest: Option<KeyDigest>) -> Result<ModelList, GatewayError> {
-        Ok(ModelList { models: Vec::new() })
+    pub fn to_endpoint(kind: EndpointKind, address: SocketAddr) -> Self {
+        Self::new(Source::Endpoint(
+            endpoint(kind, address),
+            HttpEndpointClient::new(),
+        ))
     }
 }
 
-/// Sends every call to one endpoint; the key `withdrawn` is refused.
-pub struct FixedGateway {
-    pub endpoint: Endpoint,
-    pub client: HttpEndpointClient,
-}
-
 #[async_trait]
 impl Gateway for FixedGateway {
     async fn call(&self, call: IncomingCall) -> Result<AnswerStream, GatewayError> {
@@ -164,20 +126,18 @@
             return Err(GatewayError::new(ErrorKind::RateLimited, "over the rate")
                 .with_retry_after(Duration::from_millis(1_200)));
         }
-        let class = match &call.body {
-            CallBody::Completion(_) => WorkClass::Interactive,
-            CallBody::Service(_) => WorkClass::Long,
-        };
-        let call = EndpointCall {
-            request_id: call.id,
-            body: call.body,
-            class,
-            resume_offset: 0,
-            first_event_timeout: Duration::from_secs(5),
-            silence_timeout: Duration::from_secs(5),
-            remaining: Duration::from_secs(30),
+        self.called.cancel();
+        let guard = self.dropped.clone().drop_guard();
+        let answer = match &self.source {
+            Source::Endpoint(endpoint, client) => {
+                client.call(endpoint, endpoint_call(call)).await?
+            }
+            Source::Script(tokens, then) => scripted_answer(call.id, tokens, *then),
         };
-        self.client.call(&self.endpoint, call).await
+        Ok(Box::pin(answer.map(move |event| {
+            let _ = &guard;
+            event
+        })))
     }
 
     fn entries(&self, _key_digest: Option<KeyDigest>) -> EntryList {
@@ -198,6 +158,37 @@
     }
 }
 
+fn endpoint_call(call: IncomingCall) -> EndpointCall {
+    EndpointCall {
+        request_id: call.id,
+        body: call.body,
+        class: WorkClass::Interactive,
+        resume_offset: 0,
+        first_event_timeout: Duration::from_secs(5),
+        silence_timeout: Duration::from_secs(5),
+        remaining: Duration::from_secs(30),
+    }
+}
+
+fn scripted_answer(request_id: RequestId, tokens: &'static [&str], then: Then) -> AnswerStream {
+    let chunk = move |(offset, text)| {
+        Ok(AnswerEvent {
+            request_id,
+            offset,
+            payload: AnswerPayload::Chunk(Bytes::from(text)),
+        })
+    };
+    let chunks = (0..).zip(tokens.iter().copied().map(str::to_owned));
+    let failure = Err(GatewayError::new(ErrorKind::AnswerSilent, "silent"));
+    let end: AnswerStream = match then {
+        Then::Fail => Box::pin(stream::iter([failure])),
+        Then::Stop => Box::pin(stream::empty()),
+        Then::Hang => Box::pin(stream::pending()),
+        Then::Flood => Box::pin(stream::repeat_with(move || chunk((0, "x".repeat(100_000))))),
+    };
+    Box::pin(stream::iter(chunks).map(chunk).chain(end))
+}
+
 /// The longest body that the servers of tests accept.
 pub const BODY_MAX_BYTES: u64 = 2_000;
 
@@ -213,23 +204,21 @@
         .unwrap()
 }
 
+pub async fn launch_script(tokens: &'static [&'static str], then: Then) -> CallerServer {
+    launch_caller_server(FixedGateway::new(Source::Script(tokens, then))).await
+}
+
 pub async fn launch_service_and_gateway() -> (ServiceServer, CallerServer) {
     let service = ServiceServer::launch(ServiceOptions::default())
         .await
         .unwrap();
-    let gateway = FixedGateway {
-        endpoint: endpoint(EndpointKind::Service, service.address()),
-        client: HttpEndpointClient::new(),
-    };
+    let gateway = FixedGateway::to_endpoint(EndpointKind::Service, service.address());
     (service, launch_caller_server(gateway).await)
 }
 
 pub async fn launch_engine_and_gateway(options: EngineOptions) -> (EngineServer, CallerServer) {
     let engine = EngineServer::launch(options).await.unwrap();
-    let gateway = FixedGateway {
-        endpoint: endpoint(EndpointKind::Engine, engine.address()),
-        client: HttpEndpointClient::new(),
-    };
+    let gateway = FixedGateway::to_endpoint(EndpointKind::Engine, engine.address());
     (engine, launch_caller_server(gateway).await)
 }
 
--- a/tests/behaviour/endpoint/engine_faults.rs
+++ b/tests/behaviour/endpoint/engine_faults.rs
@@ -3,20 +3,19 @@
 use std::time::Duration;
 
 use figramp::endpoint::EndpointClient;
-use figramp::endpoint::HttpEndpointClient;
 use figramp::errors::ErrorKind;
 use figramp::errors::RunState;
 use figramp::stand_in::engine::EngineFaults;
 use figramp::stand_in::engine::EngineOptions;
-use figramp::stand_in::engine::EngineServer;
 use futures::StreamExt;
 
 use super::support::completion;
-use super::support::engine_at;
 use super::support::impatient;
+use super::support::launch_engine;
 use super::support::outcome;
 use super::support::whole_text;
 use super::support::Outcome;
+use crate::caller::support::faults;
 
 async fn outcome_under(faults: EngineFaults) -> Outcome {
     let is_silence_expected =
@@ -26,24 +25,15 @@
     } else {
         completion()
     };
-    let engine = EngineServer::launch(EngineOptions::default())
-        .await
-        .unwrap();
+    let (engine, endpoint, client) = launch_engine(EngineOptions::default()).await;
     engine.set_faults(faults);
-    let client = HttpEndpointClient::new();
-    outcome(client.call(&engine_at(engine.address()), call).await).await
+    outcome(client.call(&endpoint, call).await).await
 }
 
 #[tokio::test]
 async fn harmless_faults_leave_the_answer_whole() {
-    let crossed = EngineFaults {
-        has_crossed_events: true,
-        ..EngineFaults::default()
-    };
-    let repeated = EngineFaults {
-        has_repeated_events: true,
-        ..EngineFaults::default()
-    };
+    let crossed = faults(r#"{"has_crossed_events":true}"#);
+    let repeated = faults(r#"{"has_repeated_events":true}"#);
     for faults in [EngineFaults::default(), crossed, repeated] {
         let outcome = outcome_under(faults).await;
         assert_eq!(outcome.end, Ok(()), "{faults:?}");
@@ -53,22 +43,10 @@
 
 #[tokio::test]
 async fn incomplete_answers_fail_with_their_beginning() {
-    let silent = EngineFaults {
-        silent_after_chunks: Some(2),
-        ..EngineFaults::default()
-    };
-    let truncated = EngineFaults {
-        truncated_after_chunks: Some(2),
-        ..EngineFaults::default()
-    };
-    let without_end_mark = EngineFaults {
-        truncated_after_chunks: Some(5),
-        ..EngineFaults::default()
-    };
-    let gap = EngineFaults {
-        missing_chunk: Some(2),
-        ..EngineFaults::default()
-    };
+    let silent = faults(r#"{"silent_after_chunks":2}"#);
+    let truncated = faults(r#"{"truncated_after_chunks":2}"#);
+    let without_end_mark = faults(r#"{"truncated_after_chunks":5}"#);
+    let gap = faults(r#"{"missing_chunk":2}"#);
     let table = [
         (silent, ErrorKind::AnswerSilent),
         (truncated, ErrorKind::AnswerTruncated),
@@ -89,18 +67,9 @@
 
 #[tokio::test]
 async fn failures_before_the_answer_tell_whether_it_ran() {
-    let refusing = EngineFaults {
-        is_refusing: true,
-        ..EngineFaults::default()
-    };
-    let unmarked = EngineFaults {
-        failure_status: Some(503),
-        ..EngineFaults::default()
-    };
-    let late = EngineFaults {
-        first_event_delay_ms: 60_000,
-        ..EngineFaults::default()
-    };
+    let refusing = faults(r#"{"is_refusing":true}"#);
+    let unmarked = faults(r#"{"failure_status":503}"#);
+    let late = faults(r#"{"first_event_delay_ms":60000}"#);
     let table = [
         (refusing, ErrorKind::EndpointRefused, RunState::NotRun),
         (unmarked, ErrorKind::EndpointFailed, RunState::MayHaveRun),
@@ -118,23 +87,18 @@
         time_per_token: Duration::from_millis(200),
         ..EngineOptions::default()
     };
-    let engine = EngineServer::launch(options).await.unwrap();
+    let (_engine, endpoint, client) = launch_engine(options).await;
     let mut call = completion();
     call.remaining = Duration::from_millis(500);
-    let client = HttpEndpointClient::new();
-    let outcome = outcome(client.call(&engine_at(engine.address()), call).await).await;
+    let outcome = outcome(client.call(&endpoint, call).await).await;
     assert_eq!(outcome.end.unwrap_err().kind, ErrorKind::DeadlineExceeded);
     assert!(outcome.text.len() < whole_text().len());
 }
 
 #[tokio::test]
 async fn a_closed_port_is_not_run() {
-    let engine = EngineServer::launch(EngineOptions::default())
-        .await
-        .unwrap();
-    let endpoint = engine_at(engine.address());
+    let (engine, endpoint, client) = launch_engine(EngineOptions::default()).await;
     drop(engine);
-    let client = HttpEndpointClient::new();
     let error = loop {
         // The port closes shortly after the engine is dropped.
         match client.call(&endpoint, completion()).await {
@@ -147,17 +111,9 @@
 
 #[tokio::test]
 async fn a_dropped_answer_is_cancelled_at_the_engine() {
-    let engine = EngineServer::launch(EngineOptions::default())
-        .await
-        .unwrap();
-    engine.set_faults(EngineFaults {
-        silent_after_chunks: Some(1),
-        ..EngineFaults::default()
-    });
-    let client = HttpEndpointClient::new();
-    let answer = client
-        .call(&engine_at(engine.address()), completion())
-        .await;
+    let (engine, endpoint, client) = launch_engine(EngineOptions::default()).await;
+    engine.set_faults(faults(r#"{"silent_after_chunks":1}"#));
+    let answer = client.call(&endpoint, completion()).await;
     let mut events = answer.unwrap_or_else(|error| panic!("{error}"));
     events.next().await.unwrap().unwrap();
     drop(events);
--- a/tests/behaviour/endpoint/operations.rs
+++ b/tests/behaviour/endpoint/operations.rs
@@ -8,17 +8,15 @@
 use figramp::catalog::WorkClass;
 use figramp::endpoint::EndpointClient;
 use figramp::endpoint::EndpointOrder;
-use figramp::endpoint::HttpEndpointClient;
 use figramp::endpoint::OrderOutcome;
 use figramp::request::CallBody;
-use figramp::stand_in::engine::EngineFaults;
 use figramp::stand_in::engine::EngineOptions;
-use figramp::stand_in::engine::EngineServer;
 use futures::StreamExt;
 
 use super::support::completion;
-use super::support::engine_at;
+use super::support::launch_engine;
 use super::support::outcome;
+use crate::caller::support::faults;
 
 fn order(fencing: u64) -> EndpointOrder {
     EndpointOrder {
@@ -30,11 +28,7 @@
 
 #[tokio::test]
 async fn an_old_order_is_fenced_unless_the_engine_ignores_fencing() {
-    let engine = EngineServer::launch(EngineOptions::default())
-        .await
-        .unwrap();
-    let endpoint = engine_at(engine.address());
-    let client = HttpEndpointClient::new();
+    let (engine, endpoint, client) = launch_engine(EngineOptions::default()).await;
     let fenced = OrderOutcome::Fenced {
         highest: TicketNumber(7),
     };
@@ -45,10 +39,7 @@
     ] {
         assert_eq!(client.order(&endpoint, order(fencing)).await, Ok(expected));
     }
-    engine.set_faults(EngineFaults {
-        is_fencing_ignored: true,
-        ..EngineFaults::default()
-    });
+    engine.set_faults(faults(r#"{"is_fencing_ignored":true}"#));
     assert_eq!(
         client.order(&endpoint, order(6)).await,
         Ok(OrderOutcome::Accepted)
@@ -61,9 +52,7 @@
         load_report_lag: Duration::ZERO,
         ..EngineOptions::default()
     };
-    let engine = EngineServer::launch(options).await.unwrap();
-    let endpoint = engine_at(engine.address());
-    let client = HttpEndpointClient::new();
+    let (engine, endpoint, client) = launch_engine(options).await;
     let mut call = completion();
     if let CallBody::Completion(completion) = &mut call.body {
         completion.body =
@@ -81,11 +70,9 @@
         client.load(&endpoint, 1).await.unwrap().cache_events.len(),
         1
     );
-    engine.set_faults(EngineFaults {
-        is_load_understated: true,
-        cache_event_gap_every: Some(2),
-        ..EngineFaults::default()
-    });
+    engine.set_faults(faults(
+        r#"{"is_load_understated":true,"cache_event_gap_every":2}"#,
+    ));
     let report = client.load(&endpoint, 0).await.unwrap();
     assert_eq!((report.running, report.cache_events.len()), (0, 1));
 }
@@ -98,9 +85,7 @@
         load_report_lag: Duration::ZERO,
         ..EngineOptions::default()
     };
-    let engine = EngineServer::launch(options).await.unwrap();
-    let endpoint = engine_at(engine.address());
-    let client = HttpEndpointClient::new();
+    let (_engine, endpoint, client) = launch_engine(options).await;
     let order = Mutex::new(Vec::new());
     let call = |class, waiting_before| {
         let (endpoint, client, order) = (&endpoint, &client, &order);
--- a/tests/behaviour/endpoint/resume.rs
+++ b/tests/behaviour/endpoint/resume.rs
@@ -5,31 +5,27 @@
 
 use figramp::endpoint::AnswerFailure;
 use figramp::endpoint::EndpointClient;
-use figramp::endpoint::HttpEndpointClient;
 use figramp::endpoint::ResumingAnswer;
 use figramp::errors::ErrorKind;
 use figramp::errors::RunState;
 use figramp::stand_in::engine::EngineCounts;
 use figramp::stand_in::engine::EngineFaults;
 use figramp::stand_in::engine::EngineOptions;
-use figramp::stand_in::engine::EngineServer;
 
 use super::support::completion;
-use super::support::engine_at;
 use super::support::impatient;
+use super::support::launch_engine;
 use super::support::outcome;
 use super::support::whole_text;
 use super::support::Outcome;
+use crate::caller::support::faults;
 
 const RESUMES_MAX: u32 = 2;
 
 async fn resumed_outcome(faults: EngineFaults) -> (Outcome, EngineCounts) {
-    let engine = EngineServer::launch(EngineOptions::default())
-        .await
-        .unwrap();
+    let (engine, endpoint, client) = launch_engine(EngineOptions::default()).await;
     engine.set_faults(faults);
-    let client: Arc<dyn EndpointClient> = Arc::new(HttpEndpointClient::new());
-    let endpoint = engine_at(engine.address());
+    let client: Arc<dyn EndpointClient> = Arc::new(client);
     let call = if faults.silent_after_chunks.is_some() {
         impatient(completion())
     } else {
@@ -46,21 +42,9 @@
 
 #[tokio::test]
 async fn each_failure_is_resumed_from_the_next_chunk() {
-    let silent = EngineFaults {
-        hits_left: Some(1),
-        silent_after_chunks: Some(2),
-        ..EngineFaults::default()
-    };
-    let truncated = EngineFaults {
-        hits_left: Some(2),
-        truncated_after_chunks: Some(5),
-        ..EngineFaults::default()
-    };
-    let gap = EngineFaults {
-        hits_left: Some(1),
-        missing_chunk: Some(3),
-        ..EngineFaults::default()
-    };
+    let silent = faults(r#"{"hits_left":1,"silent_after_chunks":2}"#);
+    let truncated = faults(r#"{"hits_left":2,"truncated_after_chunks":5}"#);
+    let gap = faults(r#"{"hits_left":1,"missing_chunk":3}"#);
     for (faults, resume_count) in [(silent, 1), (truncated, 2), (gap, 1)] {
         let (outcome, counts) = resumed_outcome(faults).await;
         assert_eq!(outcome.end, Ok(()), "{faults:?}");
@@ -75,10 +59,7 @@
 
 #[tokio::test]
 async fn a_spent_budget_ends_the_answer_loudly() {
-    let faults = EngineFaults {
-        truncated_after_chunks: Some(2),
-        ..EngineFaults::default()
-    };
+    let faults = faults(r#"{"truncated_after_chunks":2}"#);
     let (outcome, counts) = resumed_outcome(faults).await;
     let error = outcome.end.unwrap_err();
     assert_eq!(
--- a/tests/behaviour/endpoint/service_faults.rs
+++ b/tests/behaviour/endpoint/service_faults.rs
@@ -14,6 +14,7 @@
 use super::support::service_at;
 use super::support::service_call;
 use super::support::Outcome;
+use crate::caller::support::faults;
 
 async fn outcome_under(faults: ServiceFaults) -> (Outcome, usize) {
     let service = ServiceServer::launch(ServiceOptions::default())
@@ -42,10 +43,7 @@
 
 #[tokio::test]
 async fn a_status_of_the_service_is_passed_on() {
-    let faults = ServiceFaults {
-        failure_status_after_run: Some(500),
-        ..ServiceFaults::default()
-    };
+    let faults = faults(r#"{"failure_status_after_run":500}"#);
     let (outcome, executions) = outcome_under(faults).await;
     assert_eq!(
         (outcome.status, outcome.end, executions),
@@ -55,22 +53,10 @@
 
 #[tokio::test]
 async fn faults_fail_with_a_true_run_state() {
-    let refusing = ServiceFaults {
-        is_refusing: true,
-        ..ServiceFaults::default()
-    };
-    let silent_before = ServiceFaults {
-        is_silent_before_run: true,
-        ..ServiceFaults::default()
-    };
-    let silent_after = ServiceFaults {
-        is_silent_after_run: true,
-        ..ServiceFaults::default()
-    };
-    let truncated = ServiceFaults {
-        truncated_after_bytes: Some(10),
-        ..ServiceFaults::default()
-    };
+    let refusing = faults(r#"{"is_refusing":true}"#);
+    let silent_before = faults(r#"{"is_silent_before_run":true}"#);
+    let silent_after = faults(r#"{"is_silent_after_run":true}"#);
+    let truncated = faults(r#"{"truncated_after_bytes":10}"#);
     let table = [
         (refusing, ErrorKind::EndpointRefused, RunState::NotRun, 0),
         (
--- a/tests/behaviour/endpoint/support.rs
+++ b/tests/behaviour/endpoint/support.rs
@@ -8,6 +8,7 @@
 use figramp::catalog::EndpointKind;
 use figramp::catalog::WorkClass;
 use figramp::endpoint::EndpointCall;
+use figramp::endpoint::HttpEndpointClient;
 use figramp::errors::GatewayError;
 use figramp::request::AnswerPayload;
 use figramp::request::AnswerStream;
@@ -17,6 +18,8 @@
 use figramp::request::RequestId;
 use figramp::request::ServiceCall;
 use figramp::stand_in::engine::answer_tokens;
+use figramp::stand_in::engine::EngineOptions;
+use figramp::stand_in::engine::EngineServer;
 use futures::StreamExt;
 use tokio::time::timeout;
 
@@ -30,10 +33,16 @@
 /// A test fails when an event or an error takes longer.
 const EVENT_LIMIT: Duration = Duration::from_secs(15);
 
-pub fn engine_at(address: SocketAddr) -> Endpoint {
+fn engine_at(address: SocketAddr) -> Endpoint {
     endpoint(EndpointKind::Engine, address)
 }
 
+pub async fn launch_engine(options: EngineOptions) -> (EngineServer, Endpoint, HttpEndpointClient) {
+    let engine = EngineServer::launch(options).await.unwrap();
+    let endpoint = engine_at(engine.address());
+    (engine, endpoint, HttpEndpointClient::new())
+}
+
 pub fn service_at(address: SocketAddr) -> Endpoint {
     endpoint(EndpointKind::Service, address)
 }
--- a/tests/behaviour/sessions/bookings.rs
+++ b/tests/behaviour/sessions/bookings.rs
@@ -1,8 +1,7 @@
 //! Sessions with a plain service.
 
-use figramp::stand_in::service::ServiceFaults;
-
 use super::transcript::Transcript;
+use crate::caller::support::faults;
 use crate::caller::support::launch_service_and_gateway;
 
 const HEADERS: [&str; 3] = [
@@ -22,17 +21,11 @@
     session
         .send("another method", "DELETE /bookings/7", &HEADERS, "")
         .await;
-    service.set_faults(ServiceFaults {
-        failure_status_after_run: Some(418),
-        ..ServiceFaults::default()
-    });
+    service.set_faults(faults(r#"{"failure_status_after_run":418}"#));
     session
         .send("a status of the service", "GET /stock", &HEADERS, "")
         .await;
-    service.set_faults(ServiceFaults {
-        truncated_after_bytes: Some(10),
-        ..ServiceFaults::default()
-    });
+    service.set_faults(faults(r#"{"truncated_after_bytes":10}"#));
     session
         .send(
             "an answer that is cut short",
@@ -41,10 +34,7 @@
             body,
         )
         .await;
-    service.set_faults(ServiceFaults {
-        is_refusing: true,
-        ..ServiceFaults::default()
-    });
+    service.set_faults(faults(r#"{"is_refusing":true}"#));
     session
         .send("a refusal", "POST /bookings", &HEADERS, body)
         .await;
--- a/tests/behaviour/sessions/completions.rs
+++ b/tests/behaviour/sessions/completions.rs
@@ -1,9 +1,9 @@
 //! Sessions with a model.
 
-use figramp::stand_in::engine::EngineFaults;
 use figramp::stand_in::engine::EngineOptions;
 
 use super::transcript::Transcript;
+use crate::caller::support::faults;
 use crate::caller::support::launch_engine_and_gateway;
 
 const LINE: &str = "POST /v1/chat/completions";
@@ -26,17 +26,11 @@
     session
         .send("a withdrawn key", LINE, &withdrawn, WHOLE)
         .await;
-    engine.set_faults(EngineFaults {
-        is_refusing: true,
-        ..EngineFaults::default()
-    });
+    engine.set_faults(faults(r#"{"is_refusing":true}"#));
     session
         .send("an engine that refuses", LINE, &key, STREAM)
         .await;
-    engine.set_faults(EngineFaults {
-        truncated_after_chunks: Some(1),
-        ..EngineFaults::default()
-    });
+    engine.set_faults(faults(r#"{"truncated_after_chunks":1}"#));
     session
         .send("a stream that is cut short", LINE, &key, STREAM)
         .await;
