Test control messages and hostile bytes; hear only VMs of the roster

Cause: control messages were untested now that their types exist; a VM that leaves the roster kept its connections; a VM replaced at another address was reached at the old one. Change: each message checks that its sender may still connect; a worker redials when the published address changes and lets running calls end; framing errors are counted; a panic in capnp-rpc closes its connection; sent and received bytes count the same content.

--- a/src/operator/render/html_sections.rs
+++ b/src/operator/render/html_sections.rs
@@ -126,11 +126,15 @@
 /// Shows latencies against their targets.
 pub(super) fn latencies(page: &PageWire) -> Markup {
     html! {
-        section {
-            h2 { "First token" }
-            (svg::latencies(page.totals.first_token, FIRST_TOKEN_TARGET_US))
-            h2 { "Between tokens" }
-            (svg::latencies(page.totals.between_tokens, BETWEEN_TOKENS_TARGET_US))
+        section class="plots" {
+            div {
+                h2 { "First token" }
+                (svg::latencies(page.totals.first_token, FIRST_TOKEN_TARGET_US))
+            }
+            div {
+                h2 { "Between tokens" }
+                (svg::latencies(page.totals.between_tokens, BETWEEN_TOKENS_TARGET_US))
+            }
         }
     }
 }
--- a/src/operator/render/style.rs
+++ b/src/operator/render/style.rs
@@ -33,6 +33,7 @@
 .note{color:var(--soft);font-size:.85rem;margin:.5rem 0 0}
 details{margin-top:.6rem}summary{cursor:pointer;color:var(--soft)}
 ul{margin:.3rem 0 0;padding-left:1.1rem}li{margin:.25rem 0}
+section.plots{display:grid;grid-template-columns:repeat(auto-fit,minmax(17rem,1fr));gap:1rem 2rem}
 svg{display:block;width:100%;max-width:44rem;height:auto}
 svg text{fill:var(--soft);font-size:11px}
 @media(max-width:40rem){
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -28,6 +28,7 @@
 use super::generated::peer_capnp::peer;
 use super::ConnectionPurpose;
 use super::PeerCounters;
+use super::PeerFault;
 
 /// The largest message that is read, in words of 8 bytes.
 const MESSAGE_MAX_WORDS: usize = 2 * 1024 * 1024;
@@ -53,6 +54,13 @@
     Acceptor,
 }
 
+/// Runs a connection to its end.
+struct Driver {
+    socket: std::net::TcpStream,
+    closed: CancellationToken,
+    counters: Arc<PeerCounters>,
+}
+
 #[derive(Debug)]
 struct LastRead {
     start: Instant,
@@ -97,7 +105,12 @@
         let own = own.map(|client| client.client);
         let mut rpc = RpcSystem::new(Box::new(network), own);
         let peer: peer::Client = rpc.bootstrap(end.other().side());
-        spawn_local(drive(rpc, handle, closed.clone()));
+        let driver = Driver {
+            socket: handle,
+            closed: closed.clone(),
+            counters: counters.clone(),
+        };
+        spawn_local(driver.run(rpc));
         Ok(Self {
             peer,
             last_read,
@@ -155,22 +168,35 @@
     }
 }
 
-/// Runs a connection to its end; the socket is closed even if capnp-rpc holds on to it.
-async fn drive(rpc: RpcSystem<Side>, handle: std::net::TcpStream, closed: CancellationToken) {
-    let mut rpc = rpc;
-    tokio::select! {
-        result = &mut rpc => {
-            if let Err(error) = result {
-                log::debug!("peer connection ended: {error}");
+impl Driver {
+    async fn run(self, mut rpc: RpcSystem<Side>) {
+        tokio::select! {
+            result = &mut rpc => {
+                if let Err(error) = result {
+                    self.note(&error);
+                }
+            }
+            () = self.closed.cancelled() => {
+                let _ = self.socket.shutdown(Shutdown::Both);
+                let _ = timeout(CLOSE_TIMEOUT, &mut rpc).await;
             }
         }
-        () = closed.cancelled() => {
-            let _ = handle.shutdown(Shutdown::Both);
-            let _ = timeout(CLOSE_TIMEOUT, &mut rpc).await;
+    }
+
+    fn note(&self, error: &capnp::Error) {
+        log::debug!("peer connection ended: {error}");
+        if error.kind != capnp::ErrorKind::Disconnected {
+            self.counters.add_fault(PeerFault::Malformed);
         }
     }
-    let _ = handle.shutdown(Shutdown::Both);
-    closed.cancel();
+}
+
+impl Drop for Driver {
+    /// Closes the socket even if capnp-rpc holds on to it, or has panicked.
+    fn drop(&mut self) {
+        let _ = self.socket.shutdown(Shutdown::Both);
+        self.closed.cancel();
+    }
 }
 
 fn reader_options() -> ReaderOptions {
--- a/src/peer/control_sender.rs
+++ b/src/peer/control_sender.rs
@@ -21,9 +21,9 @@
     message: &PeerMessage,
 ) {
     let mut request = connection.peer.control_request();
-    let builder = request.get().init_message();
-    write_control(message, &context.catalog.load(), builder);
-    let words = request.get().into_reader().total_size();
+    let mut builder = request.get().init_message();
+    write_control(message, &context.catalog.load(), builder.reborrow());
+    let words = builder.into_reader().total_size();
     let bytes = words.map_or(0, |size| size.word_count * WORD_BYTES);
     let kind = MessageKind::of_message(message);
     context.counters.add_sent(kind, bytes);
--- a/src/peer/forward_sender.rs
+++ b/src/peer/forward_sender.rs
@@ -23,16 +23,16 @@
     } = job;
     request.call.remaining = request.call.remaining.saturating_sub(queued_at.elapsed());
     let mut message = connection.peer.forward_request();
-    let builder = message.get().init_request();
-    if let Err(error) = write_forward(&request, &context.catalog.load(), builder) {
+    let mut builder = message.get().init_request();
+    if let Err(error) = write_forward(&request, &context.catalog.load(), builder.reborrow()) {
         entry.refuse(unreachable_peer(entry.request_id, &error.to_string()));
         return;
     }
+    let words = builder.into_reader().total_size();
+    let bytes = words.map_or(0, |size| size.word_count * WORD_BYTES);
     if !entry.delivery.claim_send() {
         return;
     }
-    let words = message.get().into_reader().total_size();
-    let bytes = words.map_or(0, |size| size.word_count * WORD_BYTES);
     context.counters.add_sent(MessageKind::Forward, bytes);
     message.get().set_sink(capnp_rpc::new_client(AnswerSink {
         entry: entry.clone(),
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -168,6 +168,7 @@
             handler: self.handler.clone(),
             runtime: self.runtime.clone(),
             from: dialer.name.clone(),
+            end: ConnectionEnd::Acceptor,
             closed: closed.clone(),
         };
         let connection = Connection::start(
--- a/src/peer/peer_service.rs
+++ b/src/peer/peer_service.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::answer_pump::AnswerPump;
+use super::connection::ConnectionEnd;
 use super::generated::peer_capnp::peer;
 use super::wire::read_control;
 use super::wire::read_forward;
@@ -30,6 +31,8 @@
     pub(super) runtime: Handle,
     /// The peer's name, as it has proved it.
     pub(super) from: Name,
+    /// The end that this VM holds.
+    pub(super) end: ConnectionEnd,
     /// Closes the connection when it is cancelled.
     pub(super) closed: CancellationToken,
 }
@@ -49,6 +52,24 @@
         capnp::Error::failed(error.to_string())
     }
 
+    /// Tells whether the peer may still use the connection.
+    ///
+    /// A VM that this one has dialed by its address need not be in the roster.
+    fn is_admitted(&self) -> bool {
+        self.end == ConnectionEnd::Dialer || self.context.is_known(&self.from)
+    }
+
+    fn check_admitted(&self) -> Result<(), capnp::Error> {
+        if self.is_admitted() {
+            return Ok(());
+        }
+        self.context.counters.add_fault(PeerFault::UnknownName);
+        self.closed.cancel();
+        Err(capnp::Error::failed(
+            "the VM has left the roster".to_owned(),
+        ))
+    }
+
     fn take_control(&self, params: &peer::ControlParams) -> Result<(), WireError> {
         let reader = params.get()?.get_message()?;
         let bytes = reader.total_size()?.word_count * WORD_BYTES;
@@ -103,6 +124,7 @@
         params: peer::ControlParams,
         _results: peer::ControlResults,
     ) -> Result<(), capnp::Error> {
+        self.check_admitted()?;
         self.take_control(&params)
             .map_err(|error| self.reject(&error))
     }
@@ -112,6 +134,7 @@
         params: peer::ForwardParams,
         _results: peer::ForwardResults,
     ) -> Result<(), capnp::Error> {
+        self.check_admitted()?;
         let pump = self.start(&params)?;
         drop(params);
         tokio::select! {
--- a/src/peer/peer_worker.rs
+++ b/src/peer/peer_worker.rs
@@ -62,7 +62,12 @@
     target: PeerTarget,
     purpose: ConnectionPurpose,
     backoff: Backoff,
-    connection: Option<Connection>,
+    open: Option<OpenConnection>,
+}
+
+struct OpenConnection {
+    address: SocketAddr,
+    connection: Connection,
 }
 
 impl ForwardJob {
@@ -97,7 +102,7 @@
             target,
             purpose,
             backoff: Backoff::new(timings.backoff_min, timings.backoff_max),
-            connection: None,
+            open: None,
         }
     }
 
@@ -133,16 +138,24 @@
 
     /// Returns the open connection, or opens one unless the last attempt has just failed.
     async fn connection(&mut self) -> Result<Connection, HandshakeError> {
-        if let Some(connection) = self.connection.take().filter(|it| !it.is_closed()) {
-            return Ok(self.connection.insert(connection).clone());
+        let address = self.address()?;
+        if let Some(open) = &self.open {
+            if open.address == address && !open.connection.is_closed() {
+                return Ok(open.connection.clone());
+            }
         }
+        self.retire();
         if self.backoff.is_waiting(Instant::now()) {
             return Err(io::Error::from(io::ErrorKind::NotConnected).into());
         }
-        match self.open().await {
+        match self.dial(address).await {
             Ok(connection) => {
                 self.backoff.reset();
-                Ok(self.connection.insert(connection).clone())
+                self.open = Some(OpenConnection {
+                    address,
+                    connection: connection.clone(),
+                });
+                Ok(connection)
             }
             Err(error) => {
                 self.backoff.fail(Instant::now());
@@ -152,8 +165,14 @@
         }
     }
 
-    async fn open(&self) -> Result<Connection, HandshakeError> {
-        let address = self.address()?;
+    /// Lets calls that run over the open connection end, and uses it for nothing new.
+    fn retire(&mut self) {
+        if let Some(open) = self.open.take() {
+            open.connection.uses.retire();
+        }
+    }
+
+    async fn dial(&self, address: SocketAddr) -> Result<Connection, HandshakeError> {
         let dialing = async {
             let mut stream = TcpStream::connect(address).await?;
             let context = &self.context;
@@ -193,6 +212,7 @@
             handler: self.context.handler()?,
             runtime: Handle::current(),
             from,
+            end: ConnectionEnd::Dialer,
             closed: closed.clone(),
         };
         Some(capnp_rpc::new_client(service))
@@ -220,9 +240,7 @@
 
 impl Drop for PeerWorker {
     fn drop(&mut self) {
-        if let Some(connection) = &self.connection {
-            connection.uses.retire();
-        }
+        self.retire();
     }
 }
 
--- a/tests/behaviour/peer/fixture.rs
+++ b/tests/behaviour/peer/fixture.rs
@@ -211,6 +211,7 @@
     pub link: CapnpPeerLink,
     pub link_context: Arc<PeerContext>,
     pub serving: VmKey,
+    pub messages: mpsc::UnboundedReceiver<PeerMessage>,
     pub requests: mpsc::UnboundedReceiver<ForwardRequest>,
     pub running: Arc<AtomicUsize>,
 }
@@ -239,7 +240,7 @@
     timings: PeerTimings,
     address_of: impl Fn(SocketAddr) -> SocketAddr,
 ) -> Pair {
-    let (handler, _messages, requests) = scripted(script);
+    let (handler, messages, requests) = scripted(script);
     let running = handler.running.clone();
     let first = catalog(&[("dialer", loopback()), ("server", loopback())]);
     let server_context = context("server", &first, timings);
@@ -255,6 +256,7 @@
         server_context,
         link_context,
         serving,
+        messages,
         requests,
         running,
     }
--- /dev/null
+++ b/tests/behaviour/peer/hostile_bytes.rs
@@ -0,0 +1,80 @@
+//! Bytes that are no messages, on connections that have passed the handshake.
+
+use figramp::peer::handshake::dial;
+use figramp::peer::ConnectionPurpose;
+use figramp::peer::PeerFault;
+use figramp::peer::PeerLink;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::fixture::forward_request;
+use super::fixture::name;
+use super::fixture::pair;
+use super::fixture::secret;
+use super::fixture::wait_for;
+use super::fixture::Pair;
+use super::fixture::Script;
+use super::fixture::WAIT_MAX;
+
+const CONNECTIONS: u64 = 200;
+const WORD_BYTES: usize = 8;
+
+async fn authenticated(pair: &Pair) -> TcpStream {
+    let mut stream = TcpStream::connect(pair.server.address()).await.unwrap();
+    let purpose = ConnectionPurpose::Control;
+    let dialed = dial(&mut stream, &secret(), &name("dialer"), purpose, |_| true).await;
+    dialed.unwrap();
+    stream
+}
+
+async fn is_closed(stream: &mut TcpStream) -> bool {
+    let mut rest = Vec::new();
+    timeout(WAIT_MAX, stream.read_to_end(&mut rest))
+        .await
+        .is_ok()
+}
+
+/// One segment of random words, with a correct frame; every third one keeps a valid root.
+fn framed_noise(seed: u64) -> Vec<u8> {
+    let words = u8::try_from(seed % 12 + 1).unwrap();
+    let mut bytes = vec![0, 0, 0, 0, words, 0, 0, 0];
+    bytes.extend((0..usize::from(words) * WORD_BYTES).map(|_| rand::random::<u8>()));
+    if seed.is_multiple_of(3) {
+        let root = [0, 0, 0, 0, 1, 0, 1, 0];
+        bytes[WORD_BYTES..2 * WORD_BYTES].copy_from_slice(&root);
+    }
+    bytes
+}
+
+/// A frame that announces more than the largest message.
+const HUGE: [u8; 8] = [0, 0, 0, 0, 255, 255, 255, 255];
+
+#[tokio::test]
+async fn hostile_bytes_close_their_connection_and_no_other() {
+    let pair = pair(Script::Answer(3));
+    let mut bystander = authenticated(&pair).await;
+    for seed in 0..CONNECTIONS {
+        let mut stream = authenticated(&pair).await;
+        let bytes = match seed {
+            0 => HUGE.to_vec(),
+            _ => framed_noise(seed),
+        };
+        stream.write_all(&bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+        assert!(is_closed(&mut stream).await, "{bytes:?}");
+    }
+    let counters = pair.server_context.counters.clone();
+    wait_for("the count of malformed messages", || {
+        counters.faults(PeerFault::Malformed) > CONNECTIONS / 2
+    })
+    .await;
+    let request = forward_request(&pair.catalog.load());
+    assert!(pair.link.forward(pair.serving, request).await.is_ok());
+    // A connection that is still open has nothing to read.
+    let mut byte = [0];
+    let bootstrap = bystander.try_read(&mut byte);
+    assert!(!matches!(bootstrap, Ok(0)), "the bystander was closed");
+    bystander.shutdown().await.unwrap();
+}
--- a/tests/behaviour/peer/mod.rs
+++ b/tests/behaviour/peer/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of the `peer` behaviour.
 
+mod control;
 mod fixture;
 mod forwarding;
 mod handshake;
+mod hostile_bytes;
 mod wire_roundtrip;
