--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -8,8 +8,8 @@
 
 # What one VM offers to another on an authenticated connection.
 interface Peer {
-  # Takes a control message.
-  control @0 (message :ControlMessage) -> ();
+  # Takes control messages that were ready together.
+  control @0 (messages :List(ControlMessage)) -> ();
   # Serves a call; the events of the answer go to `sink`. The caller cancels by dropping the call.
   forward @1 (request :Call.ForwardRequest, sink :AnswerSink) -> ();
   # Answers at once.
--- a/src/peer/control_sender.rs
+++ b/src/peer/control_sender.rs
@@ -14,19 +14,24 @@
 
 const WORD_BYTES: u64 = 8;
 
-/// Writes a control message; the connection is closed if no acknowledgement comes in time.
+/// Writes control messages; the connection is closed if no acknowledgement comes in time.
 pub(super) fn send_control(
     context: &Arc<PeerContext>,
     connection: &Connection,
-    message: &PeerMessage,
+    messages: &[PeerMessage],
 ) {
     let mut request = connection.peer.control_request();
-    let mut builder = request.get().init_message();
-    write_control(message, &context.catalog.load(), builder.reborrow());
-    let words = builder.into_reader().total_size();
-    let bytes = words.map_or(0, |size| size.word_count * WORD_BYTES);
-    let kind = MessageKind::of_message(message);
-    context.counters.add_sent(kind, bytes);
+    let len = u32::try_from(messages.len()).unwrap_or(u32::MAX);
+    let mut builder = request.get().init_messages(len);
+    let catalog = context.catalog.load();
+    for (index, message) in (0..len).zip(messages) {
+        let mut builder = builder.reborrow().get(index);
+        write_control(message, &catalog, builder.reborrow());
+        let words = builder.into_reader().total_size();
+        let bytes = words.map_or(0, |size| size.word_count * WORD_BYTES);
+        let kind = MessageKind::of_message(message);
+        context.counters.add_sent(kind, bytes);
+    }
     let acknowledged = request.send().promise;
     let limit = context.timings.ping_timeout;
     let context = context.clone();
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -193,12 +193,16 @@
         let context = self.context.clone();
         let connection = connection.clone();
         spawn_local(async move {
+            let mut batch = Vec::new();
             loop {
                 tokio::select! {
-                    reply = replies.recv() => match reply {
-                        Some(message) => send_control(&context, &connection, &message),
-                        None => return,
-                    },
+                    received = replies.recv_many(&mut batch, REPLY_QUEUE_MESSAGES) => {
+                        if received == 0 {
+                            return;
+                        }
+                        send_control(&context, &connection, &batch);
+                        batch.clear();
+                    }
                     () = connection.closed.cancelled() => return,
                 }
             }
--- a/src/peer/peer_service.rs
+++ b/src/peer/peer_service.rs
@@ -8,6 +8,7 @@
 
 use super::answer_pump::AnswerPump;
 use super::connection::ConnectionEnd;
+use super::generated::peer_capnp::control_message;
 use super::generated::peer_capnp::peer;
 use super::wire::read_control;
 use super::wire::read_forward;
@@ -70,8 +71,20 @@
         ))
     }
 
+    /// Takes each message that can be read; one that names an unknown object spoils no other.
     fn take_control(&self, params: &peer::ControlParams) -> Result<(), WireError> {
-        let reader = params.get()?.get_message()?;
+        let mut unread = Ok(());
+        for reader in params.get()?.get_messages()? {
+            match self.take_message(reader) {
+                Ok(()) => {}
+                Err(error @ WireError::UnknownName { .. }) => unread = Err(error),
+                Err(error) => return Err(error),
+            }
+        }
+        unread
+    }
+
+    fn take_message(&self, reader: control_message::Reader<'_>) -> Result<(), WireError> {
         let bytes = reader.total_size()?.word_count * WORD_BYTES;
         let message = read_control(reader, &self.context.catalog.load())?;
         let kind = MessageKind::of_message(&message);
--- a/src/peer/peer_worker.rs
+++ b/src/peer/peer_worker.rs
@@ -32,6 +32,9 @@
 use crate::catalog::Name;
 use crate::errors::GatewayError;
 
+/// The most items that are sent together.
+const BATCH_MAX_ITEMS: usize = 32;
+
 /// Whom a worker connects to.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) enum PeerTarget {
@@ -109,30 +112,40 @@
     /// Sends what comes until nothing has come for the idle time.
     pub(super) async fn run(mut self, mut items: mpsc::Receiver<WorkItem>) {
         let idle_timeout = self.context.timings.idle_timeout;
+        let mut batch = Vec::with_capacity(BATCH_MAX_ITEMS);
         loop {
-            match timeout(idle_timeout, items.recv()).await {
-                Ok(Some(item)) => self.handle(item).await,
-                Ok(None) => return,
+            let received = items.recv_many(&mut batch, BATCH_MAX_ITEMS);
+            match timeout(idle_timeout, received).await {
+                Ok(0) => return,
+                Ok(_) => self.handle(batch.drain(..)).await,
                 // What was queued in the meantime is still sent.
                 Err(_) => items.close(),
             }
         }
     }
 
-    async fn handle(&mut self, item: WorkItem) {
+    async fn handle(&mut self, items: impl Iterator<Item = WorkItem>) {
         match self.connection().await {
-            Ok(connection) => self.send(&connection, item),
+            Ok(connection) => self.send(&connection, items),
             Err(error) => {
                 let reason = format!("no connection to the VM: {error}");
-                item.refuse(&self.context, &reason);
+                for item in items {
+                    item.refuse(&self.context, &reason);
+                }
             }
         }
     }
 
-    fn send(&self, connection: &Connection, item: WorkItem) {
-        match item {
-            WorkItem::Control(message) => send_control(&self.context, connection, &message),
-            WorkItem::Forward(job) => send_forward(&self.context, connection, *job),
+    fn send(&self, connection: &Connection, items: impl Iterator<Item = WorkItem>) {
+        let mut messages = Vec::new();
+        for item in items {
+            match item {
+                WorkItem::Control(message) => messages.push(message),
+                WorkItem::Forward(job) => send_forward(&self.context, connection, *job),
+            }
+        }
+        if !messages.is_empty() {
+            send_control(&self.context, connection, &messages);
         }
     }
 
