Do not take an empty draw ahead of need for a lack of tokens

Cause: a home that has little left gives other regions nothing ahead of need. The holder took such an empty grant for a shortage and left the home alone for 50 ms to 1 s; a request that needed 10 tokens in that time was refused as rate_limited at once. Excluded: a slow draw (the refusals came after 10 to 18 ms), a spent balance (the home held more than 60,000 tokens). Change: only a grant below the need of waiting requests counts as a shortage.

--- a/src/limits/account_draws.rs
+++ b/src/limits/account_draws.rs
@@ -229,7 +229,8 @@
         pending: &PendingDraw,
         grant: &AccountGrant,
     ) {
-        let is_short = u64::from(grant.tokens) < pending.need_tokens.max(1);
+        // A draw ahead of need may get nothing while requests that wait would get tokens.
+        let is_short = u64::from(grant.tokens) < pending.need_tokens;
         let pause = grant.retry_after.clamp(RETRY_MIN, RETRY_MAX);
         let region = self.region_mut(pending.target.region);
         region.home = Some(from);
