Explain each request: key, tokens, candidates, attempts, end

Cause: operators could not see why a request went where it went. Change: the path of a request collects the steps of each request and keeps them in the bounded store of explanations, also on the VM that a call was forwarded to.

--- a/src/vm/call_task.rs
+++ b/src/vm/call_task.rs
@@ -11,6 +11,7 @@
 use super::progress::Progress;
 use super::RequestContext;
 use super::Slot;
+use crate::catalog::Catalog;
 use crate::catalog::EndpointKey;
 use crate::catalog::EndpointKind;
 use crate::catalog::VmKey;
@@ -20,6 +21,9 @@
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
 use crate::errors::RunState;
+use crate::operator::Candidate;
+use crate::operator::CandidateFate;
+use crate::operator::StepEvent;
 use crate::peer::ForwardRequest;
 use crate::request::AnswerEvent;
 use crate::request::AnswerPayload;
@@ -32,6 +36,7 @@
 use crate::routing::Attempt;
 use crate::routing::EndpointFailure;
 use crate::routing::EndpointLoad;
+use crate::routing::Exclusion;
 use crate::routing::RouteChoice;
 use crate::routing::RouteDecision;
 use crate::routing::RouteQuery;
@@ -113,6 +118,7 @@
                 return end;
             };
             let error = attempts.with_earlier_runs(error);
+            let kind = error.kind;
             match self.decide(error, &attempts) {
                 RetryDecision::RetryElsewhere => attempts.resume_at = None,
                 RetryDecision::ResumeFrom(_) => {
@@ -120,9 +126,15 @@
                 }
                 RetryDecision::GiveUp(error) => return CallEnd::Failed(error),
             }
+            self.trace(StepEvent::Retried { kind });
         }
     }
 
+    fn trace(&mut self, event: StepEvent) {
+        let now = self.context.clock.now();
+        self.progress.trace.add(now, event);
+    }
+
     fn decide(&self, error: GatewayError, attempts: &Attempts) -> RetryDecision {
         let is_model = matches!(self.call.body, crate::request::CallBody::Completion(_));
         let failure = AttemptFailure {
@@ -160,7 +172,7 @@
         }
     }
 
-    async fn place(&self, attempts: &mut Attempts) -> Result<Place, GatewayError> {
+    async fn place(&mut self, attempts: &mut Attempts) -> Result<Place, GatewayError> {
         let catalog = self.context.blackboard.catalog.load_full();
         check_key(&catalog, &self.call)?;
         if self.remaining().is_zero() {
@@ -175,11 +187,13 @@
         let class = self.class();
         let decision = self.choose(class, &attempts.excluded)?;
         attempts.expected_first_event = decision.expected_first_event;
+        self.trace_decision(&catalog, &decision);
         match decision.choice {
             RouteChoice::Local(endpoint) if !self.context.dispatcher.has_waiting(class) => {
                 self.slot_at(endpoint).map(Place::Slot)
             }
             RouteChoice::Local(_) | RouteChoice::Queue => {
+                self.trace(StepEvent::Queued);
                 let call = Arc::clone(&self.call);
                 let excluded = attempts.excluded.clone();
                 let slot = self
@@ -199,6 +213,34 @@
         }
     }
 
+    fn trace_decision(&mut self, catalog: &Catalog, decision: &RouteDecision) {
+        let left_out = decision.explanation.left_out.iter().filter_map(|note| {
+            Some(Candidate {
+                name: catalog.endpoints.get(note.endpoint)?.name.clone(),
+                fate: candidate_fate(note.exclusion),
+            })
+        });
+        let mut candidates: Vec<Candidate> = left_out.collect();
+        if let RouteChoice::Local(endpoint) = decision.choice {
+            candidates.extend(catalog.endpoints.get(endpoint).map(|endpoint| Candidate {
+                name: endpoint.name.clone(),
+                fate: CandidateFate::Chosen,
+            }));
+        }
+        self.trace(StepEvent::Weighed { candidates });
+    }
+
+    fn trace_forward(&mut self, catalog: &Catalog, to: VmKey) {
+        let vm = catalog.vms.get(to);
+        let region = vm.and_then(|vm| catalog.regions.get(vm.region));
+        if let (Some(vm), Some(region)) = (vm, region) {
+            self.trace(StepEvent::Forwarded {
+                vm: vm.name.clone(),
+                region: region.name.clone(),
+            });
+        }
+    }
+
     fn choose(
         &self,
         class: WorkClass,
@@ -247,6 +289,9 @@
             Err(error) => return CallEnd::Failed(error),
         };
         let call = self.endpoint_call(endpoint.kind);
+        self.trace(StepEvent::Sent {
+            endpoint: endpoint.name.clone(),
+        });
         let context = Arc::clone(&self.context);
         let mut attempt = slot.attempt;
         let end = match context.endpoints.call(endpoint, call).await {
@@ -294,6 +339,7 @@
             preferred_endpoint,
         };
         self.served_in = ServedIn::OtherRegion;
+        self.trace_forward(&catalog, to);
         let peers = Arc::clone(&self.context.peers);
         match peers.forward(to, request).await {
             Ok(stream) => self.relay(stream, |_| {}).await,
@@ -399,6 +445,18 @@
     }
 }
 
+fn candidate_fate(exclusion: Exclusion) -> CandidateFate {
+    match exclusion {
+        Exclusion::RegionNotAllowed => CandidateFate::RegionNotAllowed,
+        Exclusion::WrongRole => CandidateFate::RoleUnfit,
+        Exclusion::Leaving => CandidateFate::Leaving,
+        Exclusion::AlreadyTried => CandidateFate::Failed,
+        Exclusion::CoolingDown | Exclusion::NoServingVm => CandidateFate::Unreachable,
+        Exclusion::OverMemory => CandidateFate::Full,
+        Exclusion::RegionVisited | Exclusion::CrossingsSpent => CandidateFate::Visited,
+    }
+}
+
 /// Tells what the failure of an attempt says about its endpoint.
 fn endpoint_failure(error: &GatewayError) -> EndpointFailure {
     match error.kind {
--- a/src/vm/coordinator.rs
+++ b/src/vm/coordinator.rs
@@ -25,6 +25,8 @@
 use crate::idempotency::IdempotencyAnswer;
 use crate::idempotency::RecordId;
 use crate::idempotency::StoredAnswer;
+use crate::operator::ExplanationBuilder;
+use crate::operator::StepEvent;
 use crate::request::AnswerEvent;
 use crate::request::AnswerPayload;
 use crate::request::Call;
@@ -38,8 +40,10 @@
 
 /// Who handed the call to this VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Origin {
+pub(super) enum Origin {
+    /// A caller.
     Caller,
+    /// Another VM.
     Peer,
 }
 
@@ -58,63 +62,45 @@
     deadline: Monotonic,
     sink: AnswerSink,
     origin: Origin,
+    received_at: Monotonic,
+    trace: ExplanationBuilder,
 }
 
 impl Coordinator {
-    /// Creates the coordinator of a call that came from a caller.
-    pub(super) fn for_caller(
+    /// Creates the coordinator of a call that came in at `received_at`.
+    pub(super) fn new(
         context: Arc<RequestContext>,
         call: Call,
-        deadline: Monotonic,
-        sink: AnswerSink,
-    ) -> Self {
-        Self::new(context, call, deadline, sink, Origin::Caller)
-    }
-
-    /// Creates the coordinator of a call that another VM handed over.
-    pub(super) fn for_peer(
-        context: Arc<RequestContext>,
-        call: Call,
-        deadline: Monotonic,
-        sink: AnswerSink,
-    ) -> Self {
-        Self::new(context, call, deadline, sink, Origin::Peer)
-    }
-
-    fn new(
-        context: Arc<RequestContext>,
-        call: Call,
-        deadline: Monotonic,
-        sink: AnswerSink,
         origin: Origin,
+        received_at: Monotonic,
+        sink: AnswerSink,
+        trace: ExplanationBuilder,
     ) -> Self {
         Self {
             context,
+            deadline: received_at + call.remaining,
             call: Arc::new(call),
-            deadline,
             sink,
             origin,
+            received_at,
+            trace,
         }
     }
 
     /// Runs the call to its end.
-    pub(super) async fn run(self, received_at: Monotonic) -> CallReport {
+    pub(super) async fn run(self) -> CallReport {
         match self.call.repeatability {
             Repeatability::Idempotent => {
-                let mut task = self.task(
-                    received_at,
-                    HangUpPolicy::Cancel,
-                    CROSSINGS_MAX,
-                    AnswerKeeping::Dropped,
-                );
+                let mut task =
+                    self.task(HangUpPolicy::Cancel, CROSSINGS_MAX, AnswerKeeping::Dropped);
                 let end = task.run().await;
                 report(end, task, None)
             }
-            Repeatability::NonIdempotent => self.run_recorded(received_at).await,
+            Repeatability::NonIdempotent => self.run_recorded().await,
         }
     }
 
-    async fn run_recorded(self, received_at: Monotonic) -> CallReport {
+    async fn run_recorded(self) -> CallReport {
         let catalog = self.context.blackboard.catalog.load_full();
         let view = self.context.blackboard.membership.load_full();
         let record_id = RecordId::of_call(&self.call);
@@ -123,27 +109,27 @@
             .and_then(|id| home_region(&catalog, self.call.route, id));
         let (Some(record_id), Some(home)) = (record_id, home) else {
             let message = "no allowed region serves this route";
-            return self.refused(received_at, ErrorKind::NoEndpoint, message);
+            return self.refused(ErrorKind::NoEndpoint, message);
         };
         let own_region = catalog.vms.get(view.own).map(|vm| vm.region);
         if own_region == Some(home) {
-            return self.run_at_home(received_at).await;
+            return self.run_at_home().await;
         }
         match self.origin {
-            Origin::Caller => self.run_elsewhere(received_at, home, &record_id).await,
+            Origin::Caller => self.run_elsewhere(home, &record_id).await,
             Origin::Peer => {
                 let message = "the call's home region is another one, or is changing";
-                self.refused(received_at, ErrorKind::RecordUnacknowledged, message)
+                self.refused(ErrorKind::RecordUnacknowledged, message)
             }
         }
     }
 
     /// Records the call and sends it to an endpoint of this region, at most once.
-    async fn run_at_home(self, received_at: Monotonic) -> CallReport {
+    async fn run_at_home(self) -> CallReport {
         let keeping = AnswerKeeping::Kept {
             max_bytes: self.context.kept_answer_max_bytes,
         };
-        let mut task = self.task(received_at, HangUpPolicy::Finish, 0, keeping);
+        let mut task = self.task(HangUpPolicy::Finish, 0, keeping);
         match self
             .context
             .control
@@ -161,6 +147,8 @@
                 report(end, task, booking)
             }
             Ok(BeginReply::Answer(IdempotencyAnswer::Repeated(answer))) => {
+                let now = self.context.clock.now();
+                task.progress.trace.add(now, StepEvent::Repeated);
                 let end = send_stored(&self.sink, self.call.id, answer).await;
                 report(end, task, Some(BookingOutcome::Repeated))
             }
@@ -173,18 +161,8 @@
     }
 
     /// Hands the call to a VM of its home region.
-    async fn run_elsewhere(
-        self,
-        received_at: Monotonic,
-        home: RegionKey,
-        record_id: &RecordId,
-    ) -> CallReport {
-        let mut task = self.task(
-            received_at,
-            HangUpPolicy::Cancel,
-            CROSSINGS_MAX,
-            AnswerKeeping::Dropped,
-        );
+    async fn run_elsewhere(self, home: RegionKey, record_id: &RecordId) -> CallReport {
+        let mut task = self.task(HangUpPolicy::Cancel, CROSSINGS_MAX, AnswerKeeping::Dropped);
         let mut end = CallEnd::Failed(GatewayError::new(
             ErrorKind::PeerUnreachable,
             "no VM of the call's home region is in reach",
@@ -219,7 +197,6 @@
 
     fn task(
         &self,
-        received_at: Monotonic,
         hang_up: HangUpPolicy,
         crossings_max: usize,
         keeping: AnswerKeeping,
@@ -231,15 +208,19 @@
             sink: self.sink.clone(),
             hang_up,
             crossings_max,
-            progress: Progress::new(received_at, keeping),
+            progress: self.progress(keeping),
             served_in: ServedIn::OwnRegion,
         }
     }
 
-    fn refused(&self, received_at: Monotonic, kind: ErrorKind, message: &str) -> CallReport {
+    fn progress(&self, keeping: AnswerKeeping) -> Progress {
+        Progress::new(self.received_at, keeping, self.trace.clone())
+    }
+
+    fn refused(&self, kind: ErrorKind, message: &str) -> CallReport {
         CallReport {
             end: CallEnd::Failed(GatewayError::new(kind, message)),
-            progress: Progress::new(received_at, AnswerKeeping::Dropped),
+            progress: self.progress(AnswerKeeping::Dropped),
             served_in: ServedIn::Nowhere,
             booking: None,
         }
--- a/src/vm/outcome.rs
+++ b/src/vm/outcome.rs
@@ -7,8 +7,9 @@
 use super::RequestContext;
 use crate::catalog::Catalog;
 use crate::catalog::Name;
-use crate::clock::Monotonic;
 use crate::errors::GatewayError;
+use crate::operator::ExplanationBuilder;
+use crate::operator::StepEvent;
 use crate::request::CallTarget;
 use crate::request::IncomingCall;
 use crate::telemetry::AnswerTimes;
@@ -20,25 +21,30 @@
 /// Records how a caller's request went.
 pub(super) struct OutcomeRecorder {
     context: Arc<RequestContext>,
-    received_at: Monotonic,
     client_account: Option<Name>,
     route: Option<Name>,
     standing: RateStanding,
+    trace: ExplanationBuilder,
 }
 
 impl OutcomeRecorder {
     pub(super) fn new(context: &Arc<RequestContext>, incoming: &IncomingCall) -> Self {
         Self {
             context: Arc::clone(context),
-            received_at: incoming.received_at,
             client_account: None,
             route: None,
             standing: RateStanding::Unknown,
+            trace: ExplanationBuilder::new(
+                incoming.id,
+                incoming.received_at,
+                context.clock.wall_time(),
+            ),
         }
     }
 
-    pub(super) const fn received_at(&self) -> Monotonic {
-        self.received_at
+    /// Returns what happened so far, for the part of the path that follows.
+    pub(super) fn trace(&self) -> ExplanationBuilder {
+        self.trace.clone()
     }
 
     /// Notes whose request it is and what it asks for, as far as that is known.
@@ -54,6 +60,18 @@
         };
         let route = route.and_then(|route| catalog.routes.get(route));
         self.route = route.map(|route| route.name.clone());
+        if let Some(route) = self.route.clone() {
+            let client_account = self.client_account.clone();
+            self.step(StepEvent::Resolved {
+                client_account,
+                route,
+            });
+        }
+    }
+
+    fn step(&mut self, event: StepEvent) {
+        let now = self.context.clock.now();
+        self.trace.add(now, event);
     }
 
     pub(super) fn on_standing(&mut self, standing: RateStanding) {
@@ -61,12 +79,15 @@
     }
 
     /// Notes that the request got its tokens.
-    pub(super) fn on_admitted(&mut self) {
+    pub(super) fn on_admitted(&mut self, tokens: u64) {
         self.standing = RateStanding::Inside;
+        self.step(StepEvent::Reserved { tokens });
     }
 
     /// Records a request that was refused before it was accepted.
-    pub(super) fn record_refusal(self, error: &GatewayError) {
+    pub(super) fn record_refusal(mut self, error: &GatewayError) {
+        self.step(failed(error));
+        self.context.explanations.put(self.trace.clone().build());
         let end = RequestEnd::Refused(error.kind);
         let outcome = self.outcome(end, ServedIn::Nowhere, AnswerTimes::default());
         self.context.telemetry.record(outcome);
@@ -80,7 +101,9 @@
             CallEnd::Failed(error) => RequestEnd::Failed(error.kind),
             CallEnd::HungUp => RequestEnd::Cancelled,
         };
-        let times = report.progress.into_timer().into_times();
+        let (timer, trace) = report.progress.into_parts();
+        explain_end(&self.context, trace, &report.end, used_tokens);
+        let times = timer.into_times();
         let mut outcome = self.outcome(end, report.served_in, times);
         outcome.tokens = used_tokens;
         outcome.booking = report.booking;
@@ -102,6 +125,29 @@
     }
 }
 
+/// Adds how a request ended, and keeps the explanation.
+pub(super) fn explain_end(
+    context: &RequestContext,
+    mut trace: ExplanationBuilder,
+    end: &CallEnd,
+    charged_tokens: u64,
+) {
+    let event = match end {
+        CallEnd::Whole(_) => StepEvent::Answered { charged_tokens },
+        CallEnd::Failed(error) => failed(error),
+        CallEnd::HungUp => StepEvent::Cancelled,
+    };
+    trace.add(context.clock.now(), event);
+    context.explanations.put(trace.build());
+}
+
+const fn failed(error: &GatewayError) -> StepEvent {
+    StepEvent::Failed {
+        kind: error.kind,
+        run: error.run,
+    }
+}
+
 /// Tells whether the caller was told that nothing ran.
 fn is_refusal(error: &GatewayError) -> bool {
     error.run == crate::errors::RunState::NotRun
--- a/src/vm/progress.rs
+++ b/src/vm/progress.rs
@@ -5,6 +5,8 @@
 use crate::clock::Monotonic;
 use crate::idempotency::CallOutcome;
 use crate::idempotency::StoredAnswer;
+use crate::operator::ExplanationBuilder;
+use crate::operator::StepEvent;
 use crate::request::AnswerEvent;
 use crate::request::AnswerPayload;
 use crate::request::Usage;
@@ -27,6 +29,8 @@
 pub(super) struct Progress {
     /// The chunks that were passed on.
     pub(super) passed_chunks: u64,
+    /// What happened so far, for operators.
+    pub(super) trace: ExplanationBuilder,
     timer: AnswerTimer,
     keeping: AnswerKeeping,
     status: u16,
@@ -35,9 +39,14 @@
 }
 
 impl Progress {
-    pub(super) fn new(received_at: Monotonic, keeping: AnswerKeeping) -> Self {
+    pub(super) fn new(
+        received_at: Monotonic,
+        keeping: AnswerKeeping,
+        trace: ExplanationBuilder,
+    ) -> Self {
         Self {
             passed_chunks: 0,
+            trace,
             timer: AnswerTimer::new(received_at),
             keeping,
             status: 200,
@@ -58,6 +67,9 @@
                 self.content_type.clone_from(content_type);
             }
             AnswerPayload::Chunk(bytes) => {
+                if self.passed_chunks == 0 {
+                    self.trace.add(now, StepEvent::FirstToken);
+                }
                 self.passed_chunks += 1;
                 self.timer.on_chunk(now);
                 self.keep(bytes);
@@ -81,9 +93,9 @@
         }
     }
 
-    /// Returns the times of the parts of the answer.
-    pub(super) fn into_timer(self) -> AnswerTimer {
-        self.timer
+    /// Returns the times of the parts of the answer, and what happened.
+    pub(super) fn into_parts(self) -> (AnswerTimer, ExplanationBuilder) {
+        (self.timer, self.trace)
     }
 
     fn keep(&mut self, bytes: &[u8]) {
--- a/src/vm/request_path.rs
+++ b/src/vm/request_path.rs
@@ -15,6 +15,8 @@
 use super::call_task::CallEnd;
 use super::check_key;
 use super::coordinator::Coordinator;
+use super::coordinator::Origin;
+use super::outcome::explain_end;
 use super::outcome::OutcomeRecorder;
 use super::resolve;
 use super::running_guard::RunningGuard;
@@ -28,9 +30,12 @@
 use crate::catalog::KeyDigest;
 use crate::catalog::RouteKind;
 use crate::catalog::VmKey;
+use crate::clock::Monotonic;
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
 use crate::membership::EntryRanking;
+use crate::operator::ExplanationBuilder;
+use crate::operator::StepEvent;
 use crate::peer::ForwardRequest;
 use crate::peer::PeerHandler;
 use crate::peer::PeerMessage;
@@ -77,6 +82,16 @@
         })
     }
 
+    fn trace_hand_over(&self, from: VmKey, call: &Call) -> ExplanationBuilder {
+        let now = self.context.clock.now();
+        let mut trace = ExplanationBuilder::new(call.id, now, self.context.clock.wall_time());
+        if let Some(vm) = self.context.blackboard.catalog.load().vms.get(from) {
+            let from = vm.name.clone();
+            trace.add(now, StepEvent::HandedOver { from });
+        }
+        trace
+    }
+
     async fn serve_caller(
         &self,
         incoming: IncomingCall,
@@ -95,12 +110,12 @@
                 return Err(error);
             }
         };
-        recorder.on_admitted();
+        recorder.on_admitted(call.reserved_tokens);
         Ok(Accepted {
             call,
             held,
             guard,
-            deadline: received_at,
+            received_at,
         })
     }
 }
@@ -110,17 +125,23 @@
     call: Call,
     held: Option<HeldTokens>,
     guard: RunningGuard,
-    deadline: crate::clock::Monotonic,
+    received_at: Monotonic,
 }
 
 impl Accepted {
     /// Runs the call to its end, gives tokens back and records the outcome.
     async fn run(self, context: Arc<RequestContext>, sink: AnswerSink, recorder: OutcomeRecorder) {
-        let deadline = self.deadline + self.call.remaining;
         let prompt_tokens = prompt_tokens(&self.call);
         let open_stream = context.telemetry.open_stream();
-        let coordinator = Coordinator::for_caller(context, self.call, deadline, sink.clone());
-        let report = coordinator.run(recorder.received_at()).await;
+        let coordinator = Coordinator::new(
+            context,
+            self.call,
+            Origin::Caller,
+            self.received_at,
+            sink.clone(),
+            recorder.trace(),
+        );
+        let report = coordinator.run().await;
         let passed_chunks = report.progress.passed_chunks;
         let used_tokens = match &report.end {
             CallEnd::Whole(usage) => used_tokens(*usage),
@@ -239,19 +260,28 @@
 
     async fn on_forward(
         &self,
-        _from: VmKey,
+        from: VmKey,
         request: ForwardRequest,
     ) -> Result<AnswerStream, GatewayError> {
         let guard = self.admit()?;
         let call = request.call;
         check_key(&self.context.blackboard.catalog.load(), &call)?;
         let (sink, receiver) = mpsc::channel(SINK_EVENTS);
-        let received_at = self.context.clock.now();
-        let deadline = received_at + call.remaining;
+        let trace = self.trace_hand_over(from, &call);
         let context = Arc::clone(&self.context);
+        let received_at = self.context.clock.now();
         tokio::spawn(async move {
-            let coordinator = Coordinator::for_peer(context, call, deadline, sink.clone());
-            let report = coordinator.run(received_at).await;
+            let coordinator = Coordinator::new(
+                Arc::clone(&context),
+                call,
+                Origin::Peer,
+                received_at,
+                sink.clone(),
+                trace,
+            );
+            let report = coordinator.run().await;
+            let (_, trace) = report.progress.into_parts();
+            explain_end(&context, trace, &report.end, 0);
             if let CallEnd::Failed(error) = report.end {
                 // The other VM may have given up.
                 let _ = sink.send(Err(error)).await;
