--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -3,9 +3,13 @@
 use std::path::Path;
 
 use super::log_setup;
+use super::runtime;
 use super::CliError;
+use crate::peer;
 use crate::settings::PeerSecret;
 use crate::settings::Settings;
+use crate::vm;
+use crate::vm::DaemonError;
 
 /// Checks the settings and the peer secret, then runs the daemon until it has drained.
 pub(super) fn run(settings: &Path) -> Result<(), CliError> {
@@ -15,6 +19,7 @@
     run_daemon(settings, secret)
 }
 
-fn run_daemon(_settings: Settings, _secret: PeerSecret) -> Result<(), CliError> {
-    Err(CliError::Unavailable { command: "serve" })
+fn run_daemon(settings: Settings, secret: PeerSecret) -> Result<(), CliError> {
+    let secret = peer::PeerSecret::new(secret.as_bytes()).map_err(DaemonError::from)?;
+    runtime::block_on(async move { Ok(vm::serve(settings, secret).await?) })
 }
--- a/src/vm/daemon_error.rs
+++ b/src/vm/daemon_error.rs
@@ -22,6 +22,9 @@
     /// The client of the platform could not be set up.
     #[error(transparent)]
     Platform(#[from] PlatformError),
+    /// The signals of the process could not be caught.
+    #[error("signals cannot be caught: {0}")]
+    Signal(io::Error),
     /// The port for other VMs could not be served.
     #[error("the port for other VMs cannot be served: {0}")]
     Peer(io::Error),
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -22,6 +22,7 @@
 mod request_path;
 mod resolve;
 mod running_guard;
+mod serve;
 
 pub use blackboard::Blackboard;
 pub use control_handle::BeginReply;
@@ -45,3 +46,4 @@
 pub use request_path::RequestPath;
 pub use resolve::check_key;
 pub use resolve::resolve;
+pub use serve::serve;
