--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -136,13 +136,13 @@
             Command::new("engine")
                 .about("Stand in for a model engine")
                 .arg(address_arg("127.0.0.1:7400"))
-                .arg(fault_arg()),
+                .arg(faults_arg()),
         )
         .subcommand(
             Command::new("service")
                 .about("Stand in for a plain service that counts executions")
                 .arg(address_arg("127.0.0.1:7500"))
-                .arg(fault_arg()),
+                .arg(faults_arg()),
         )
 }
 
@@ -189,11 +189,11 @@
         .value_parser(value_parser!(SocketAddr))
 }
 
-fn fault_arg() -> Arg {
-    Arg::new("fault")
-        .long("fault")
-        .value_name("NAME=VALUE")
-        .help("A fault to show from the start; may be repeated")
-        .action(ArgAction::Append)
+fn faults_arg() -> Arg {
+    Arg::new("faults")
+        .long("faults")
+        .value_name("JSON")
+        .help("The faults to show from the start, as PUT /control/faults takes them")
+        .default_value("{}")
         .value_parser(NonEmptyStringValueParser::new())
 }
--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -4,8 +4,11 @@
 
 use thiserror::Error;
 
+use crate::caller::LaunchError;
+use crate::demo::DemoError;
 use crate::settings::SettingsError;
 use crate::stand_in::platform::PlatformStandInError;
+use crate::vm::DaemonError;
 
 /// Why a subcommand failed; each kind has an exit code.
 #[derive(Debug, Error)]
@@ -44,12 +47,18 @@
     /// The program could not start, or a part of it failed.
     #[error("{0}")]
     Failed(String),
-    /// The part that would run is not there yet.
-    #[error("{command} is not available in this version")]
-    Unavailable {
-        /// The subcommand.
-        command: &'static str,
-    },
+    /// A daemon did not start.
+    #[error(transparent)]
+    Daemon(#[from] DaemonError),
+    /// The demo did not start.
+    #[error(transparent)]
+    Demo(#[from] DemoError),
+    /// An endpoint stand-in did not start.
+    #[error(transparent)]
+    StandInEndpoint(#[from] LaunchError),
+    /// The faults for a stand-in are not accepted.
+    #[error("--faults: {0}")]
+    Faults(serde_json::Error),
 }
 
 impl CliError {
@@ -59,7 +68,13 @@
             Self::CheckFailed { .. } | Self::DemoFailed => 1,
             Self::NoAnswer { .. } => 3,
             Self::UnknownRequest { .. } => 4,
-            Self::Settings(_) | Self::StandIn(_) | Self::Failed(_) | Self::Unavailable { .. } => 5,
+            Self::Faults(_) => 2,
+            Self::Settings(_)
+            | Self::StandIn(_)
+            | Self::StandInEndpoint(_)
+            | Self::Daemon(_)
+            | Self::Demo(_)
+            | Self::Failed(_) => 5,
         }
     }
 }
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -1,8 +1,18 @@
 //! `figramp demo`.
 
+use super::runtime;
 use super::CliError;
+use crate::demo::run_demo;
+use crate::demo::DemoOptions;
 
 /// Runs the demo; with a number of requests it ends by itself.
-pub(super) fn run(_request_count: Option<u64>) -> Result<(), CliError> {
-    Err(CliError::Unavailable { command: "demo" })
+pub(super) fn run(request_count: Option<u64>) -> Result<(), CliError> {
+    let options = DemoOptions {
+        requests: request_count,
+    };
+    let is_clean = runtime::block_on(async { Ok(run_demo(options).await?) })?;
+    if !is_clean {
+        return Err(CliError::DemoFailed);
+    }
+    Ok(())
 }
--- a/src/cli/invocation.rs
+++ b/src/cli/invocation.rs
@@ -75,8 +75,8 @@
     pub kind: StandInKind,
     /// The address to listen at.
     pub address: SocketAddr,
-    /// The faults to show from the start, as `NAME=VALUE`.
-    pub faults: Vec<String>,
+    /// The faults to show from the start, in JSON.
+    pub faults: String,
 }
 
 /// What an endpoint stand-in stands in for.
@@ -148,7 +148,7 @@
     Invocation::StandInEndpoint(StandInEndpoint {
         kind,
         address: one(matches, "address"),
-        faults: many(matches, "fault"),
+        faults: one(matches, "faults"),
     })
 }
 
--- a/src/cli/stand_in.rs
+++ b/src/cli/stand_in.rs
@@ -8,7 +8,13 @@
 use super::CliError;
 use super::StandInEndpoint;
 use super::StandInKind;
+use crate::stand_in::engine::EngineFaults;
+use crate::stand_in::engine::EngineOptions;
+use crate::stand_in::engine::EngineServer;
 use crate::stand_in::platform::PlatformStandIn;
+use crate::stand_in::service::ServiceFaults;
+use crate::stand_in::service::ServiceOptions;
+use crate::stand_in::service::ServiceServer;
 
 /// Runs the platform stand-in until it is interrupted.
 pub(super) fn platform(address: SocketAddr, tickets: &[PathBuf]) -> Result<(), CliError> {
@@ -27,11 +33,38 @@
     })
 }
 
-/// Runs an endpoint stand-in until it is interrupted.
+/// Runs an endpoint stand-in until the process ends.
 pub(super) fn endpoint(endpoint: &StandInEndpoint) -> Result<(), CliError> {
-    let command = match endpoint.kind {
-        StandInKind::Engine => "stand-in engine",
-        StandInKind::Service => "stand-in service",
+    match endpoint.kind {
+        StandInKind::Engine => engine(endpoint),
+        StandInKind::Service => service(endpoint),
+    }
+}
+
+fn engine(endpoint: &StandInEndpoint) -> Result<(), CliError> {
+    let faults: EngineFaults = serde_json::from_str(&endpoint.faults).map_err(CliError::Faults)?;
+    let options = EngineOptions {
+        bind_address: endpoint.address,
+        ..EngineOptions::default()
     };
-    Err(CliError::Unavailable { command })
+    runtime::block_on(async move {
+        let engine = EngineServer::launch(options).await?;
+        engine.set_faults(faults);
+        println!("engine stand-in at http://{}", engine.address());
+        std::future::pending().await
+    })
+}
+
+fn service(endpoint: &StandInEndpoint) -> Result<(), CliError> {
+    let faults: ServiceFaults = serde_json::from_str(&endpoint.faults).map_err(CliError::Faults)?;
+    let options = ServiceOptions {
+        bind_address: endpoint.address,
+        ..ServiceOptions::default()
+    };
+    runtime::block_on(async move {
+        let service = ServiceServer::launch(options).await?;
+        service.set_faults(faults);
+        println!("service stand-in at http://{}", service.address());
+        std::future::pending().await
+    })
 }
--- a/src/settings/error.rs
+++ b/src/settings/error.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use crate::peer::PeerSecretError;
+
 /// Why settings are refused.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum SettingsError {
@@ -26,13 +28,11 @@
         problem: String,
     },
     /// The file with the peer secret is not accepted.
-    #[error("{file}: expected a peer secret of at least {min_bytes} bytes, got {found_bytes}")]
+    #[error("{file}: {reason}")]
     ShortSecret {
         /// The file.
         file: String,
-        /// The shortest accepted secret, in bytes.
-        min_bytes: usize,
-        /// The length of the secret, in bytes.
-        found_bytes: usize,
+        /// What is wrong with it.
+        reason: PeerSecretError,
     },
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -15,5 +15,3 @@
 pub use checked::PlatformSettings;
 pub use checked::Settings;
 pub use error::SettingsError;
-pub use peer_secret::PeerSecret;
-pub use peer_secret::PEER_SECRET_MIN_BYTES;
