--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -47,15 +47,18 @@
     /// The program could not start, or a part of it failed.
     #[error("{0}")]
     Failed(String),
-    /// The daemon did not start.
+    /// A daemon did not start.
     #[error(transparent)]
     Daemon(#[from] DaemonError),
     /// The demo did not start.
     #[error(transparent)]
     Demo(#[from] DemoError),
-    /// A stand-in of an endpoint did not start.
+    /// An endpoint stand-in did not start.
     #[error(transparent)]
-    Endpoint(#[from] LaunchError),
+    StandInEndpoint(#[from] LaunchError),
+    /// The faults for a stand-in are not accepted.
+    #[error("--faults: {0}")]
+    Faults(serde_json::Error),
 }
 
 impl CliError {
@@ -65,12 +68,13 @@
             Self::CheckFailed { .. } | Self::DemoFailed => 1,
             Self::NoAnswer { .. } => 3,
             Self::UnknownRequest { .. } => 4,
+            Self::Faults(_) => 2,
             Self::Settings(_)
             | Self::StandIn(_)
-            | Self::Failed(_)
+            | Self::StandInEndpoint(_)
             | Self::Daemon(_)
             | Self::Demo(_)
-            | Self::Endpoint(_) => 5,
+            | Self::Failed(_) => 5,
         }
     }
 }
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -10,10 +10,9 @@
     let options = DemoOptions {
         requests: request_count,
     };
-    let is_clean = runtime::block_on(async move { Ok(run_demo(options).await?) })?;
-    if is_clean {
-        Ok(())
-    } else {
-        Err(CliError::DemoFailed)
+    let is_clean = runtime::block_on(async { Ok(run_demo(options).await?) })?;
+    if !is_clean {
+        return Err(CliError::DemoFailed);
     }
+    Ok(())
 }
