--- a/src/limits/account_draws.rs
+++ b/src/limits/account_draws.rs
@@ -21,18 +21,27 @@
 const RETRY_MIN: Duration = Duration::from_millis(50);
 
 /// The longest time between two draws from a home that had too little.
-const RETRY_MAX: Duration = Duration::from_secs(1);
+const RETRY_MAX: Duration = Duration::from_millis(400);
 
 /// The shortest time between two draws ahead of need.
 const AHEAD_GAP: Duration = Duration::from_millis(500);
 
+/// The shortest time between two reports.
+const REPORT_GAP: Duration = Duration::from_millis(200);
+
+/// The part of the burst that is reported as free again at once, as a divisor.
+const REPORT_DIVISOR: u64 = 64;
+
+/// The part of the burst that a VM keeps ahead of need at most, as a divisor.
+const AHEAD_DIVISOR: u64 = 32;
+
 /// The number of other regions that are asked at the same time.
 const PARALLEL_DRAWS: usize = 2;
 
 /// The draws of one account on one VM.
 ///
 /// Requests that wait are served from the home of the own region first, then from the homes of
-/// other regions, nearest first. A home that had too little, or that did not answer, is left alone
+/// other regions, nearest first, each asked for a part. A home that had too little, or that did not answer, is left alone
 /// for a while.
 #[derive(Debug)]
 pub struct AccountDraws {
@@ -46,6 +55,8 @@
     ahead_at: Monotonic,
     reported_at: Monotonic,
     regions: SecondaryMap<RegionKey, DrawRegion>,
+    burst_tokens: u64,
+    is_report_due: bool,
 }
 
 /// The home that a region's VMs can be drawn through.
@@ -98,8 +109,13 @@
 }
 
 impl AccountDraws {
-    /// Creates the draws of an account that has none yet.
-    pub fn new(now: Monotonic, account: ClientAccountKey, pool: Arc<TokenPool>) -> Self {
+    /// Creates the draws of an account, numbered after `last_number`.
+    pub fn new(
+        now: Monotonic,
+        account: ClientAccountKey,
+        pool: Arc<TokenPool>,
+        last_number: u32,
+    ) -> Self {
         let mut demand = Demand::default();
         demand.sample(now, pool.reserved_tokens());
         Self {
@@ -109,13 +125,25 @@
             demand,
             pending: Vec::new(),
             need: Need::default(),
-            last_number: 0,
+            last_number,
             ahead_at: Monotonic::ZERO,
             reported_at: now,
             regions: SecondaryMap::new(),
+            burst_tokens: 0,
+            is_report_due: false,
         }
     }
 
+    /// Takes the published burst of the account over all regions.
+    pub fn put_burst(&mut self, burst_tokens: u64) {
+        self.burst_tokens = burst_tokens;
+    }
+
+    /// Returns the number of the last draw.
+    pub fn last_number(&self) -> u32 {
+        self.last_number
+    }
+
     /// Adds the tokens that one more waiting request misses.
     pub fn add_need(&mut self, missing_tokens: u64) {
         let is_first = self.need.tokens == 0;
@@ -137,7 +165,7 @@
         self.lots
             .close_expired(now, settings.refund_window, &self.pool);
         if self.need.tokens == 0 {
-            let keep_tokens = self.demand.expected_tokens(settings.draw_period * 2);
+            let keep_tokens = 2 * self.ahead_target_tokens(settings);
             self.lots
                 .close_idle(now, keep_tokens, settings.idle_return, &self.pool);
         }
@@ -159,29 +187,44 @@
     ) -> Vec<OutgoingDraw> {
         let ahead_tokens = self.wanted_ahead_tokens(now, settings);
         let picked = self.pick_targets(now, targets, is_first_near, ahead_tokens);
+        let open_tokens = self.open_need_tokens();
+        let part_tokens = open_tokens.div_ceil(picked.len().max(1) as u64);
         picked
             .into_iter()
-            .map(|target| self.draw(now, target, ahead_tokens))
+            .map(|target| self.draw(now, target, part_tokens, ahead_tokens))
             .collect()
     }
 
-    /// Tells whether requests wait in vain: nothing is on its way and nobody is left to ask.
-    pub fn deny_need(&mut self, now: Monotonic) -> bool {
-        let is_denied = self.need.tokens > 0 && self.pending.is_empty();
+    /// Tells whether requests wait in vain: nothing is on its way, and nobody can be asked now.
+    pub fn deny_need(&mut self, now: Monotonic, targets: &[DrawTarget]) -> bool {
+        if self.need.tokens == 0 || !self.pending.is_empty() {
+            return false;
+        }
+        let retry_at = targets
+            .iter()
+            .map(|target| self.retry_at(target.region))
+            .min();
+        let is_denied = retry_at.is_none_or(|retry_at| retry_at > now);
         if is_denied {
-            let retry_at = self.regions.values().map(|region| region.retry_at).min();
             self.pool.put_retry_at(retry_at.unwrap_or(now + RETRY_MAX));
             self.need = Need::default();
+            self.return_all(now);
         }
         is_denied
     }
 
-    /// Returns the reports that are due apart from draws.
+    /// Returns the reports that are due apart from draws: at once if much of the burst is free
+    /// again, or after a while.
     pub fn due_reports(&mut self, now: Monotonic, settings: &LimitsSettings) -> Vec<OutgoingDraw> {
-        if now.since(self.reported_at) < settings.draw_period {
+        let elapsed = now.since(self.reported_at);
+        let is_much = self.lots.unreported_tokens() > self.burst_tokens / REPORT_DIVISOR;
+        let is_early = self.is_report_due || is_much;
+        let is_due = elapsed >= settings.draw_period || (is_early && elapsed >= REPORT_GAP);
+        if !is_due {
             return Vec::new();
         }
         self.reported_at = now;
+        self.is_report_due = false;
         let homes = self.lots.homes_to_report();
         homes.into_iter().map(|home| self.report(home)).collect()
     }
@@ -222,6 +265,12 @@
         self.need.tokens == 0 && self.pending.is_empty() && self.lots.is_empty()
     }
 
+    /// Sends back what was collected in vain, so that another VM may use it.
+    fn return_all(&mut self, now: Monotonic) {
+        self.lots.close_idle(now, 0, Duration::ZERO, &self.pool);
+        self.is_report_due = true;
+    }
+
     fn note_home(
         &mut self,
         now: Monotonic,
@@ -229,20 +278,19 @@
         pending: &PendingDraw,
         grant: &AccountGrant,
     ) {
-        let is_short = u64::from(grant.tokens) < pending.need_tokens.max(1);
+        let is_short = u64::from(grant.tokens) < pending.need_tokens;
         let pause = grant.retry_after.clamp(RETRY_MIN, RETRY_MAX);
-        let region = self.region_mut(pending.target.region);
-        region.home = Some(from);
-        if is_short {
-            region.retry_at = now + pause;
-        }
+        let retry_at = is_short.then(|| now + pause);
+        self.put_region(pending.target.region, Some(from), retry_at);
     }
 
-    fn region_mut(&mut self, region: RegionKey) -> &mut DrawRegion {
-        if !self.regions.contains_key(region) {
-            self.regions.insert(region, DrawRegion::default());
-        }
-        &mut self.regions[region]
+    fn put_region(&mut self, region: RegionKey, home: Option<VmKey>, retry_at: Option<Monotonic>) {
+        let known = self.regions.get(region).copied().unwrap_or_default();
+        let next = DrawRegion {
+            home,
+            retry_at: retry_at.unwrap_or(known.retry_at),
+        };
+        self.regions.insert(region, next);
     }
 
     fn give_up_silent(&mut self, now: Monotonic, timeout: Duration) {
@@ -253,14 +301,12 @@
         self.pending = pending;
         for draw in silent {
             self.lots.give_up(draw.number, draw.target.vm);
-            let region = self.region_mut(draw.target.region);
-            region.home = None;
-            region.retry_at = now + RETRY_MAX;
+            self.put_region(draw.target.region, None, Some(now + RETRY_MAX));
         }
     }
 
     fn wanted_ahead_tokens(&self, now: Monotonic, settings: &LimitsSettings) -> u64 {
-        let target_tokens = self.demand.expected_tokens(settings.draw_period);
+        let target_tokens = self.ahead_target_tokens(settings);
         let lasting_tokens = self.lots.available_tokens(now, AHEAD_GAP);
         let is_low = lasting_tokens < target_tokens / 2;
         let is_due = now.since(self.ahead_at) >= AHEAD_GAP;
@@ -271,6 +317,11 @@
         }
     }
 
+    fn ahead_target_tokens(&self, settings: &LimitsSettings) -> u64 {
+        let expected_tokens = self.demand.expected_tokens(settings.draw_period);
+        expected_tokens.min(self.burst_tokens / AHEAD_DIVISOR)
+    }
+
     fn pick_targets(
         &self,
         now: Monotonic,
@@ -278,7 +329,7 @@
         is_first_near: bool,
         ahead_tokens: u64,
     ) -> Vec<DrawTarget> {
-        if self.need.tokens == 0 && ahead_tokens == 0 {
+        if self.open_need_tokens() == 0 && ahead_tokens == 0 {
             return Vec::new();
         }
         if let Some(near) = targets.first().filter(|_| is_first_near) {
@@ -304,6 +355,12 @@
             .collect()
     }
 
+    /// Returns the tokens that requests wait for and that nobody was asked for yet.
+    fn open_need_tokens(&self) -> u64 {
+        let asked_tokens: u64 = self.pending.iter().map(|draw| draw.need_tokens).sum();
+        self.need.tokens.saturating_sub(asked_tokens)
+    }
+
     fn is_pending(&self, region: RegionKey) -> bool {
         self.pending
             .iter()
@@ -311,12 +368,22 @@
     }
 
     fn is_open(&self, now: Monotonic, region: RegionKey) -> bool {
+        now >= self.retry_at(region)
+    }
+
+    fn retry_at(&self, region: RegionKey) -> Monotonic {
         self.regions
             .get(region)
-            .is_none_or(|region| now >= region.retry_at)
+            .map_or(Monotonic::ZERO, |region| region.retry_at)
     }
 
-    fn draw(&mut self, now: Monotonic, target: DrawTarget, ahead_tokens: u64) -> OutgoingDraw {
+    fn draw(
+        &mut self,
+        now: Monotonic,
+        target: DrawTarget,
+        need_tokens: u64,
+        ahead_tokens: u64,
+    ) -> OutgoingDraw {
         self.last_number += 1;
         if ahead_tokens > 0 {
             self.ahead_at = now;
@@ -324,12 +391,12 @@
         self.pending.push(PendingDraw {
             number: self.last_number,
             target,
-            need_tokens: self.need.tokens,
+            need_tokens,
             sent_at: now,
         });
         let mut outgoing = self.report(target.vm);
         outgoing.draw.number = self.last_number;
-        outgoing.draw.need_tokens = narrow(self.need.tokens);
+        outgoing.draw.need_tokens = narrow(need_tokens);
         outgoing.draw.unit_tokens = narrow(self.need.unit_tokens);
         outgoing.draw.ahead_tokens = narrow(ahead_tokens);
         outgoing
--- a/src/limits/controller.rs
+++ b/src/limits/controller.rs
@@ -83,6 +83,9 @@
         if self.desk.sync_pools(catalog) {
             out.push(LimitsAction::PoolsChanged);
         }
+        if let Some(region) = self.region(catalog) {
+            self.leases.put_roster(now, catalog, region);
+        }
         let Some(region) = self.enter(now, catalog, out) else {
             return;
         };
@@ -174,15 +177,18 @@
         self.books.balance_tokens(account)
     }
 
-    /// Follows the roster and drops leases that have run out, before anything relies on them.
+    fn region(&self, catalog: &Catalog) -> Option<RegionKey> {
+        Some(catalog.vms.get(self.own)?.region)
+    }
+
+    /// Drops leases that have run out, before anything relies on them.
     fn enter(
         &mut self,
         now: Monotonic,
         catalog: &Catalog,
         out: &mut Vec<LimitsAction>,
     ) -> Option<RegionKey> {
-        let region = catalog.vms.get(self.own)?.region;
-        self.leases.put_roster(now, catalog, region);
+        let region = self.region(catalog)?;
         let lost = self.leases.drop_lost(now);
         if !lost.is_empty() {
             self.books.close(catalog, lost);
--- a/src/limits/draw_desk.rs
+++ b/src/limits/draw_desk.rs
@@ -31,6 +31,7 @@
     pools: TokenPools,
     draws: SecondaryMap<ClientAccountKey, AccountDraws>,
     seen_tokens: SecondaryMap<ClientAccountKey, u64>,
+    last_forgotten_number: u32,
 }
 
 /// What a VM knows when it picks the homes to draw from.
@@ -105,11 +106,13 @@
         self.wake_accounts(context.now);
         let mut due = DueDraws::default();
         for (account, draws) in &mut self.draws {
+            let published = context.catalog.client_accounts.get(account);
+            draws.put_burst(published.map_or(0, |published| published.burst_tokens));
             draws.keep_books(context.now, context.settings);
             collect_due(context, account, draws, &mut due);
             due.extend(draws.due_reports(context.now, context.settings));
         }
-        self.draws.retain(|_, draws| !draws.is_idle());
+        self.forget_idle();
         due
     }
 
@@ -144,6 +147,18 @@
         (outcome, due)
     }
 
+    /// Forgets accounts at rest; later draws are numbered on, since a home answers a number once.
+    fn forget_idle(&mut self) {
+        let last_number = &mut self.last_forgotten_number;
+        self.draws.retain(|_, draws| {
+            let is_idle = draws.is_idle();
+            if is_idle {
+                *last_number = draws.last_number().max(*last_number);
+            }
+            !is_idle
+        });
+    }
+
     /// Starts to keep books of accounts that requests have begun to use.
     fn wake_accounts(&mut self, now: Monotonic) {
         let mut woken = Vec::new();
@@ -166,7 +181,8 @@
     ) -> Option<&mut AccountDraws> {
         let pool = self.pools.get(account)?;
         if !self.draws.contains_key(account) {
-            let draws = AccountDraws::new(now, account, Arc::clone(pool));
+            let draws =
+                AccountDraws::new(now, account, Arc::clone(pool), self.last_forgotten_number);
             self.draws.insert(account, draws);
         }
         self.draws.get_mut(account)
@@ -187,7 +203,7 @@
         .first()
         .is_some_and(|target| target.region == context.region);
     due.extend(draws.due(context.now, &targets, is_first_near, context.settings));
-    if draws.deny_need(context.now) {
+    if draws.deny_need(context.now, &targets) {
         due.denied.push(account);
     }
 }
--- a/src/limits/held_lots.rs
+++ b/src/limits/held_lots.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Returns the tokens that no home knows yet to be free again.
+    pub fn unreported_tokens(&self) -> u64 {
+        self.lots.iter().map(HeldLot::unreported_tokens).sum()
+    }
+
     /// Returns the homes that a report is due to.
     pub fn homes_to_report(&self) -> Vec<VmKey> {
         let mut homes: Vec<VmKey> = self
@@ -178,6 +183,13 @@
         is_last || self.lot.report() != self.sent_report
     }
 
+    fn unreported_tokens(&self) -> u64 {
+        let report = self.lot.report();
+        let free_tokens = report.refunded_tokens + report.returned_tokens;
+        let sent_tokens = self.sent_report.refunded_tokens + self.sent_report.returned_tokens;
+        u64::from(free_tokens.saturating_sub(sent_tokens))
+    }
+
     fn take_report(&mut self) -> LotReport {
         let report = self.lot.report();
         if self.is_closed && self.lot.is_settled() {
--- a/src/limits/home_ledger.rs
+++ b/src/limits/home_ledger.rs
@@ -21,6 +21,9 @@
 /// The part of the balance that one draw ahead of need may take, as a divisor.
 const AHEAD_DIVISOR: u64 = 4;
 
+/// The same while less than half of the burst is left.
+const SCARCE_AHEAD_DIVISOR: u64 = 32;
+
 /// The books of one account on the VM that is its home.
 ///
 /// The potential is the balance plus the potential of all lots: everything that may still be
@@ -132,7 +135,7 @@
         for report in &draw.reports {
             self.apply(now, holder, report);
         }
-        let state = &mut self.holders[holder];
+        let state = self.holders.get_mut(holder)?;
         if draw.number <= state.last_number {
             return None;
         }
@@ -205,7 +208,12 @@
         if is_scarce && !is_near {
             return 0;
         }
-        u64::from(draw.ahead_tokens).min(left_tokens / AHEAD_DIVISOR)
+        let divisor = if is_scarce {
+            SCARCE_AHEAD_DIVISOR
+        } else {
+            AHEAD_DIVISOR
+        };
+        u64::from(draw.ahead_tokens).min(left_tokens / divisor)
     }
 
     /// Returns false for a message of an earlier incarnation of the holder.
--- a/src/limits/lease_holder.rs
+++ b/src/limits/lease_holder.rs
@@ -36,6 +36,7 @@
     sent: VecDeque<SentRequest>,
     votes: SecondaryMap<VmKey, VoteEnds>,
     released_through: [u32; SHARD_COUNT as usize],
+    lease_ends: VoteEnds,
     held: ShardSet,
 }
 
@@ -55,6 +56,7 @@
             sent: VecDeque::new(),
             votes: SecondaryMap::new(),
             released_through: [0; SHARD_COUNT as usize],
+            lease_ends: [Monotonic::ZERO; SHARD_COUNT as usize],
             held: ShardSet::default(),
         }
     }
@@ -89,7 +91,7 @@
     }
 
     /// Counts the votes of an answer.
-    pub fn take_answer(&mut self, from: VmKey, answer: &LeaseAnswer) {
+    pub fn take_answer(&mut self, roster: &Roster, from: VmKey, answer: &LeaseAnswer) {
         if answer.incarnation != self.incarnation {
             return;
         }
@@ -101,16 +103,21 @@
             return;
         };
         let until = sent.sent_at + self.lease;
-        if !self.votes.contains_key(from) {
-            self.votes
-                .insert(from, [Monotonic::ZERO; SHARD_COUNT as usize]);
-        }
-        let ends = &mut self.votes[from];
+        let Some(entry) = self.votes.entry(from) else {
+            return;
+        };
+        let ends = entry.or_insert([Monotonic::ZERO; SHARD_COUNT as usize]);
         for shard in answer.shards.iter() {
             if answer.sequence > self.released_through[shard.index()] {
                 ends[shard.index()] = ends[shard.index()].max(until);
             }
         }
+        self.count_votes(roster, answer.shards);
+    }
+
+    /// Counts all votes anew, after a change of the roster.
+    pub fn count_all_votes(&mut self, roster: &Roster) {
+        self.count_votes(roster, Shard::all().collect());
     }
 
     /// Gives up all votes for `shards`, those included that are still on their way.
@@ -120,40 +127,48 @@
             for ends in self.votes.values_mut() {
                 ends[shard.index()] = Monotonic::ZERO;
             }
+            self.lease_ends[shard.index()] = Monotonic::ZERO;
         }
     }
 
-    /// Returns the time up to which a majority of `roster` has voted for this VM.
-    pub fn lease_end(&self, roster: &Roster, shard: Shard) -> Monotonic {
-        let mut ends: Vec<Monotonic> = roster
-            .vms
-            .iter()
-            .filter_map(|vm| self.votes.get(*vm))
-            .map(|ends| ends[shard.index()])
-            .collect();
-        ends.sort_by_key(|end| std::cmp::Reverse(*end));
-        let last_needed = roster.majority() - 1;
-        ends.get(last_needed).copied().unwrap_or(Monotonic::ZERO)
+    /// Returns the time up to which a majority of the roster has voted for this VM.
+    pub fn lease_end(&self, shard: Shard) -> Monotonic {
+        self.lease_ends[shard.index()]
     }
 
     /// Drops the leases that have run out and returns them.
-    pub fn drop_lost(&mut self, now: Monotonic, roster: &Roster) -> ShardSet {
+    pub fn drop_lost(&mut self, now: Monotonic) -> ShardSet {
         let lost: ShardSet = self
             .held
             .iter()
-            .filter(|shard| now >= self.lease_end(roster, *shard))
+            .filter(|shard| now >= self.lease_end(*shard))
             .collect();
         self.held = self.held.without(lost);
         lost
     }
 
     /// Adds the leases that have found a majority and returns them.
-    pub fn add_acquired(&mut self, now: Monotonic, roster: &Roster) -> ShardSet {
+    pub fn add_acquired(&mut self, now: Monotonic) -> ShardSet {
         let acquired: ShardSet = Shard::all()
             .filter(|shard| !self.held.contains(*shard))
-            .filter(|shard| now < self.lease_end(roster, *shard))
+            .filter(|shard| now < self.lease_end(*shard))
             .collect();
         self.held = ShardSet(self.held.0 | acquired.0);
         acquired
     }
+
+    fn count_votes(&mut self, roster: &Roster, shards: ShardSet) {
+        for shard in shards.iter() {
+            let mut ends: Vec<Monotonic> = roster
+                .vms
+                .iter()
+                .filter_map(|vm| self.votes.get(*vm))
+                .map(|ends| ends[shard.index()])
+                .collect();
+            ends.sort_by_key(|end| std::cmp::Reverse(*end));
+            let last_needed = roster.majority() - 1;
+            let end = ends.get(last_needed).copied();
+            self.lease_ends[shard.index()] = end.unwrap_or(Monotonic::ZERO);
+        }
+    }
 }
--- a/src/limits/region_leases.rs
+++ b/src/limits/region_leases.rs
@@ -115,7 +115,7 @@
 
     /// Returns the time up to which this VM has `shard`.
     pub fn lease_end(&self, shard: Shard) -> Monotonic {
-        self.holder.lease_end(&self.roster, shard)
+        self.holder.lease_end(shard)
     }
 
     /// Returns the VM of the region that is known to have `shard`.
@@ -129,8 +129,7 @@
     /// Takes the roster in force.
     pub fn put_roster(&mut self, now: Monotonic, catalog: &Catalog, region: RegionKey) {
         let roster = Roster::of_region(catalog, region);
-        if roster.hash == self.roster.hash {
-            self.roster.vms = roster.vms;
+        if roster == self.roster {
             return;
         }
         let is_first = self.roster.vms.is_empty();
@@ -139,11 +138,12 @@
             self.roster_changed_at = now;
         }
         self.roster = roster;
+        self.holder.count_all_votes(&self.roster);
     }
 
     /// Drops the leases that have run out; called before anything that relies on a lease.
     pub fn drop_lost(&mut self, now: Monotonic) -> ShardSet {
-        self.holder.drop_lost(now, &self.roster)
+        self.holder.drop_lost(now)
     }
 
     /// Renews leases, tries for free shards, and returns what to send.
@@ -194,8 +194,8 @@
 
     /// Takes the votes of another VM and returns the shards that are had from now on.
     pub fn on_answer(&mut self, now: Monotonic, from: VmKey, answer: &LeaseAnswer) -> ShardSet {
-        self.holder.take_answer(from, answer);
-        self.holder.add_acquired(now, &self.roster)
+        self.holder.take_answer(&self.roster, from, answer);
+        self.holder.add_acquired(now)
     }
 
     /// Forgets votes that another VM gives up.
--- a/src/limits/settings.rs
+++ b/src/limits/settings.rs
@@ -34,7 +34,7 @@
             grant_lifetime: Duration::from_secs(6),
             draw_period: Duration::from_secs(2),
             draw_timeout: Duration::from_millis(400),
-            idle_return: Duration::from_secs(2),
+            idle_return: Duration::from_secs(1),
             refund_window: Duration::from_secs(120),
             roster_settle: Duration::from_secs(10),
         }
--- a/src/limits/token_pool.rs
+++ b/src/limits/token_pool.rs
@@ -34,6 +34,13 @@
 }
 
 impl TokenPool {
+    /// Creates a pool that holds `lots`.
+    pub fn with_lots(lots: Vec<Arc<Lot>>) -> Self {
+        let pool = Self::default();
+        pool.put_lots(lots);
+        pool
+    }
+
     /// Reserves `tokens` for a request that is admitted at `now`.
     ///
     /// # Errors
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -121,8 +121,6 @@
         let Some(region) = self.own_region(catalog) else {
             return;
         };
-        let roster = Roster::of_region(catalog, region);
-        self.table.retain_roster(now, &roster.vms);
         for heartbeat in message.heartbeats {
             if heartbeat.vm == self.own {
                 self.outlive(heartbeat.incarnation, out);
--- /dev/null
+++ b/tests/behaviour/limits/token_pool.rs
@@ -0,0 +1,80 @@
+//! Reservations from grants: atomic, fresh only, and settled on the grants that they came from.
+
+use std::sync::Arc;
+use std::thread;
+
+use figramp::clock::Monotonic;
+use figramp::limits::Lot;
+use figramp::limits::TokenPool;
+
+const NOW: Monotonic = Monotonic::from_ms(1_000);
+const END: Monotonic = Monotonic::from_ms(2_000);
+
+fn pool_of(lots: &[&Arc<Lot>]) -> TokenPool {
+    TokenPool::with_lots(lots.iter().map(|lot| Arc::clone(lot)).collect())
+}
+
+#[test]
+fn a_reservation_spans_grants_and_returns_what_is_unused() {
+    let first = Arc::new(Lot::new(1, 60, END));
+    let second = Arc::new(Lot::new(2, 60, END));
+    let pool = pool_of(&[&first, &second]);
+    let reservation = pool.reserve(NOW, 100).unwrap();
+    assert_eq!(reservation.tokens(), 100);
+    pool.settle(reservation, 70);
+    assert_eq!(first.report().used_tokens, 60);
+    assert_eq!(second.report().used_tokens, 10);
+    assert_eq!(second.report().refunded_tokens, 30);
+    assert_eq!(pool.available_tokens(NOW), 20);
+}
+
+#[test]
+fn a_shortfall_reserves_nothing() {
+    let lot = Arc::new(Lot::new(1, 60, END));
+    let pool = pool_of(&[&lot]);
+    let shortfall = pool.reserve(NOW, 100).unwrap_err();
+    assert_eq!(shortfall.missing_tokens, 40);
+    assert_eq!(lot.report().spent_tokens, 0);
+}
+
+#[test]
+fn an_expired_grant_admits_nothing() {
+    let lot = Arc::new(Lot::new(1, 60, END));
+    let pool = pool_of(&[&lot]);
+    assert!(pool.reserve(END, 1).is_err());
+    assert_eq!(pool.available_tokens(END), 0);
+}
+
+#[test]
+fn a_closed_grant_admits_nothing_and_reports_the_rest_as_returned() {
+    let lot = Arc::new(Lot::new(1, 60, END));
+    let pool = pool_of(&[&lot]);
+    let reservation = pool.reserve(NOW, 20).unwrap();
+    lot.close();
+    assert!(pool.reserve(NOW, 1).is_err());
+    pool.settle(reservation, 20);
+    assert_eq!(lot.report().returned_tokens, 40);
+    assert!(lot.is_settled());
+}
+
+#[test]
+fn threads_never_reserve_more_than_was_granted() {
+    let lots: Vec<Arc<Lot>> = (0..8).map(|n| Arc::new(Lot::new(n, 1_000, END))).collect();
+    let pool = Arc::new(TokenPool::with_lots(lots.clone()));
+    let threads: Vec<_> = (0..4)
+        .map(|_| {
+            let pool = Arc::clone(&pool);
+            thread::spawn(move || {
+                let reserved = (0..2_000).filter_map(|_| pool.reserve(NOW, 7).ok());
+                reserved
+                    .map(|reservation| reservation.tokens())
+                    .sum::<u64>()
+            })
+        })
+        .collect();
+    let reserved: u64 = threads.into_iter().map(|t| t.join().unwrap()).sum();
+    let spent: u32 = lots.iter().map(|lot| lot.report().spent_tokens).sum();
+    let refunded: u32 = lots.iter().map(|lot| lot.report().refunded_tokens).sum();
+    assert_eq!(reserved, u64::from(spent - refunded));
+    assert!(reserved > 7_900 && reserved <= 8_000);
+}
