Make the test of an overloaded prefix endpoint see the fault

It now asks for the other endpoint of the same region, and was seen failing with the prefix always first.

--- a/tests/behaviour/routing/affinity.rs
+++ b/tests/behaviour/routing/affinity.rs
@@ -53,8 +53,10 @@
         completion.prefix_hashes.clear();
     }
     load.on_sent(START, &heavy);
-    let choice = site.choose(START).unwrap().choice;
-    assert_ne!(choice, RouteChoice::Local(home));
+    let RouteChoice::Local(other) = site.choose(START).unwrap().choice else {
+        panic!("the call stays here");
+    };
+    assert_ne!(other, home);
 }
 
 #[test]
