--- a/src/operator/fleet_report.rs
+++ b/src/operator/fleet_report.rs
@@ -10,6 +10,7 @@
 use crate::catalog::Name;
 use crate::catalog::TicketNumber;
 use crate::clock::WallTime;
+use crate::telemetry::AccountStatistics;
 use crate::telemetry::DayStatistics;
 
 /// The reports of several VMs, merged; the order of merging makes no difference.
@@ -30,7 +31,7 @@
 }
 
 /// What one VM adds about itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct VmPart {
     /// The region.
     pub region: Name,
@@ -44,6 +45,8 @@
     pub open_streams: u64,
     /// What operators should know about the VM.
     pub notices: Vec<String>,
+    /// What callers of this VM got today.
+    pub served: AccountStatistics,
 }
 
 /// An endpoint as all VMs together see it.
@@ -94,6 +97,7 @@
 
 impl From<VmReport> for FleetReport {
     fn from(report: VmReport) -> Self {
+        let served = report.statistics.total();
         let mut fleet = Self {
             statistics: report.statistics,
             ..Self::default()
@@ -131,6 +135,7 @@
             made_at: report.made_at,
             open_streams: report.open_streams,
             notices: report.notices,
+            served,
         };
         fleet.vms.insert(report.vm, part);
         fleet
--- a/src/operator/render/html_sections.rs
+++ b/src/operator/render/html_sections.rs
@@ -171,6 +171,10 @@
                                 th { "State" }
                                 th class="n" { "Ticket" }
                                 th class="n" { "Answers under way" }
+                                th class="n" { "Accepted" }
+                                th class="n" { "Not in full" }
+                                th class="n" { "First token p95" }
+                                th class="n" { "Between tokens p95" }
                             }
                         }
                         tbody { @for row in &page.vms { (vm(row)) } }
@@ -189,6 +193,10 @@
             td { (row.state) }
             td class="n" { (row.ticket_in_force) }
             td class="n" { (format::number(row.open_streams)) }
+            td class="n" { (format::number(row.accepted)) }
+            td class="n" { span class=(off(row.failed)) { (format::number(row.failed)) } }
+            td class="n" { (format::latency(row.first_token.p95_us)) }
+            td class="n" { (format::latency(row.between_tokens.p95_us)) }
         }
     }
 }
--- a/src/operator/render/text.rs
+++ b/src/operator/render/text.rs
@@ -10,6 +10,9 @@
 use crate::operator::wire::PageWire;
 use crate::operator::EndpointState;
 
+/// The VMs that are listed one by one.
+const VMS_MAX: usize = 40;
+
 /// Shows the page for a terminal.
 pub fn page_text(page: &PageWire) -> String {
     let totals = &page.totals;
@@ -49,6 +52,7 @@
     text.push('\n');
     text.push_str(&accounts(page));
     text.push_str(&configuration(page));
+    text.push_str(&vms(page));
     text.push_str(&endpoints(page));
     text.push_str(&changes(page));
     text
@@ -93,6 +97,37 @@
     format!("\nClient accounts, worst-served first\n{}", table.to_text())
 }
 
+fn vms(page: &PageWire) -> String {
+    let mut table = TextTable::new(&[
+        "VM",
+        "region",
+        "state",
+        "under way",
+        "accepted",
+        "not in full",
+        "first p95",
+        "between p95",
+    ]);
+    for row in page.vms.iter().take(VMS_MAX) {
+        table.push(vec![
+            row.vm.clone(),
+            row.region.clone(),
+            row.state.clone(),
+            format::number(row.open_streams),
+            format::number(row.accepted),
+            format::number(row.failed),
+            format::latency(row.first_token.p95_us),
+            format::latency(row.between_tokens.p95_us),
+        ]);
+    }
+    let mut text = format!("\nVMs\n{}", table.to_text());
+    let hidden = page.vms.len().saturating_sub(VMS_MAX);
+    if hidden > 0 {
+        text.push_str(&format!("  and {}\n", format::vms(hidden)));
+    }
+    text
+}
+
 fn configuration(page: &PageWire) -> String {
     let mut text = "\nConfiguration in force\n".to_owned();
     for (index, row) in page.configuration.iter().enumerate() {
--- a/src/operator/wire/page_builder.rs
+++ b/src/operator/wire/page_builder.rs
@@ -172,6 +172,10 @@
             ticket_in_force: vm.ticket_in_force.0,
             open_streams: vm.open_streams,
             notices: vm.notices.clone(),
+            accepted: vm.served.accepted,
+            failed: vm.served.failed_count(),
+            first_token: LatencyRow::from(&vm.served.first_token),
+            between_tokens: LatencyRow::from(&vm.served.between_tokens),
         })
         .collect();
     rows.sort_by(|a, b| (&a.region, &a.vm).cmp(&(&b.region, &b.vm)));
--- a/src/operator/wire/page_wire.rs
+++ b/src/operator/wire/page_wire.rs
@@ -156,6 +156,14 @@
     pub open_streams: u64,
     /// What operators should know about it.
     pub notices: Vec<String>,
+    /// Accepted requests of its callers that have ended.
+    pub accepted: u64,
+    /// Accepted requests of its callers that were not answered in full.
+    pub failed: u64,
+    /// The time to the first token.
+    pub first_token: LatencyRow,
+    /// The time between tokens.
+    pub between_tokens: LatencyRow,
 }
 
 /// One endpoint.
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -182,7 +182,7 @@
         if dialer.purpose == ConnectionPurpose::Boot {
             self.open_reply_path(&connection, &dialer);
         }
-        self.watch(&connection).await;
+        self.watch(&connection, dialer.purpose).await;
         Ok(())
     }
 
@@ -210,8 +210,15 @@
     }
 
     /// Closes the connection once no byte has come for too long.
-    async fn watch(&self, connection: &Connection) {
-        let limit = self.context.timings.accepted_silence_timeout;
+    async fn watch(&self, connection: &Connection, purpose: ConnectionPurpose) {
+        let timings = self.context.timings;
+        let limit = match purpose {
+            ConnectionPurpose::Forward => timings.accepted_silence_timeout,
+            // The dialer closes its idle connections first.
+            ConnectionPurpose::Control | ConnectionPurpose::Boot => {
+                timings.accepted_silence_timeout + timings.idle_timeout
+            }
+        };
         while !connection.is_closed() {
             let silence = connection.silence();
             let Some(left) = limit.checked_sub(silence).filter(|left| !left.is_zero()) else {
--- a/src/peer/peer_timings.rs
+++ b/src/peer/peer_timings.rs
@@ -11,11 +11,12 @@
     pub backoff_min: Duration,
     /// The longest wait before a reconnect.
     pub backoff_max: Duration,
-    /// The time between two pings of the dialer.
+    /// The time between two pings on a connection for forwarded calls.
     pub ping_interval: Duration,
     /// The longest time to the answer of a ping or the acknowledgement of a control message.
     pub ping_timeout: Duration,
-    /// The time without bytes after which an acceptor closes a connection.
+    /// The time without bytes after which an acceptor closes a connection for forwarded calls;
+    /// other connections may be silent for the idle time more.
     pub accepted_silence_timeout: Duration,
     /// The time without use after which a dialer closes a connection.
     pub idle_timeout: Duration,
@@ -28,7 +29,7 @@
 impl Default for PeerTimings {
     fn default() -> Self {
         Self {
-            connect_timeout: Duration::from_secs(2),
+            connect_timeout: Duration::from_secs(1),
             backoff_min: Duration::from_millis(50),
             backoff_max: Duration::from_secs(2),
             ping_interval: Duration::from_secs(2),
--- a/src/peer/peer_worker.rs
+++ b/src/peer/peer_worker.rs
@@ -211,7 +211,10 @@
             own,
             closed,
         )?;
-        spawn_local(ping_until_closed(self.context.clone(), connection.clone()));
+        // Acknowledgements tell of control connections, which cost nothing while they are idle.
+        if self.purpose == ConnectionPurpose::Forward {
+            spawn_local(ping_until_closed(self.context.clone(), connection.clone()));
+        }
         Ok(connection)
     }
 
--- a/tests/behaviour/peer/control.rs
+++ b/tests/behaviour/peer/control.rs
@@ -16,6 +16,7 @@
 use figramp::membership::MembershipMessage;
 use figramp::membership::OwnStatus;
 use figramp::peer::CapnpPeerLink;
+use figramp::peer::ConnectionPurpose;
 use figramp::peer::MessageKind;
 use figramp::peer::PeerFault;
 use figramp::peer::PeerLink;
@@ -26,6 +27,7 @@
 
 use super::fixture::catalog;
 use super::fixture::context;
+use super::fixture::forward_request;
 use super::fixture::loopback;
 use super::fixture::name;
 use super::fixture::pair;
@@ -85,6 +87,23 @@
     }
 }
 
+/// The connection for forwarded calls is pinged meanwhile.
+#[tokio::test]
+async fn an_idle_control_connection_costs_nothing() {
+    let mut pair = pair(Script::Stall);
+    pair.link.send(pair.serving, summary(1));
+    next(&mut pair.messages).await;
+    let counters = pair.server_context.counters.clone();
+    let pings = || counters.received(MessageKind::Ping).messages;
+    let request = forward_request(&pair.catalog.load());
+    let _answer = pair.link.forward(pair.serving, request).await.unwrap();
+    wait_for("the first ping", || pings() > 0).await;
+    let before = counters.wire_received_bytes(ConnectionPurpose::Control);
+    wait_for("further pings", || pings() > 4).await;
+    let after = counters.wire_received_bytes(ConnectionPurpose::Control);
+    assert_eq!(before, after);
+}
+
 #[tokio::test]
 async fn sending_never_waits_for_a_peer_that_is_gone() {
     const MESSAGES: u64 = 20_000;
