--- a/src/endpoint/connections.rs
+++ b/src/endpoint/connections.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -15,6 +16,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+/// The longest time that sent bytes stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
 const IDLE_MAX_PER_ENDPOINT: usize = 32;
 
 /// Pools of connections, one an endpoint.
@@ -24,6 +28,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Connections {
     pools: ArcSwap<HashMap<SocketAddr, Client>>,
+    unpooled: OnceLock<Client>,
 }
 
 impl Connections {
@@ -45,13 +50,17 @@
         Ok(client)
     }
 
-    /// Returns a client that opens a new connection.
+    /// Returns a client that opens a new connection for each request.
     ///
     /// # Errors
     ///
     /// Returns [`ErrorKind::Internal`] if the HTTP client can't be built.
     pub(super) fn unpooled(&self) -> Result<Client, GatewayError> {
-        build_client(0)
+        if let Some(client) = self.unpooled.get() {
+            return Ok(client.clone());
+        }
+        let client = build_client(0)?;
+        Ok(self.unpooled.get_or_init(|| client).clone())
     }
 
     /// Drops the pool of `address`, so that later calls open new connections.
@@ -73,6 +82,8 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(idle_max_per_endpoint)
         .tcp_nodelay(true)
+        .tcp_keepalive(KEEPALIVE_IDLE)
+        .tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT)
         .build()
         .map_err(|_| {
             GatewayError::new(ErrorKind::Internal, "the HTTP client could not be built")
--- a/tests/behaviour/caller/mod.rs
+++ b/tests/behaviour/caller/mod.rs
@@ -3,5 +3,7 @@
 mod broken_answers;
 mod error_table;
 mod hang_up;
-mod streaming;
+mod keys;
+mod prompts;
+mod shutdown;
 pub mod support;
--- a/tests/behaviour/endpoint/support.rs
+++ b/tests/behaviour/endpoint/support.rs
@@ -8,6 +8,7 @@
 use figramp::catalog::EndpointKind;
 use figramp::catalog::WorkClass;
 use figramp::endpoint::EndpointCall;
+use figramp::endpoint::HttpEndpointClient;
 use figramp::errors::GatewayError;
 use figramp::request::AnswerPayload;
 use figramp::request::AnswerStream;
@@ -17,7 +18,10 @@
 use figramp::request::RequestId;
 use figramp::request::ServiceCall;
 use figramp::stand_in::engine::answer_tokens;
+use figramp::stand_in::engine::EngineOptions;
+use figramp::stand_in::engine::EngineServer;
 use futures::StreamExt;
+use tokio::time::timeout;
 
 use crate::caller::support::endpoint;
 
@@ -25,12 +29,20 @@
     r#"{"model":"advice","max_tokens":5,"messages":[{"role":"user","content":"hi"}]}"#;
 /// Limits of calls that are to be found silent, and of all others.
 const SHORT_SILENCE: Duration = Duration::from_millis(500);
-const LONG_SILENCE: Duration = Duration::from_secs(20);
+const LONG_SILENCE: Duration = Duration::from_secs(10);
+/// A test fails when an event or an error takes longer.
+const EVENT_LIMIT: Duration = Duration::from_secs(15);
 
-pub fn engine_at(address: SocketAddr) -> Endpoint {
+fn engine_at(address: SocketAddr) -> Endpoint {
     endpoint(EndpointKind::Engine, address)
 }
 
+pub async fn launch_engine(options: EngineOptions) -> (EngineServer, Endpoint, HttpEndpointClient) {
+    let engine = EngineServer::launch(options).await.unwrap();
+    let endpoint = engine_at(engine.address());
+    (engine, endpoint, HttpEndpointClient::new())
+}
+
 pub fn service_at(address: SocketAddr) -> Endpoint {
     endpoint(EndpointKind::Service, address)
 }
@@ -98,7 +110,7 @@
         }
     };
     let mut is_ended = false;
-    while let Some(event) = events.next().await {
+    while let Some(event) = timeout(EVENT_LIMIT, events.next()).await.unwrap() {
         assert!(!is_ended, "an event after the end");
         match event.map(|event| event.payload) {
             Ok(AnswerPayload::Head { status, .. }) => outcome.status = Some(status),
