--- /dev/null
+++ b/tests/behaviour/vm/bookings.rs
@@ -0,0 +1,89 @@
+//! Non-idempotent calls under faults of the service.
+
+use figramp::demo::DeploymentPlan;
+use figramp::stand_in::service::ServiceFaults;
+
+use super::support::booking;
+use super::support::executions;
+use super::support::launch;
+use super::support::refusal;
+
+const FAULTS: [ServiceFaults; 3] = [
+    ServiceFaults {
+        hits_left: Some(1),
+        delay_ms: 0,
+        is_refusing: false,
+        is_silent_before_run: false,
+        is_silent_after_run: true,
+        failure_status_after_run: None,
+        truncated_after_bytes: None,
+    },
+    ServiceFaults {
+        hits_left: Some(1),
+        delay_ms: 0,
+        is_refusing: false,
+        is_silent_before_run: false,
+        is_silent_after_run: false,
+        failure_status_after_run: None,
+        truncated_after_bytes: Some(1),
+    },
+    ServiceFaults {
+        hits_left: Some(1),
+        delay_ms: 0,
+        is_refusing: false,
+        is_silent_before_run: false,
+        is_silent_after_run: false,
+        failure_status_after_run: Some(500),
+        truncated_after_bytes: None,
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_whose_answer_was_lost_is_not_run_again_by_a_repeat_on_any_vm() {
+    let deployment = launch(&DeploymentPlan::three_regions()).await;
+    for (round, faults) in FAULTS.into_iter().enumerate() {
+        let id = format!("truck-{round}");
+        let body = format!("mulch {round}");
+        for service in &deployment.services {
+            service.server.set_faults(faults);
+        }
+        let first = booking(&deployment, 0, &id, &body).send().await;
+        let first = first.expect("the VM answers");
+        assert!(!first.status().is_success(), "round {round}");
+        for service in &deployment.services {
+            service.server.set_faults(ServiceFaults::default());
+        }
+        for vm in 0..deployment.vms.len() {
+            let repeat = booking(&deployment, vm, &id, &body).send().await;
+            let repeat = repeat.expect("the VM answers");
+            assert!(!repeat.status().is_success(), "round {round}, VM {vm}");
+            if repeat.status() != 500 {
+                let (_, run) = refusal(repeat).await;
+                assert_eq!(run, "may_have_run", "round {round}, VM {vm}");
+            }
+        }
+        assert_eq!(executions(&deployment, &body), 1, "round {round}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_on_any_vm_gets_the_first_answer() {
+    let deployment = launch(&DeploymentPlan::three_regions()).await;
+    let mut answers = Vec::new();
+    for vm in 0..deployment.vms.len() {
+        let response = booking(&deployment, vm, "truck", "soil").send().await;
+        let response = response.expect("the VM answers");
+        assert_eq!(response.status(), 200);
+        answers.push(response.text().await.expect("the answer is whole"));
+    }
+    answers.dedup();
+    assert_eq!(answers.len(), 1, "{answers:?}");
+    assert_eq!(executions(&deployment, "soil"), 1);
+
+    let reused = booking(&deployment, 1, "truck", "other").send().await;
+    let (kind, run) = refusal(reused.expect("the VM answers")).await;
+    assert_eq!(
+        (kind.as_str(), run.as_str()),
+        ("idempotency_key_reused", "not_run")
+    );
+}
