--- a/src/stand_in/platform/state.rs
+++ b/src/stand_in/platform/state.rs
@@ -132,6 +132,7 @@
         tickets
     }
 
+    /// Returns the latest list that is as old as the lag, or the first one.
     pub(super) fn vms(&self, now: Instant) -> VmsWire {
         let inner = self.lock();
         let lag = Duration::from_millis(inner.faults.vm_list_lag_ms);
@@ -139,7 +140,8 @@
             .vm_lists
             .iter()
             .rev()
-            .find(|(set_at, _)| now.duration_since(*set_at) >= lag);
+            .find(|(set_at, _)| now.duration_since(*set_at) >= lag)
+            .or(inner.vm_lists.front());
         VmsWire {
             vms: shown.map(|(_, vms)| vms.clone()).unwrap_or_default(),
         }
--- a/tests/behaviour/platform/mod.rs
+++ b/tests/behaviour/platform/mod.rs
@@ -1,1 +1,3 @@
 //! Tests of the `platform` behaviour.
+
+mod faults;
