Read the operators' pages with their own wire types and renderers

Cause: status, explain and audit guessed at the answers; audit failed on the real one, and an unknown request gave exit code 0. Change: they use the wire types and text renderers of the operators' port; generic JSON text and a second audit wire type are gone; a malformed identifier is exit code 2, an unknown request 4. Seen: a platform, an engine and two VMs as processes on loopback: a request is answered, explained from the other VM, audit and status print, SIGTERM ends with exit code 0. Excluded: during the first 14 s after a cold start all requests are refused as rate limited, as no home of tokens accrues yet; that is outside of these folders.

--- a/src/audit/mod.rs
+++ b/src/audit/mod.rs
@@ -2,10 +2,7 @@
 
 mod event;
 mod trail;
-mod wire;
 
 pub use event::AuditEvent;
 pub use trail::AuditEntry;
 pub use trail::AuditTrail;
-pub use wire::AuditEntryWire;
-pub use wire::AuditTrailWire;
--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -32,6 +32,12 @@
         /// What went wrong.
         reason: String,
     },
+    /// The identifier of a request does not parse.
+    #[error("expected a request identifier of 32 hexadecimal digits, got {request:?}")]
+    MalformedRequestId {
+        /// What was given.
+        request: String,
+    },
     /// The VM does not know the request.
     #[error("no VM knows the request {request}")]
     UnknownRequest {
@@ -68,7 +74,7 @@
             Self::CheckFailed { .. } | Self::DemoFailed => 1,
             Self::NoAnswer { .. } => 3,
             Self::UnknownRequest { .. } => 4,
-            Self::Faults(_) => 2,
+            Self::Faults(_) | Self::MalformedRequestId { .. } => 2,
             Self::Settings(_)
             | Self::StandIn(_)
             | Self::StandInEndpoint(_)
--- a/src/cli/log_setup.rs
+++ b/src/cli/log_setup.rs
@@ -20,6 +20,7 @@
     let mut specification = LogSpecification::builder();
     specification
         .default(log::LevelFilter::Warn)
+        .module("rocket", log::LevelFilter::Error)
         .module("figramp", settings.level);
     let format = match settings.format {
         LogFormat::Text => write_text,
--- a/src/cli/query.rs
+++ b/src/cli/query.rs
@@ -2,86 +2,75 @@
 
 use std::time::Duration;
 
-use reqwest::StatusCode;
-use serde_json::Value;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_json::json;
 
-use super::json_text::JsonText;
 use super::runtime;
 use super::CliError;
 use super::OutputForm;
 use super::Query;
-use crate::audit::AuditTrailWire;
+use crate::operator::render::audit_text;
+use crate::operator::render::explanation_text;
+use crate::operator::render::page_text;
+use crate::operator::wire::AuditWire;
+use crate::operator::wire::ExplanationSetWire;
+use crate::operator::wire::PageWire;
+use crate::request::RequestId;
 
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Prints the operators' page.
 pub(super) fn status(query: Query) -> Result<(), CliError> {
-    let report = fetch(query, "/v1/report")?.ok_or_else(|| no_answer(query, "status 404"))?;
-    print(query, &report, |report| JsonText(report).to_string());
+    let page = fetch::<PageWire>(query, "/v1/page")?;
+    print(query, &page, page_text);
     Ok(())
 }
 
 /// Prints where a request went and why.
 pub(super) fn explain(request: &str, query: Query) -> Result<(), CliError> {
-    let path = format!("/v1/explain/{request}");
-    let explanation = fetch(query, &path)?.ok_or_else(|| CliError::UnknownRequest {
-        request: request.to_owned(),
-    })?;
-    print(query, &explanation, |value| JsonText(value).to_string());
+    if RequestId::from_hex(request).is_none() {
+        return Err(CliError::MalformedRequestId {
+            request: request.to_owned(),
+        });
+    }
+    let set = fetch::<ExplanationSetWire>(query, &format!("/v1/explain/{request}"))?;
+    print(query, &set, explanation_text);
+    if set.explanations.is_empty() {
+        return Err(CliError::UnknownRequest {
+            request: request.to_owned(),
+        });
+    }
     Ok(())
 }
 
 /// Prints the trail of changes.
 pub(super) fn audit(after: u64, query: Query) -> Result<(), CliError> {
-    let path = format!("/v1/audit?after={after}");
-    let trail = fetch(query, &path)?.ok_or_else(|| no_answer(query, "status 404"))?;
-    let wire: AuditTrailWire =
-        serde_json::from_value(trail.clone()).map_err(|error| no_answer(query, error))?;
-    print(query, &trail, |_| trail_text(&wire));
+    let trail = fetch::<AuditWire>(query, &format!("/v1/audit?after={after}"))?;
+    print(query, &trail, audit_text);
     Ok(())
 }
 
-fn trail_text(trail: &AuditTrailWire) -> String {
-    let lines = trail.entries.iter().map(|entry| {
-        format!(
-            "{:>6}  {:>13} ms  {:<20}  {}\n",
-            entry.sequence, entry.unix_ms, entry.event, entry.text
-        )
-    });
-    format!("VM {}\n{}", trail.vm, lines.collect::<String>())
-}
-
-fn print(query: Query, value: &Value, text: impl Fn(&Value) -> String) {
+fn print<T: Serialize>(query: Query, answer: &T, text: impl Fn(&T) -> String) {
     match query.output {
-        OutputForm::Json => println!("{value:#}"),
-        OutputForm::Text => print!("{}", text(value)),
+        OutputForm::Json => println!("{:#}", json!(answer)),
+        OutputForm::Text => print!("{}", text(answer)),
     }
 }
 
-/// Reads a JSON answer; `None` stands for status 404.
-fn fetch(query: Query, path: &str) -> Result<Option<Value>, CliError> {
+fn fetch<T: DeserializeOwned>(query: Query, path: &str) -> Result<T, CliError> {
     let url = format!("http://{}{path}", query.vm);
+    let no_answer = |error: reqwest::Error| CliError::NoAnswer {
+        vm: query.vm,
+        reason: error.without_url().to_string(),
+    };
     runtime::block_on(async {
         let client = reqwest::Client::builder()
             .timeout(ANSWER_TIMEOUT)
             .build()
-            .map_err(|error| no_answer(query, error))?;
-        let answer = client.get(url).send().await;
-        let answer = answer.map_err(|error| no_answer(query, error))?;
-        if answer.status() == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        let answer = answer
-            .error_for_status()
-            .map_err(|error| no_answer(query, error))?;
-        let value = answer.json().await;
-        value.map(Some).map_err(|error| no_answer(query, error))
+            .map_err(no_answer)?;
+        let answer = client.get(url).send().await.map_err(no_answer)?;
+        let answer = answer.error_for_status().map_err(no_answer)?;
+        answer.json().await.map_err(no_answer)
     })
 }
-
-fn no_answer(query: Query, reason: impl ToString) -> CliError {
-    CliError::NoAnswer {
-        vm: query.vm,
-        reason: reason.to_string(),
-    }
-}
