--- a/tests/behaviour/limits/mod.rs
+++ b/tests/behaviour/limits/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the `limits` behaviour.
 
 mod fleet;
+mod home_lease;
 mod home_ledger;
 mod interval_bound;
 mod service_inside_the_rate;
