--- a/src/limits/account_draws.rs
+++ b/src/limits/account_draws.rs
@@ -278,6 +278,7 @@
         pending: &PendingDraw,
         grant: &AccountGrant,
     ) {
+        // A draw ahead of need may get nothing while requests that wait would get tokens.
         let is_short = u64::from(grant.tokens) < pending.need_tokens;
         let pause = grant.retry_after.clamp(RETRY_MIN, RETRY_MAX);
         let retry_at = is_short.then(|| now + pause);
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -1,1 +1,5 @@
 //! Stand-ins for the platform, model engines and plain services.
+
+pub mod engine;
+pub mod platform;
+pub mod service;
