--- a/src/peer/peer_worker.rs
+++ b/src/peer/peer_worker.rs
@@ -32,6 +32,9 @@
 use crate::catalog::Name;
 use crate::errors::GatewayError;
 
+/// The most items that are sent together.
+const BATCH_MAX_ITEMS: usize = 32;
+
 /// Whom a worker connects to.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) enum PeerTarget {
@@ -62,7 +65,12 @@
     target: PeerTarget,
     purpose: ConnectionPurpose,
     backoff: Backoff,
-    connection: Option<Connection>,
+    open: Option<OpenConnection>,
+}
+
+struct OpenConnection {
+    address: SocketAddr,
+    connection: Connection,
 }
 
 impl ForwardJob {
@@ -97,52 +105,70 @@
             target,
             purpose,
             backoff: Backoff::new(timings.backoff_min, timings.backoff_max),
-            connection: None,
+            open: None,
         }
     }
 
     /// Sends what comes until nothing has come for the idle time.
     pub(super) async fn run(mut self, mut items: mpsc::Receiver<WorkItem>) {
         let idle_timeout = self.context.timings.idle_timeout;
+        let mut batch = Vec::with_capacity(BATCH_MAX_ITEMS);
         loop {
-            match timeout(idle_timeout, items.recv()).await {
-                Ok(Some(item)) => self.handle(item).await,
-                Ok(None) => return,
+            let received = items.recv_many(&mut batch, BATCH_MAX_ITEMS);
+            match timeout(idle_timeout, received).await {
+                Ok(0) => return,
+                Ok(_) => self.handle(batch.drain(..)).await,
                 // What was queued in the meantime is still sent.
                 Err(_) => items.close(),
             }
         }
     }
 
-    async fn handle(&mut self, item: WorkItem) {
+    async fn handle(&mut self, items: impl Iterator<Item = WorkItem>) {
         match self.connection().await {
-            Ok(connection) => self.send(&connection, item),
+            Ok(connection) => self.send(&connection, items),
             Err(error) => {
                 let reason = format!("no connection to the VM: {error}");
-                item.refuse(&self.context, &reason);
+                for item in items {
+                    item.refuse(&self.context, &reason);
+                }
             }
         }
     }
 
-    fn send(&self, connection: &Connection, item: WorkItem) {
-        match item {
-            WorkItem::Control(message) => send_control(&self.context, connection, &message),
-            WorkItem::Forward(job) => send_forward(&self.context, connection, *job),
+    fn send(&self, connection: &Connection, items: impl Iterator<Item = WorkItem>) {
+        let mut messages = Vec::new();
+        for item in items {
+            match item {
+                WorkItem::Control(message) => messages.push(message),
+                WorkItem::Forward(job) => send_forward(&self.context, connection, *job),
+            }
+        }
+        if !messages.is_empty() {
+            send_control(&self.context, connection, &messages);
         }
     }
 
     /// Returns the open connection, or opens one unless the last attempt has just failed.
     async fn connection(&mut self) -> Result<Connection, HandshakeError> {
-        if let Some(connection) = self.connection.take().filter(|it| !it.is_closed()) {
-            return Ok(self.connection.insert(connection).clone());
+        let address = self.address()?;
+        if let Some(open) = &self.open {
+            if open.address == address && !open.connection.is_closed() {
+                return Ok(open.connection.clone());
+            }
         }
+        self.retire();
         if self.backoff.is_waiting(Instant::now()) {
             return Err(io::Error::from(io::ErrorKind::NotConnected).into());
         }
-        match self.open().await {
+        match self.dial(address).await {
             Ok(connection) => {
                 self.backoff.reset();
-                Ok(self.connection.insert(connection).clone())
+                self.open = Some(OpenConnection {
+                    address,
+                    connection: connection.clone(),
+                });
+                Ok(connection)
             }
             Err(error) => {
                 self.backoff.fail(Instant::now());
@@ -152,8 +178,14 @@
         }
     }
 
-    async fn open(&self) -> Result<Connection, HandshakeError> {
-        let address = self.address()?;
+    /// Lets calls that run over the open connection end, and uses it for nothing new.
+    fn retire(&mut self) {
+        if let Some(open) = self.open.take() {
+            open.connection.uses.retire();
+        }
+    }
+
+    async fn dial(&self, address: SocketAddr) -> Result<Connection, HandshakeError> {
         let dialing = async {
             let mut stream = TcpStream::connect(address).await?;
             let context = &self.context;
@@ -193,6 +225,7 @@
             handler: self.context.handler()?,
             runtime: Handle::current(),
             from,
+            end: ConnectionEnd::Dialer,
             closed: closed.clone(),
         };
         Some(capnp_rpc::new_client(service))
@@ -220,9 +253,7 @@
 
 impl Drop for PeerWorker {
     fn drop(&mut self) {
-        if let Some(connection) = &self.connection {
-            connection.uses.retire();
-        }
+        self.retire();
     }
 }
 
--- a/src/stand_in/engine/completion_route.rs
+++ b/src/stand_in/engine/completion_route.rs
@@ -27,6 +27,7 @@
 use super::engine_state::AttemptId;
 use super::engine_state::EngineState;
 use crate::caller::CompletionWire;
+use crate::endpoint::ANSWER_MAX_TOKENS_HEADER;
 use crate::endpoint::ATTEMPT_HEADER;
 use crate::endpoint::PRIORITY_HEADER;
 use crate::endpoint::REQUEST_ID_HEADER;
@@ -43,6 +44,7 @@
     id: AttemptId,
     priority: u32,
     resume_offset: u64,
+    answer_max_tokens: Option<u64>,
 }
 
 /// The engine's answer.
@@ -90,11 +92,11 @@
 impl EngineHeaders {
     fn read(request: &Request<'_>) -> Option<Self> {
         let headers = request.headers();
-        let number = |name| {
-            headers
-                .get_one(name)
-                .map_or(Some(0), |text| text.parse().ok())
+        let optional_number = |name| match headers.get_one(name) {
+            None => Some(None),
+            Some(text) => text.parse().ok().map(Some),
         };
+        let number = |name| Some(optional_number(name)?.unwrap_or(0));
         let request_id = headers.get_one(REQUEST_ID_HEADER)?;
         Some(Self {
             id: AttemptId {
@@ -103,6 +105,7 @@
             },
             priority: u32::try_from(number(PRIORITY_HEADER)?).ok()?,
             resume_offset: number(RESUME_OFFSET_HEADER)?,
+            answer_max_tokens: optional_number(ANSWER_MAX_TOKENS_HEADER)?,
         })
     }
 }
@@ -130,10 +133,11 @@
         return EngineAnswer::Failure(Status::BadRequest);
     };
     count_start(state, headers.resume_offset);
+    let answer_max_tokens = headers.answer_max_tokens.unwrap_or(call.answer_max_tokens);
     let (events, on_events) = mpsc::channel(1);
     let job = AnswerJob {
         id: headers.id,
-        tokens: answer_tokens(&body, call.answer_max_tokens),
+        tokens: answer_tokens(&body, answer_max_tokens + faults.surplus_tokens),
         call,
         priority: headers.priority,
         resume_offset: headers.resume_offset,
--- a/tests/behaviour/endpoint/engine_faults.rs
+++ b/tests/behaviour/endpoint/engine_faults.rs
@@ -47,11 +47,13 @@
     let truncated = faults(r#"{"truncated_after_chunks":2}"#);
     let without_end_mark = faults(r#"{"truncated_after_chunks":5}"#);
     let gap = faults(r#"{"missing_chunk":2}"#);
+    let too_long = faults(r#"{"surplus_tokens":1}"#);
     let table = [
         (silent, ErrorKind::AnswerSilent),
         (truncated, ErrorKind::AnswerTruncated),
         (without_end_mark, ErrorKind::AnswerTruncated),
         (gap, ErrorKind::AnswerTruncated),
+        (too_long, ErrorKind::EndpointFailed),
     ];
     for (faults, kind) in table {
         let outcome = outcome_under(faults).await;
