--- a/src/cli/stand_in.rs
+++ b/src/cli/stand_in.rs
@@ -3,10 +3,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use serde::de::DeserializeOwned;
-use serde_json::Map;
-use serde_json::Value;
-
 use super::runtime;
 use super::ticket_file::TicketFile;
 use super::CliError;
@@ -37,7 +33,7 @@
     })
 }
 
-/// Runs an endpoint stand-in until it is interrupted.
+/// Runs an endpoint stand-in until the process ends.
 pub(super) fn endpoint(endpoint: &StandInEndpoint) -> Result<(), CliError> {
     match endpoint.kind {
         StandInKind::Engine => engine(endpoint),
@@ -46,7 +42,7 @@
 }
 
 fn engine(endpoint: &StandInEndpoint) -> Result<(), CliError> {
-    let faults: EngineFaults = read_faults(&endpoint.faults)?;
+    let faults: EngineFaults = serde_json::from_str(&endpoint.faults).map_err(CliError::Faults)?;
     let options = EngineOptions {
         bind_address: endpoint.address,
         ..EngineOptions::default()
@@ -60,7 +56,7 @@
 }
 
 fn service(endpoint: &StandInEndpoint) -> Result<(), CliError> {
-    let faults: ServiceFaults = read_faults(&endpoint.faults)?;
+    let faults: ServiceFaults = serde_json::from_str(&endpoint.faults).map_err(CliError::Faults)?;
     let options = ServiceOptions {
         bind_address: endpoint.address,
         ..ServiceOptions::default()
@@ -72,18 +68,3 @@
         std::future::pending().await
     })
 }
-
-/// Reads faults of the form `NAME=VALUE`; a value is JSON or a plain word.
-fn read_faults<T: DeserializeOwned>(faults: &[String]) -> Result<T, CliError> {
-    let mut fields = Map::new();
-    for fault in faults {
-        let Some((name, value)) = fault.split_once('=') else {
-            let problem = format!("expected NAME=VALUE, got {fault:?}");
-            return Err(CliError::Failed(problem));
-        };
-        let value = serde_json::from_str(value).unwrap_or_else(|_| Value::from(value));
-        fields.insert(name.to_owned(), value);
-    }
-    serde_json::from_value(Value::Object(fields))
-        .map_err(|error| CliError::Failed(format!("the faults are not accepted: {error}")))
-}
