--- a/benches/gateway_overhead.rs
+++ b/benches/gateway_overhead.rs
@@ -1,7 +1,7 @@
 //! What the gateway adds over calling the stand-in engine directly.
 //!
-//! Both ways are measured in one process and one run, so their ratios are comparable. The gateway
-//! here is the caller server and the endpoint client without the decisions of a VM.
+//! All ways are measured in one process and one run, so their ratios are comparable. "Edges" are
+//! the caller server and the endpoint client without the decisions of a VM; "daemon" is a whole VM.
 
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -28,6 +28,8 @@
 use figramp::catalog::ServiceState;
 use figramp::catalog::WorkClass;
 use figramp::clock::SystemClock;
+use figramp::demo::Deployment;
+use figramp::demo::DeploymentPlan;
 use figramp::endpoint::EndpointCall;
 use figramp::endpoint::EndpointClient;
 use figramp::endpoint::HttpEndpointClient;
@@ -45,8 +47,8 @@
 use tokio::runtime::Runtime;
 
 const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-const CONCURRENT_STREAMS: usize = 64;
-const STREAMS_PER_CALLER: usize = 10;
+/// The key of a client account of the demo deployment; the engine alone asks for none.
+const KEY: &str = "key-bloomplan";
 const TOKENS_PER_STREAM: usize = 20;
 const TIME_PER_TOKEN: Duration = Duration::from_millis(10);
 const IDLE_STREAMS: usize = 1_000;
@@ -90,11 +92,26 @@
     server: CallerServer,
 }
 
-/// A way to the engine.
-#[derive(Clone, Copy, Debug)]
-enum Way {
-    Direct,
-    Gateway,
+/// A way to an engine.
+#[derive(Clone)]
+struct Way {
+    name: &'static str,
+    /// The addresses that callers use in turn.
+    addresses: Vec<SocketAddr>,
+}
+
+impl Way {
+    fn new(name: &'static str, addresses: impl IntoIterator<Item = SocketAddr>) -> Self {
+        Self {
+            name,
+            addresses: addresses.into_iter().collect(),
+        }
+    }
+
+    fn url(&self, caller: usize) -> String {
+        let address = self.addresses[caller % self.addresses.len()];
+        format!("http://{address}/v1/chat/completions")
+    }
 }
 
 impl Setup {
@@ -121,12 +138,11 @@
         Self { engine, server }
     }
 
-    fn url(&self, way: Way) -> String {
-        let address = match way {
-            Way::Direct => self.engine.address(),
-            Way::Gateway => self.server.address(),
-        };
-        format!("http://{address}/v1/chat/completions")
+    fn ways(&self) -> Vec<Way> {
+        vec![
+            Way::new("direct", [self.engine.address()]),
+            Way::new("edges", [self.server.address()]),
+        ]
     }
 }
 
@@ -147,11 +163,14 @@
 
 async fn post(client: &Client, url: &str, answer_max_tokens: usize) -> Response {
     let body = format!(
-        r#"{{"model":"m","stream":true,"max_tokens":{answer_max_tokens},"messages":[{{"role":"user","content":"hi"}}]}}"#
+        r#"{{"model":"plant-tips","stream":true,"max_tokens":{answer_max_tokens},"messages":[{{"role":"user","content":"hi"}}]}}"#
     );
     let id = format!("{:032x}", rand::random::<u128>());
-    let request = client.post(url).header("x-request-id", id).body(body);
-    request.send().await.expect("the request is answered")
+    let request = client.post(url).header("x-request-id", id);
+    let request = request.bearer_auth(KEY).body(body);
+    let response = request.send().await.expect("the request is answered");
+    assert!(response.status().is_success(), "{}", response.status());
+    response
 }
 
 /// Times of events at the caller, in microseconds.
@@ -204,11 +223,11 @@
     times.requests += 1;
 }
 
-async fn read_streams(url: String, concurrent: usize, streams_each: usize) -> Times {
+async fn read_streams(way: &Way, concurrent: usize, streams_each: usize) -> Times {
     let client = Client::new();
     let started_at = Instant::now();
-    let callers = (0..concurrent).map(|_| {
-        let (client, url) = (client.clone(), url.clone());
+    let callers = (0..concurrent).map(|caller| {
+        let (client, url) = (client.clone(), way.url(caller));
         tokio::spawn(async move {
             let mut times = Times::new();
             for _ in 0..streams_each {
@@ -225,16 +244,30 @@
     all
 }
 
-fn print_row(name: &str, direct: u64, gateway: u64, unit: &str) {
-    let ratio = gateway as f64 / direct.max(1) as f64;
-    println!("| {name} | {direct} {unit} | {gateway} {unit} | {ratio:.2} |");
+fn print_head(title: &str, ways: &[Way]) {
+    let names = ways.iter().map(|way| format!(" {} |", way.name));
+    println!("\n| {title} |{}", names.collect::<String>());
+    println!("|---|{}", "---|".repeat(ways.len()));
+}
+
+/// Prints figures, each but the first with its ratio to the first.
+fn print_row(name: &str, values: &[u64], unit: &str) {
+    let first = values[0];
+    let cells = values.iter().enumerate().map(|(index, value)| match index {
+        0 => format!(" {value} {unit} |"),
+        _ => format!(
+            " {value} {unit} ({:.2}) |",
+            *value as f64 / first.max(1) as f64
+        ),
+    });
+    println!("| {name} |{}", cells.collect::<String>());
 }
 
-fn print_percentiles(name: &str, direct: &Histogram<u64>, gateway: &Histogram<u64>) {
+fn print_percentiles(name: &str, histograms: &[&Histogram<u64>]) {
     for quantile in [0.5, 0.95, 0.99] {
         let name = format!("{name} p{:.0}", quantile * 100.0);
-        let direct = direct.value_at_quantile(quantile);
-        print_row(&name, direct, gateway.value_at_quantile(quantile), "µs");
+        let values = histograms.iter().map(|all| all.value_at_quantile(quantile));
+        print_row(&name, &values.collect::<Vec<u64>>(), "µs");
     }
 }
 
@@ -242,26 +275,37 @@
     (times.requests as f64 / times.whole.as_secs_f64()) as u64
 }
 
-async fn compare(title: &str, concurrent: usize, streams_each: usize, time_per_token: Duration) {
-    let setup = Setup::launch(time_per_token).await;
-    for way in [Way::Direct, Way::Gateway] {
-        read_streams(setup.url(way), concurrent, 1).await;
+async fn compare(title: &str, ways: &[Way], concurrent: usize, streams_each: usize) {
+    let mut all = Vec::new();
+    for way in ways {
+        read_streams(way, concurrent, 1).await;
+        all.push(read_streams(way, concurrent, streams_each).await);
     }
-    let direct = read_streams(setup.url(Way::Direct), concurrent, streams_each).await;
-    let gateway = read_streams(setup.url(Way::Gateway), concurrent, streams_each).await;
-    println!("\n| {title} | direct | gateway | ratio |\n|---|---|---|---|");
-    print_row(
-        "requests a second",
-        requests_per_s(&direct),
-        requests_per_s(&gateway),
-        "/s",
-    );
-    print_percentiles("first token", &direct.first_token, &gateway.first_token);
-    print_percentiles(
-        "between tokens",
-        &direct.between_tokens,
-        &gateway.between_tokens,
-    );
+    print_head(title, ways);
+    let rates: Vec<u64> = all.iter().map(requests_per_s).collect();
+    print_row("requests a second", &rates, "/s");
+    let first: Vec<&Histogram<u64>> = all.iter().map(|times| &times.first_token).collect();
+    print_percentiles("first token", &first);
+    let between: Vec<&Histogram<u64>> = all.iter().map(|times| &times.between_tokens).collect();
+    print_percentiles("between tokens", &between);
+}
+
+async fn compare_edges(title: &str, concurrent: usize, streams_each: usize, token: Duration) {
+    let setup = Setup::launch(token).await;
+    compare(title, &setup.ways(), concurrent, streams_each).await;
+}
+
+/// Compares whole VMs before one engine with calling that engine.
+async fn compare_daemons(title: &str, vm_count: usize, concurrent: usize, streams_each: usize) {
+    let mut plan = DeploymentPlan::one_region(vm_count);
+    plan.regions[0].engine_count = 1;
+    let deployment = Deployment::launch(&plan).await.expect("loopback is free");
+    let vms = deployment.vms.iter().map(|vm| vm.daemon.caller_address());
+    let ways = [
+        Way::new("direct", [deployment.engines[0].server.address()]),
+        Way::new("daemon", vms),
+    ];
+    compare(title, &ways, concurrent, streams_each).await;
 }
 
 fn resident_bytes() -> u64 {
@@ -274,13 +318,14 @@
 }
 
 /// Returns the memory of one open stream, in bytes, counting its caller and its engine.
-async fn bytes_per_open_stream(setup: &Setup, way: Way) -> u64 {
+async fn bytes_per_open_stream(way: &Way) -> u64 {
     let client = Client::new();
-    let url = setup.url(way);
     let before = resident_bytes();
     let mut streams = Vec::new();
     for _ in 0..IDLE_STREAMS {
-        let mut stream = post(&client, &url, TOKENS_PER_STREAM).await.bytes_stream();
+        let mut stream = post(&client, &way.url(0), TOKENS_PER_STREAM)
+            .await
+            .bytes_stream();
         stream.next().await;
         streams.push(stream);
     }
@@ -294,20 +339,23 @@
         silent_after_chunks: Some(1),
         ..EngineFaults::default()
     });
-    let direct = bytes_per_open_stream(&setup, Way::Direct).await;
-    let gateway = bytes_per_open_stream(&setup, Way::Gateway).await;
-    println!("\n| {IDLE_STREAMS} open streams | direct | gateway | ratio |\n|---|---|---|---|");
-    print_row("memory a stream", direct, gateway, "B");
+    let ways = setup.ways();
+    let mut values = Vec::new();
+    for way in &ways {
+        values.push(bytes_per_open_stream(way).await);
+    }
+    print_head(&format!("{IDLE_STREAMS} open streams"), &ways);
+    print_row("memory a stream", &values, "B");
 }
 
 fn bench_one_caller(criterion: &mut Criterion, runtime: &Runtime) {
     let setup = runtime.block_on(Setup::launch(Duration::ZERO));
     let mut group = criterion.benchmark_group("one short answer");
     group.throughput(Throughput::Elements(1));
-    for way in [Way::Direct, Way::Gateway] {
+    for way in setup.ways() {
         let client = Client::new();
-        let url = setup.url(way);
-        group.bench_function(format!("{way:?}"), |bencher| {
+        let url = way.url(0);
+        group.bench_function(way.name, |bencher| {
             bencher.iter(|| {
                 runtime.block_on(async { post(&client, &url, 1).await.bytes().await.is_ok() })
             });
@@ -321,19 +369,13 @@
     let mut criterion = Criterion::default().configure_from_args();
     bench_one_caller(&mut criterion, &runtime);
     criterion.final_summary();
-    let concurrent = CONCURRENT_STREAMS;
-    runtime.block_on(compare("1 caller, no token time", 1, 500, Duration::ZERO));
-    runtime.block_on(compare(
-        "64 callers, no token time",
-        concurrent,
-        40,
-        Duration::ZERO,
-    ));
-    runtime.block_on(compare(
-        "64 callers, 10 ms a token",
-        concurrent,
-        STREAMS_PER_CALLER,
-        TIME_PER_TOKEN,
-    ));
-    runtime.block_on(compare_memory());
+    runtime.block_on(async {
+        compare_edges("1 caller, no token time", 1, 500, Duration::ZERO).await;
+        compare_edges("64 callers, no token time", 64, 40, Duration::ZERO).await;
+        compare_edges("64 callers, 10 ms a token", 64, 10, TIME_PER_TOKEN).await;
+        compare_daemons("1 caller, 2 ms a token, 1 VM", 1, 1, 40).await;
+        compare_daemons("8 callers, 2 ms a token, 1 VM", 1, 8, 20).await;
+        compare_daemons("8 callers, 2 ms a token, 3 VMs", 3, 8, 20).await;
+        compare_memory().await;
+    });
 }
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -28,6 +28,7 @@
 pub use engine_wire::EventWireError;
 pub use engine_wire::PromptDetailsWire;
 pub use engine_wire::UsageWire;
+pub use engine_wire::ANSWER_MAX_TOKENS_HEADER;
 pub use engine_wire::ATTEMPT_HEADER;
 pub use engine_wire::DONE_DATA;
 pub use engine_wire::KEEP_ALIVE_EVENT;
