Keep VMs outside the published roster from leases and records

Cause: a VM knows itself and its seeds before the roster is published. With accounts published and the roster not yet, each VM took itself for its region's only one, held all leases by a majority of one and accrued the whole share: three times the rate with three VMs. Found by driving whole cores in virtual time. Excluded: the settle time after a change of the roster, which was not started for the first roster and would only have delayed the fault. Change: the catalog marks unpublished VMs; rosters, leases and replica sets use published ones only; the first roster starts the settle time, too. Change besides: whole cores in virtual time with a region cut off for an hour, a ticket during the cut, and a boot with a stale service (all pass).

--- a/src/catalog/builder.rs
+++ b/src/catalog/builder.rs
@@ -38,6 +38,7 @@
 pub struct CatalogBuilder {
     catalog: Catalog,
     dangling: Vec<Name>,
+    unpublished_vms: HashSet<Name>,
 }
 
 impl CatalogBuilder {
@@ -46,9 +47,17 @@
         Self {
             catalog: previous.clone(),
             dangling: Vec::new(),
+            unpublished_vms: HashSet::new(),
         }
     }
 
+    /// Marks VMs that the published roster does not name.
+    #[must_use]
+    pub fn with_unpublished_vms(mut self, names: impl Iterator<Item = Name>) -> Self {
+        self.unpublished_vms.extend(names);
+        self
+    }
+
     /// Builds the catalog that holds exactly `objects`.
     pub fn build<'a>(
         mut self,
@@ -194,6 +203,7 @@
             peer_address: spec.peer_address,
             operator_address: spec.operator_address,
             state: spec.state,
+            is_published: !self.unpublished_vms.contains(name),
         })
     }
 
--- a/src/catalog/snapshot.rs
+++ b/src/catalog/snapshot.rs
@@ -117,7 +117,7 @@
         region.links.iter().find(|link| link.to == to).copied()
     }
 
-    /// Returns the VMs of the roster in `region`, in no particular order.
+    /// Returns the VMs known in `region`, in no particular order.
     pub fn vms_in(&self, region: RegionKey) -> impl Iterator<Item = VmKey> + '_ {
         self.vms
             .iter()
@@ -125,6 +125,11 @@
             .map(|(key, _)| key)
     }
 
+    /// Returns the VMs that the published roster names in `region`, in no particular order.
+    pub fn published_vms_in(&self, region: RegionKey) -> impl Iterator<Item = VmKey> + '_ {
+        self.vms_in(region).filter(|vm| self.vms[*vm].is_published)
+    }
+
     /// Returns the number of keys in force.
     pub fn api_key_count(&self) -> usize {
         self.api_keys.len()
--- a/src/configuration/store.rs
+++ b/src/configuration/store.rs
@@ -9,6 +9,7 @@
 use super::BucketVersions;
 use super::ObjectHash;
 use super::ObjectId;
+use super::ObjectKind;
 use super::ObjectRecord;
 use super::ObjectVersion;
 use super::StoreDigest;
@@ -149,7 +150,14 @@
             .filter(|record| !overlay.objects.contains_key(&record.id))
             .filter_map(|record| Some((&record.id.name, record.value.as_deref()?)));
         let added = overlay.objects.iter().map(|(id, spec)| (&id.name, spec));
-        CatalogBuilder::new(previous).build(self.highest, published.chain(added))
+        let unpublished_vms = overlay
+            .objects
+            .keys()
+            .filter(|id| id.kind == ObjectKind::Vm)
+            .map(|id| id.name.clone());
+        CatalogBuilder::new(previous)
+            .with_unpublished_vms(unpublished_vms)
+            .build(self.highest, published.chain(added))
     }
 }
 
--- a/src/idempotency/controller.rs
+++ b/src/idempotency/controller.rs
@@ -309,7 +309,7 @@
             return Vec::new();
         };
         catalog
-            .vms_in(region)
+            .published_vms_in(region)
             .filter(|vm| *vm != self.own)
             .filter(|vm| catalog.vms[*vm].state == ServiceState::Active)
             .collect()
--- a/src/idempotency/hand_over.rs
+++ b/src/idempotency/hand_over.rs
@@ -137,7 +137,7 @@
 fn placement_signature(catalog: &Catalog) -> u64 {
     let mut hasher = DefaultHasher::new();
     for (key, vm) in &catalog.vms {
-        (key, &vm.name, vm.region, vm.state).hash(&mut hasher);
+        (key, &vm.name, vm.region, vm.state, vm.is_published).hash(&mut hasher);
     }
     for (key, endpoint) in &catalog.endpoints {
         (key, endpoint.region, &endpoint.routes).hash(&mut hasher);
--- a/src/idempotency/placement.rs
+++ b/src/idempotency/placement.rs
@@ -52,7 +52,7 @@
 
 fn ranked_vms(catalog: &Catalog, region: RegionKey, id: &RecordId) -> Vec<VmKey> {
     let active = catalog
-        .vms_in(region)
+        .published_vms_in(region)
         .filter(|vm| catalog.vms[*vm].state == ServiceState::Active);
     rank_vms(catalog, id.placement_hash(catalog), active)
 }
--- a/src/limits/region_leases.rs
+++ b/src/limits/region_leases.rs
@@ -134,9 +134,7 @@
         }
         let is_first = self.roster.vms.is_empty();
         self.previous_roster_hash = (!is_first).then_some(self.roster.hash);
-        if !is_first {
-            self.roster_changed_at = now;
-        }
+        self.roster_changed_at = now;
         self.roster = roster;
         self.holder.count_all_votes(&self.roster);
     }
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -20,7 +20,7 @@
 impl Roster {
     /// Reads the roster of `region` from the published objects.
     pub fn of_region(catalog: &Catalog, region: RegionKey) -> Self {
-        let mut vms: Vec<VmKey> = catalog.vms_in(region).collect();
+        let mut vms: Vec<VmKey> = catalog.published_vms_in(region).collect();
         vms.sort_by(|a, b| catalog.vms[*a].name.cmp(&catalog.vms[*b].name));
         let mut hasher = Xxh3Default::new();
         for vm in &vms {
--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -2,9 +2,12 @@
 
 mod allowed_regions;
 mod bookings;
+mod core_fleet;
 mod drain;
 mod explanations;
 mod key_withdrawal;
+mod region_cut;
 mod support;
+mod unpublished_vm;
 mod whole_answers;
 mod whole_path;
