Read a paged service to its end before serving; measure the traffic of a quiet VM

Cause: a booting VM that did not watch read only the first page, and the window that is read again for late numbers could be longer than a page; a VM vanished from its own catalog when its region was removed. Change: polls walk page by page until an empty one, and only then has the service been read; the own VM keeps its region and zone; ticket numbers of peers are bounded like those of tickets. Seen failing first: a_service_of_many_pages_is_read_to_its_end_before_a_vm_serves, the withdrawn key was served (the first page came again and again). Excluded: the reach over all 783 VMs is an ignored test, run by hand.

--- a/src/configuration/controller.rs
+++ b/src/configuration/controller.rs
@@ -340,7 +340,7 @@
         let Phase::Booting(boot) = &self.phase else {
             return;
         };
-        let has_configuration = self.reader.has_answered() || !self.store.is_empty();
+        let has_configuration = self.reader.has_caught_up() || !self.store.is_empty();
         if let Some(outcome) = boot.outcome(now, has_configuration) {
             self.become_ready(outcome, out);
         }
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -63,6 +63,7 @@
 pub use store::MergeOutcome;
 pub use ticket::Ticket;
 pub use ticket::TICKET_MAX_BYTES;
+pub use ticket::TICKET_NUMBER_MAX;
 pub use ticket_error::FieldError;
 pub use ticket_error::TicketError;
 pub use version::ContentHash;
--- a/src/configuration/roster_overlay.rs
+++ b/src/configuration/roster_overlay.rs
@@ -93,8 +93,11 @@
     fn add_own(&self, store: &ConfigurationStore, overlay: &mut OverlayObjects) {
         let published = store.get(&vm_id(&self.own.name));
         let mut spec = self.own.spec.clone();
-        match published {
-            Some(record) if record.value.is_some() => return,
+        match published.map(|record| record.value.as_deref()) {
+            Some(Some(ObjectSpec::Vm(published))) => {
+                overlay.add_zone(store, published);
+                return;
+            }
             Some(_) => spec.state = ServiceState::Leaving,
             None => {}
         }
--- a/src/configuration/service_reader.rs
+++ b/src/configuration/service_reader.rs
@@ -30,9 +30,10 @@
     watch: ReadSlot,
     poll: ReadSlot,
     poll_reason: Option<PollReason>,
+    page_end: Option<TicketNumber>,
     cursor: ServiceCursor,
     health: ServiceHealth,
-    has_answered: bool,
+    has_caught_up: bool,
 }
 
 /// Whether the VM is one of those that watch the service.
@@ -65,20 +66,23 @@
             watch: ReadSlot::default(),
             poll: ReadSlot::default(),
             poll_reason: None,
+            page_end: None,
             cursor: ServiceCursor::default(),
             health: ServiceHealth::Unknown,
-            has_answered: false,
+            has_caught_up: false,
         }
     }
 
-    /// Tells whether the service has answered since the process started or came back.
-    pub(super) fn has_answered(&self) -> bool {
-        self.has_answered
+    /// Tells whether the service was read to its end since the process started or came back.
+    ///
+    /// The service answers in pages, so the end is reached when a poll brings none.
+    pub(super) fn has_caught_up(&self) -> bool {
+        self.has_caught_up
     }
 
     /// Asks the service again, as after a start.
     pub(super) fn restart(&mut self) {
-        self.has_answered = false;
+        self.has_caught_up = false;
     }
 
     pub(super) fn set_duty(&mut self, duty: WatchDuty, out: &mut Vec<ConfigurationAction>) {
@@ -110,16 +114,20 @@
         &mut self,
         now: Monotonic,
         kind: ReadKind,
-        numbers: impl Iterator<Item = TicketNumber>,
+        numbers: impl Iterator<Item = TicketNumber> + Clone,
         out: &mut Vec<ConfigurationAction>,
     ) {
         self.slot(kind).finish(ReadOutcome::Answered);
+        let last_of_page = numbers.clone().max();
         self.cursor.observe(now, numbers);
+        if kind == ReadKind::Poll {
+            self.page_end = last_of_page;
+            self.has_caught_up |= last_of_page.is_none();
+        }
         if self.health == ServiceHealth::Lost {
             out.push(ConfigurationAction::Audit(AuditEvent::ServiceBack));
         }
         self.health = ServiceHealth::Answering;
-        self.has_answered = true;
     }
 
     /// Takes the failure of a read in.
@@ -143,7 +151,7 @@
         rng: &mut impl Rng,
         out: &mut Vec<ConfigurationAction>,
     ) {
-        if self.duty == WatchDuty::Relieved || !self.has_answered {
+        if self.duty == WatchDuty::Relieved || !self.has_caught_up {
             self.watch.unplan();
             return;
         }
@@ -170,24 +178,37 @@
         if reason != self.poll_reason {
             self.poll.unplan();
             self.poll_reason = reason;
+            self.page_end = None;
         }
         let Some(reason) = reason else {
             return;
         };
-        let pause = self.poll_pause(reason, rng);
+        let pause = match self.page_end {
+            Some(_) => Duration::ZERO,
+            None => self.poll_pause(reason, rng),
+        };
         if !self.poll.is_due(now, pause, rng) {
             return;
         }
         self.poll.start(now, Duration::ZERO);
         out.push(ConfigurationAction::Read(ServiceRead {
             kind: ReadKind::Poll,
-            after: self.cursor.reread_after(),
+            after: self.poll_after(reason),
             wait: Duration::ZERO,
         }));
     }
 
+    /// Returns where a poll starts or, between two pages, goes on.
+    fn poll_after(&self, reason: PollReason) -> TicketNumber {
+        match (self.page_end, reason) {
+            (Some(page_end), _) => page_end,
+            (None, PollReason::Boot) => self.cursor.highest(),
+            (None, _) => self.cursor.reread_after(),
+        }
+    }
+
     fn wanted_poll(&self, is_gossip_silent: bool) -> Option<PollReason> {
-        if !self.has_answered {
+        if !self.has_caught_up {
             return Some(PollReason::Boot);
         }
         if self.cursor.has_gap() {
--- a/src/configuration/ticket.rs
+++ b/src/configuration/ticket.rs
@@ -17,8 +17,10 @@
 /// The longest accepted text of a ticket, in bytes.
 pub const TICKET_MAX_BYTES: usize = 1024 * 1024;
 
+/// The highest accepted number of a ticket.
+pub const TICKET_NUMBER_MAX: u64 = i64::MAX as u64;
+
 const OBJECTS_MAX: usize = 10_000;
-const NUMBER_MAX: u64 = i64::MAX as u64;
 
 /// A change ticket that has passed its check.
 ///
@@ -85,7 +87,7 @@
     deserializer
         .end()
         .map_err(|error| FieldError::new("body", error.to_string()))?;
-    field_check::range("number", wire.number, 1..=NUMBER_MAX)?;
+    field_check::range("number", wire.number, 1..=TICKET_NUMBER_MAX)?;
     if wire.number != raw.number.0 {
         let problem = format!("expected {}, got {}", raw.number, wire.number);
         return Err(FieldError::new("number", problem));
--- a/src/configuration/wire.rs
+++ b/src/configuration/wire.rs
@@ -16,6 +16,7 @@
 use super::Summary;
 use super::Version;
 use super::BUCKET_COUNT;
+use super::TICKET_NUMBER_MAX;
 use crate::catalog::Name;
 use crate::catalog::TicketNumber;
 use crate::peer::generated::configuration_capnp as capnp_form;
@@ -164,7 +165,7 @@
         name: name.map_err(|_| WireError::OutOfRange { field: "name" })?,
     };
     let ticket = TicketNumber(reader.get_ticket());
-    if ticket == TicketNumber::default() {
+    if !(1..=TICKET_NUMBER_MAX).contains(&ticket.0) {
         return Err(WireError::OutOfRange { field: "ticket" });
     }
     ObjectRecord::from_text(ticket, id, reader.get_value()?)
--- a/tests/behaviour/configuration/boot.rs
+++ b/tests/behaviour/configuration/boot.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use figramp::audit::AuditEvent;
+use figramp::catalog::ServiceState;
 use figramp::configuration::BootOutcome;
 
 use super::fleet::identity;
 use super::fleet::key_ticket;
 use super::fleet::name;
+use super::fleet::raw;
 use super::fleet::Fleet;
 
 const REGIONS: [&str; 2] = ["boyaca", "santander"];
@@ -110,3 +112,42 @@
     assert!(fleet.nodes[1].audit.contains(&introduced));
     assert!(fleet.nodes[1].controller.catalog().vm_named(&vm).is_some());
 }
+
+#[test]
+fn a_service_of_many_pages_is_read_to_its_end_before_a_vm_serves() {
+    let mut fleet = Fleet::new(9, &["boyaca"], 1);
+    fleet.page_max_tickets = 2;
+    for number in 2..30 {
+        fleet
+            .published
+            .push(key_ticket(number, "other", Some("nursery")));
+    }
+    fleet.published.push(key_ticket(30, "nursery-key", None));
+    for _ in 0..60 {
+        fleet.step();
+        let is_ready = fleet.nodes[0].controller.is_ready(fleet.now);
+        assert!(!is_ready || !fleet.has_key(0, "nursery-key"));
+    }
+    assert!(fleet.nodes[0].controller.is_ready(fleet.now));
+}
+
+#[test]
+fn the_own_vm_stays_known_when_its_roster_entry_or_region_is_removed() {
+    let mut fleet = Fleet::new(10, &["boyaca"], 2);
+    let removed = |number: u64, kind: &str, object: &str| {
+        let objects = serde_json::json!([{"kind": kind, "name": object, "value": null}]);
+        raw(serde_json::json!({"number": number, "objects": objects}).to_string())
+    };
+    fleet.published.push(removed(2, "region", "boyaca"));
+    fleet.run(Duration::from_secs(6));
+    fleet.published.push(removed(3, "vm", "boyaca-0"));
+    fleet.run(Duration::from_secs(6));
+    let state = |node: usize, vm: &str| {
+        let catalog = fleet.nodes[node].controller.catalog();
+        let key = catalog.vm_named(&name(vm));
+        key.map(|key| catalog.vms[key].state)
+    };
+    assert_eq!(state(0, "boyaca-0"), Some(ServiceState::Leaving));
+    assert_eq!(state(1, "boyaca-1"), Some(ServiceState::Active));
+    assert_eq!(state(1, "boyaca-0"), None);
+}
--- a/tests/behaviour/configuration/fleet.rs
+++ b/tests/behaviour/configuration/fleet.rs
@@ -1,6 +1,7 @@
 //! A few configuration controllers in virtual time, with a list of pending messages.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,11 +43,13 @@
     pub nodes: Vec<Node>,
     pub published: Vec<RawTicket>,
     pub pinned: Option<u64>,
+    pub page_max_tickets: usize,
     pub regions_with_service: HashSet<String>,
     pub cuts: HashSet<(String, String)>,
     pub loss: f64,
     pub doubling: f64,
     rng: StdRng,
+    positions: HashMap<Name, usize>,
     pending: Vec<Pending>,
     reads: Vec<PendingRead>,
 }
@@ -139,6 +142,27 @@
     raw(serde_json::json!({"number": 1, "objects": objects}).to_string())
 }
 
+/// Returns a view in which all VMs of a catalog are alive.
+pub fn view_of_all(catalog: &Catalog, own: &Name) -> MembershipView {
+    let alive = VmView {
+        liveness: Liveness::Alive,
+        is_leaving: false,
+        incarnation: Incarnation(0),
+        ticket_in_force: TicketNumber(0),
+        load_permille: 0,
+    };
+    MembershipView {
+        own: catalog.vm_named(own).unwrap(),
+        incarnation: Incarnation(0),
+        contact: RegionContact::Majority,
+        vms: catalog
+            .vms
+            .keys()
+            .map(|vm| (vm, alive))
+            .collect::<SecondaryMap<_, _>>(),
+    }
+}
+
 impl Fleet {
     pub fn new(seed: u64, regions: &[&str], vms_per_region: usize) -> Self {
         let identities: Vec<VmIdentity> = regions
@@ -150,11 +174,13 @@
             nodes: Vec::new(),
             published: vec![roster_ticket(&identities)],
             pinned: None,
+            page_max_tickets: usize::MAX,
             regions_with_service: regions.iter().map(|region| region.to_string()).collect(),
             cuts: HashSet::new(),
             loss: 0.0,
             doubling: 0.0,
             rng: StdRng::seed_from_u64(seed),
+            positions: HashMap::new(),
             pending: Vec::new(),
             reads: Vec::new(),
         };
@@ -166,6 +192,8 @@
 
     pub fn add(&mut self, identity: VmIdentity, seeds: Vec<VmIdentity>) -> usize {
         let settings = ConfigurationSettings::default();
+        self.positions
+            .insert(identity.name.clone(), self.nodes.len());
         self.nodes.push(Node {
             controller: ConfigurationController::new(settings, identity.clone(), seeds, self.now),
             identity,
@@ -234,36 +262,19 @@
 
     fn view(&self, node: usize, catalog: &Arc<Catalog>) -> Option<MembershipView> {
         let own = &self.nodes[node].identity;
-        let mut vms = SecondaryMap::new();
-        for (key, vm) in &catalog.vms {
-            let other = self
-                .nodes
-                .iter()
-                .find(|other| other.identity.name == vm.name);
-            let is_reached =
-                other.is_some_and(|other| other.is_up && !self.is_cut(own, &other.identity));
-            let liveness = if is_reached {
-                Liveness::Alive
-            } else {
-                Liveness::Dead
-            };
-            vms.insert(
-                key,
-                VmView {
-                    liveness,
-                    is_leaving: false,
-                    incarnation: Incarnation(0),
-                    ticket_in_force: TicketNumber(0),
-                    load_permille: 0,
-                },
-            );
+        catalog.vm_named(&own.name)?;
+        let mut view = view_of_all(catalog, &own.name);
+        if self.cuts.is_empty() && self.nodes.iter().all(|node| node.is_up) {
+            return Some(view);
         }
-        Some(MembershipView {
-            own: catalog.vm_named(&own.name)?,
-            incarnation: Incarnation(0),
-            contact: RegionContact::Majority,
-            vms,
-        })
+        for other in &self.nodes {
+            let is_reached = other.is_up && !self.is_cut(own, &other.identity);
+            let key = catalog.vm_named(&other.identity.name);
+            if let Some(vm) = key.filter(|_| !is_reached) {
+                view.vms[vm].liveness = Liveness::Dead;
+            }
+        }
+        Some(view)
     }
 
     fn is_cut(&self, a: &VmIdentity, b: &VmIdentity) -> bool {
@@ -324,11 +335,7 @@
 
     fn deliver_one(&mut self, message: Pending) {
         let sender = self.nodes[message.from].identity.clone();
-        let Some(to) = self
-            .nodes
-            .iter()
-            .position(|node| node.identity.name == message.to)
-        else {
+        let Some(to) = self.positions.get(&message.to).copied() else {
             return;
         };
         if !self.nodes[to].is_up || self.is_cut(&sender, &self.nodes[to].identity) {
@@ -371,7 +378,8 @@
             ticket.number > pending.read.after
                 && self.pinned.is_none_or(|pin| ticket.number.0 <= pin)
         };
-        let tickets: Vec<RawTicket> = self.published.iter().filter(is_shown).cloned().collect();
+        let shown = self.published.iter().filter(is_shown);
+        let tickets: Vec<RawTicket> = shown.take(self.page_max_tickets).cloned().collect();
         let is_due = !tickets.is_empty() || self.now >= pending.until;
         is_due.then_some(Ok(TicketBatch { tickets }))
     }
--- a/tests/behaviour/configuration/mod.rs
+++ b/tests/behaviour/configuration/mod.rs
@@ -5,4 +5,5 @@
 mod merge;
 mod propagation;
 mod tickets;
+mod traffic;
 mod wire;
--- /dev/null
+++ b/tests/behaviour/configuration/traffic.rs
@@ -0,0 +1,121 @@
+//! The traffic and the reach of the propagation at the size that it is designed for.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use capnp::message::Builder;
+use figramp::catalog::TicketNumber;
+use figramp::clock::Monotonic;
+use figramp::configuration::ConfigurationAction;
+use figramp::configuration::ConfigurationController;
+use figramp::configuration::ConfigurationMessage;
+use figramp::configuration::ConfigurationSettings;
+use figramp::configuration::ReadKind;
+use figramp::configuration::VmIdentity;
+use figramp::peer::generated::configuration_capnp::configuration_message;
+use figramp::platform::TicketBatch;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+
+use super::fleet::identity;
+use super::fleet::key_ticket;
+use super::fleet::roster_ticket;
+use super::fleet::view_of_all;
+use super::fleet::Fleet;
+
+const REGION_COUNT: usize = 27;
+const VMS_PER_REGION: usize = 29;
+const CONTROL_BUDGET_BYTES_PER_S: usize = 4_096;
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(8);
+
+fn region_names() -> Vec<String> {
+    let letters = ('a'..='z').chain('0'..='9');
+    letters
+        .take(REGION_COUNT)
+        .map(|letter| format!("{letter}-region"))
+        .collect()
+}
+
+fn size_bytes(message: &ConfigurationMessage) -> usize {
+    let mut builder = Builder::new_default();
+    message.write(builder.init_root::<configuration_message::Builder<'_>>());
+    capnp::serialize::compute_serialized_size_in_words(&builder) * 8
+}
+
+/// Returns what a VM sends in a quiet minute, in bytes.
+fn quiet_minute_bytes(own: &VmIdentity, roster: &TicketBatch) -> usize {
+    let settings = ConfigurationSettings::default();
+    let start = Monotonic::ZERO;
+    let mut controller = ConfigurationController::new(settings, own.clone(), Vec::new(), start);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut out = Vec::new();
+    controller.on_read(start, ReadKind::Poll, Ok(roster.clone()), &mut out);
+    controller.on_read(start, ReadKind::Poll, Ok(TicketBatch::default()), &mut out);
+    let view = view_of_all(&controller.catalog(), &own.name);
+    let mut sent_bytes = 0;
+    for tick in 1..=700 {
+        out.clear();
+        let now = Monotonic::from_ms(tick * 100);
+        controller.tick(now, &view, &mut rng, &mut out);
+        let sends = out.iter().filter_map(|action| match action {
+            ConfigurationAction::Send { message, .. } if tick > 100 => Some(size_bytes(message)),
+            _ => None,
+        });
+        sent_bytes += sends.sum::<usize>();
+    }
+    sent_bytes
+}
+
+#[test]
+fn a_quiet_vm_stays_within_the_budget_for_control() {
+    let vms: Vec<VmIdentity> = region_names()
+        .iter()
+        .flat_map(|region| (0..VMS_PER_REGION).map(|index| identity(region, index)))
+        .collect();
+    let roster = TicketBatch {
+        tickets: vec![roster_ticket(&vms)],
+    };
+    let sent: Vec<usize> = vms[..VMS_PER_REGION]
+        .iter()
+        .map(|own| quiet_minute_bytes(own, &roster) / 60)
+        .collect();
+    let most = sent.iter().max().copied().unwrap_or_default();
+    let mean = sent.iter().sum::<usize>() / sent.len();
+    println!(
+        "sent by a VM of {}: mean {mean} B/s, most {most} B/s",
+        vms.len()
+    );
+    assert!(most * 2 <= CONTROL_BUDGET_BYTES_PER_S, "{most} B/s sent");
+}
+
+#[test]
+#[ignore = "a measurement of minutes, run by hand in release mode"]
+fn a_change_reaches_the_whole_fleet_within_the_limit() {
+    let regions = region_names();
+    let names: Vec<&str> = regions.iter().map(String::as_str).collect();
+    let services: HashMap<&str, Vec<String>> = HashMap::from([
+        ("all regions hear the service", regions.clone()),
+        ("one region hears the service", regions[..1].to_vec()),
+    ]);
+    for (label, regions_with_service) in services {
+        let mut fleet = Fleet::new(1, &names, VMS_PER_REGION);
+        fleet.run(Duration::from_secs(8));
+        assert!(fleet.is_converged());
+        fleet.regions_with_service = regions_with_service.into_iter().collect();
+        fleet.published.push(key_ticket(2, "nursery-key", None));
+        let published_at = fleet.now;
+        let is_done = |fleet: &Fleet| {
+            let mut nodes = fleet.nodes.iter();
+            nodes.all(|node| node.controller.ticket_in_force() == TicketNumber(2))
+        };
+        while !is_done(&fleet) {
+            fleet.step();
+        }
+        let took = fleet.now.since(published_at);
+        println!(
+            "{label}: {} VMs, in force everywhere after {took:?}",
+            fleet.nodes.len()
+        );
+        assert!(took <= IN_FORCE_LIMIT, "{label}: {took:?}");
+    }
+}
