Test gossip and entry ranking, and add the benches of limits

The fleet in virtual time moves to benches/fleet, since the benches drive it as well as the tests. Gossip of 27 VMs in 3 regions stays under 2,000 B/s a VM.

--- a/tests/behaviour/limits/fleet/mod.rs
+++ b/benches/fleet/mod.rs
@@ -7,14 +7,14 @@
 mod runner;
 mod vm;
 
+pub use bucket::ExcessMeter;
+pub use bucket::IdealBucket;
 pub use published::AccountPlan;
 pub use published::Published;
 pub use runner::Fleet;
 pub use runner::FleetPlan;
 pub use runner::Traffic;
 
-use bucket::ExcessMeter;
-use bucket::IdealBucket;
 use network::Network;
 use vm::FleetVm;
 use vm::Request;
--- a/tests/behaviour/limits/mod.rs
+++ b/tests/behaviour/limits/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the `limits` behaviour.
 
-mod fleet;
+#[path = "../../../benches/fleet/mod.rs"]
+pub mod fleet;
 mod home_lease;
 mod home_ledger;
 mod interval_bound;
--- a/tests/behaviour/membership/mod.rs
+++ b/tests/behaviour/membership/mod.rs
@@ -1,1 +1,4 @@
 //! Tests of the `membership` behaviour.
+
+mod entry_ranking;
+mod gossip;
