Estimate a wait by the rate of the account's own flow; measure fairness

An account without a queue waits for its own cost as well, where it was told none. backlog_wait tells the wait of a whole class.

--- a/benches/policy_model/results.rs
+++ b/benches/policy_model/results.rs
@@ -9,6 +9,8 @@
     pub first_token_us: Option<u64>,
     pub is_done: bool,
     pub refusals: u32,
+    /// Refusals of requests that had waited in a queue.
+    pub late_refusals: u32,
     pub crossings: u32,
     pub cached_tokens: u64,
 }
--- a/src/queueing/account_flow.rs
+++ b/src/queueing/account_flow.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::drain_rate::DrainRate;
 use crate::clock::Monotonic;
 
 /// The waiting requests of one account in one class, oldest first.
@@ -17,6 +18,8 @@
     pub(super) has_quantum: bool,
     /// The account's weight.
     pub(super) weight: u64,
+    /// How fast the account's requests start.
+    pub(super) drain: DrainRate,
     /// When the request that was refused last is expected back.
     pub(super) return_at: Monotonic,
 }
--- a/src/queueing/class_queue.rs
+++ b/src/queueing/class_queue.rs
@@ -44,6 +44,7 @@
             self.ring.push_back(key);
         }
         flow.weight = u64::from(weight.max(1));
+        flow.drain.on_busy(now);
         flow.slots.push_back(slot);
         flow.queued_tokens += cost;
         self.len += 1;
@@ -64,12 +65,20 @@
         if flow.slots.is_empty() {
             flow.deficit_tokens = 0;
             flow.has_quantum = false;
+            flow.drain.on_idle();
             self.ring.retain(|other| *other != key);
         }
         if self.len == 0 {
             self.drain.on_idle();
         }
     }
+    /// Notes that a request of an account starts.
+    pub(super) fn on_started(&mut self, now: Monotonic, key: FlowKey, cost: u64) {
+        self.drain.on_started(now, cost);
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.drain.on_started(now, cost);
+        }
+    }
 
     /// Takes the next of the `startable` requests in the order of deficit round robin.
     ///
@@ -131,37 +140,44 @@
             }
         }
     }
-
     /// Returns the expected wait of a request that an account adds now.
     ///
-    /// While the account's tokens ahead of it start, each other account starts as many for its
-    /// weight, or all it has.
-    pub(super) fn expected_wait(&self, now: Monotonic, key: FlowKey, weight: u32) -> Duration {
-        let own_tokens = self.flows.get(&key).map_or(0, |flow| flow.queued_tokens);
-        self.drain_time(now, self.tokens_ahead(key, weight, own_tokens))
+    /// Until the account's tokens, those of the request included, have started, each other account    /// starts as many for its weight, or all it has. What others add meanwhile shows in the rate at
+    /// which the account's own requests have started, if some wait already.
+    pub(super) fn expected_wait(
+        &self,
+        now: Monotonic,
+        key: FlowKey,
+        weight: u32,
+        cost: u64,
+    ) -> Duration {
+        let flow = self.flows.get(&key);
+        let own_tokens = flow.map_or(0, |flow| flow.queued_tokens);
+        let ahead = own_tokens + self.others_ahead(key, weight, own_tokens + cost);
+        let by_shares = drain_time(now, &self.drain, ahead);
+        let by_own_rate = flow.map_or(Duration::ZERO, |flow| {
+            drain_time(now, &flow.drain, own_tokens)
+        });
+        by_shares.max(by_own_rate)
+    }
+
+    /// Returns the time until all that waits has started.
+    pub(super) fn backlog_wait(&self, now: Monotonic) -> Duration {
+        let tokens = self.flows.values().map(|flow| flow.queued_tokens).sum();
+        drain_time(now, &self.drain, tokens)
     }
 
-    fn tokens_ahead(&self, key: FlowKey, weight: u32, own_tokens: u64) -> u64 {
+    fn others_ahead(&self, key: FlowKey, weight: u32, own_tokens: u64) -> u64 {
         let weight = u64::from(weight.max(1));
-        let others: u64 = self
-            .flows
+        self.flows
             .iter()
             .filter(|(other, _)| **other != key)
             .map(|(_, flow)| {
                 let part = own_tokens.saturating_mul(flow.weight) / weight;
                 flow.queued_tokens.min(part)
             })
-            .sum();
-        own_tokens + others
-    }
-
-    fn drain_time(&self, now: Monotonic, tokens: u64) -> Duration {
-        match self.drain.tokens_per_s(now) {
-            Some(rate) => Duration::from_micros(tokens.saturating_mul(1_000_000) / rate),
-            None => Duration::ZERO,
-        }
+            .sum()
     }
-
     /// Returns when a refused request of an account should come back.
     ///
     /// Requests that were refused before it are expected back first, so each is told a later time.
@@ -181,7 +197,7 @@
             .sum();
         let weight = u64::from(weight.max(1));
         let share_tokens = cost.saturating_mul(active_weight.max(weight)) / weight;
-        let service = self.drain_time(now, share_tokens);
+        let service = drain_time(now, &self.drain, share_tokens);
         let flow = self.flows.entry(key).or_default();
         let back_at = (now + excess).max(flow.return_at);
         flow.return_at = back_at + service;
@@ -194,3 +210,10 @@
             .retain(|_, flow| !flow.slots.is_empty() || flow.return_at > now);
     }
 }
+
+fn drain_time(now: Monotonic, drain: &DrainRate, tokens: u64) -> Duration {
+    match drain.tokens_per_s(now) {
+        Some(rate) => Duration::from_micros(tokens.saturating_mul(1_000_000) / rate),
+        None => Duration::ZERO,
+    }
+}
--- a/src/queueing/fair_queue.rs
+++ b/src/queueing/fair_queue.rs
@@ -20,7 +20,7 @@
 use crate::clock::Monotonic;
 
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
-const RETRY_AFTER_MAX: Duration = Duration::from_secs(60);
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(600);
 const CLASSES: [WorkClass; 2] = [WorkClass::Interactive, WorkClass::Long];
 
 #[derive(Clone, Debug)]
@@ -64,7 +64,9 @@
     /// time after which the request is expected to be taken.
     pub fn offer(&mut self, now: Monotonic, item: QueueItem<T>) -> Result<Ticket, Refused> {
         let key = item.client_account;
-        let wait = self.expected_wait(now, key, item.weight, item.class);
+        let wait = self
+            .class(item.class)
+            .expected_wait(now, key, item.weight, item.cost_tokens);
         if let Some(reason) = self.refusal(now, &item, wait) {
             return Err(self.refuse(now, &item, wait, reason));
         }
@@ -93,8 +95,7 @@
         let chosen = self.class_mut(class).select(startable, quantum_tokens)?;
         self.account_class(class, chosen.cost_tokens, !long.is_empty());
         self.class_mut(class)
-            .drain
-            .on_started(now, chosen.cost_tokens);
+            .on_started(now, chosen.flow, chosen.cost_tokens);
         Some(self.take(chosen.slot))
     }
 
@@ -132,8 +133,7 @@
             .collect();
         slots.into_iter().map(|slot| self.take(slot)).collect()
     }
-
-    /// Returns the expected wait of a request that comes now.
+    /// Returns the expected wait of a request of one quantum that comes now.
     pub fn expected_wait(
         &self,
         now: Monotonic,
@@ -141,7 +141,14 @@
         weight: u32,
         class: WorkClass,
     ) -> Duration {
-        self.class(class).expected_wait(now, client_account, weight)
+        let cost_tokens = self.limits.quantum_tokens;
+        self.class(class)
+            .expected_wait(now, client_account, weight, cost_tokens)
+    }
+
+    /// Returns the time until all that waits in a class has started.
+    pub fn backlog_wait(&self, now: Monotonic, class: WorkClass) -> Duration {
+        self.class(class).backlog_wait(now)
     }
 
     /// Returns the number of waiting requests of a class.
