--- a/benches/policy_model/results.rs
+++ b/benches/policy_model/results.rs
@@ -9,6 +9,8 @@
     pub first_token_us: Option<u64>,
     pub is_done: bool,
     pub refusals: u32,
+    /// When the request came back, or will.
+    pub back_at_us: u64,
     /// Refusals of requests that had waited in a queue.
     pub late_refusals: u32,
     pub crossings: u32,
--- a/src/queueing/account_flow.rs
+++ b/src/queueing/account_flow.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::class_queue::Startable;
 use super::drain_rate::DrainRate;
 use crate::clock::Monotonic;
 
@@ -16,6 +17,8 @@
     pub(super) deficit_tokens: u64,
     /// Whether the present round's quantum was given.
     pub(super) has_quantum: bool,
+    /// Whether the flow has a place in the rotation.
+    pub(super) is_listed: bool,
     /// The account's weight.
     pub(super) weight: u64,
     /// How fast the account's requests start.
@@ -25,7 +28,25 @@
 }
 
 impl AccountFlow {
-    /// Starts a round.
+    /// Returns `candidate` if the flow's deficit allows it, after giving it the round's quantum.
+    pub(super) fn take(
+        &mut self,
+        candidate: Option<&Startable>,
+        quantum_tokens: u64,
+    ) -> Option<Startable> {
+        let candidate = candidate?;
+        if !self.has_quantum {
+            self.grant(quantum_tokens, 1);
+            self.has_quantum = true;
+        }
+        if self.deficit_tokens < candidate.cost_tokens {
+            return None;
+        }
+        self.deficit_tokens -= candidate.cost_tokens;
+        Some(*candidate)
+    }
+
+    /// Adds the quanta of `rounds`.
     pub(super) fn grant(&mut self, quantum_tokens: u64, rounds: u64) {
         let granted = quantum_tokens
             .saturating_mul(self.weight)
--- a/src/queueing/class_queue.rs
+++ b/src/queueing/class_queue.rs
@@ -24,7 +24,9 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct ClassQueue {
     pub(super) flows: HashMap<FlowKey, AccountFlow>,
-    pub(super) ring: VecDeque<FlowKey>,
+    /// Flows that had nothing waiting for a whole round; they go first, with one quantum.
+    fresh: VecDeque<FlowKey>,
+    ring: VecDeque<FlowKey>,
     pub(super) len: usize,
     pub(super) drain: DrainRate,
 }
@@ -40,13 +42,15 @@
         cost: u64,
     ) {
         let flow = self.flows.entry(key).or_default();
-        if flow.slots.is_empty() {
-            self.ring.push_back(key);
-        }
         flow.weight = u64::from(weight.max(1));
         flow.drain.on_busy(now);
         flow.slots.push_back(slot);
         flow.queued_tokens += cost;
+        if !flow.is_listed {
+            flow.is_listed = true;
+            flow.has_quantum = false;
+            self.fresh.push_back(key);
+        }
         self.len += 1;
         self.drain.on_busy(now);
     }
@@ -66,10 +70,10 @@
             flow.deficit_tokens = 0;
             flow.has_quantum = false;
             flow.drain.on_idle();
-            self.ring.retain(|other| *other != key);
         }
         if self.len == 0 {
             self.drain.on_idle();
+            self.unlist_all();
         }
     }
     /// Notes that a request of an account starts.
@@ -82,6 +86,8 @@
 
     /// Takes the next of the `startable` requests in the order of deficit round robin.
     ///
+    /// An account that had nothing waiting goes before those that wait all the time, once a round
+    /// (as in FQ-CoDel, RFC 8290), so that one within its share does not wait for a whole round.
     /// Accounts without a startable request keep their place and get no quantum.
     pub(super) fn select(
         &mut self,
@@ -100,23 +106,37 @@
         self.rotate(startable, quantum_tokens)
     }
 
+    fn unlist_all(&mut self) {
+        for key in self.fresh.drain(..).chain(self.ring.drain(..)) {
+            if let Some(flow) = self.flows.get_mut(&key) {
+                flow.is_listed = false;
+            }
+        }
+    }
+
+    /// Returns the accounts with a place in the rotation, in order.
+    pub(super) fn listed(&self) -> impl Iterator<Item = &FlowKey> {
+        self.fresh.iter().chain(&self.ring)
+    }
+
     fn rotate(
         &mut self,
         startable: &HashMap<FlowKey, Startable>,
         quantum_tokens: u64,
     ) -> Option<Startable> {
+        if let Some(chosen) = self.rotate_fresh(startable, quantum_tokens) {
+            return Some(chosen);
+        }
         for _ in 0..=self.ring.len() {
             let key = *self.ring.front()?;
             let flow = self.flows.get_mut(&key)?;
-            if let Some(candidate) = startable.get(&key) {
-                if !flow.has_quantum {
-                    flow.grant(quantum_tokens, 1);
-                    flow.has_quantum = true;
-                }
-                if flow.deficit_tokens >= candidate.cost_tokens {
-                    flow.deficit_tokens -= candidate.cost_tokens;
-                    return Some(*candidate);
-                }
+            if flow.slots.is_empty() {
+                flow.is_listed = false;
+                self.ring.pop_front();
+                continue;
+            }
+            if let Some(chosen) = flow.take(startable.get(&key), quantum_tokens) {
+                return Some(chosen);
             }
             flow.has_quantum = false;
             self.ring.rotate_left(1);
@@ -124,6 +144,30 @@
         None
     }
 
+    /// Serves the flows that had nothing waiting; each has one quantum before it joins the others.
+    fn rotate_fresh(
+        &mut self,
+        startable: &HashMap<FlowKey, Startable>,
+        quantum_tokens: u64,
+    ) -> Option<Startable> {
+        for _ in 0..self.fresh.len() {
+            let key = self.fresh.pop_front()?;
+            let flow = self.flows.get_mut(&key)?;
+            let candidate = startable.get(&key);
+            if let Some(chosen) = flow.take(candidate, quantum_tokens) {
+                self.fresh.push_front(key);
+                return Some(chosen);
+            }
+            if flow.slots.is_empty() || candidate.is_some() {
+                flow.has_quantum = false;
+                self.ring.push_back(key);
+            } else {
+                self.fresh.push_back(key);
+            }
+        }
+        None
+    }
+
     /// Grants the rounds in which no request could start, at once.
     fn skip_rounds(&mut self, startable: &HashMap<FlowKey, Startable>, quantum_tokens: u64) {
         let rounds = startable
@@ -143,7 +187,8 @@
     /// Returns the expected wait of a request that an account adds now.
     ///
     /// Until the account's tokens, those of the request included, have started, each other account    /// starts as many for its weight, or all it has. What others add meanwhile shows in the rate at
-    /// which the account's own requests have started, if some wait already.
+    /// which the account's own requests have started, if some wait already. An account that goes first
+    /// does not wait.
     pub(super) fn expected_wait(
         &self,
         now: Monotonic,
@@ -152,6 +197,9 @@
         cost: u64,
     ) -> Duration {
         let flow = self.flows.get(&key);
+        if !flow.is_some_and(|flow| flow.is_listed) {
+            return Duration::ZERO;
+        }
         let own_tokens = flow.map_or(0, |flow| flow.queued_tokens);
         let ahead = own_tokens + self.others_ahead(key, weight, own_tokens + cost);
         let by_shares = drain_time(now, &self.drain, ahead);
@@ -207,7 +255,7 @@
     /// Forgets accounts that have nothing in the queue and nothing expected back.
     pub(super) fn prune(&mut self, now: Monotonic) {
         self.flows
-            .retain(|_, flow| !flow.slots.is_empty() || flow.return_at > now);
+            .retain(|_, flow| flow.is_listed || flow.return_at > now);
     }
 }
 
--- a/src/queueing/fair_queue.rs
+++ b/src/queueing/fair_queue.rs
@@ -211,7 +211,7 @@
     ) -> HashMap<FlowKey, Startable> {
         let queue = self.class(class);
         let mut startable = HashMap::new();
-        for key in &queue.ring {
+        for key in queue.listed() {
             let Some(flow) = queue.flows.get(key) else {
                 continue;
             };
