Send control messages as packed frames without calls

Excluded: fewer acknowledgements, as the call alone outweighs a heartbeat. Change: control connections carry packed messages of the same schema by capnp-futures, framed and counted by the receiver; forwarding stays on capnp-rpc. The page names a ticket once.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -6,14 +6,22 @@
 using Limits = import "limits.capnp";
 using Membership = import "membership.capnp";
 
-# What one VM offers to another on an authenticated connection.
+# What one VM offers to another on an authenticated connection for forwarded calls.
 interface Peer {
-  # Takes control messages that were ready together.
-  control @0 (messages :List(ControlMessage)) -> ();
   # Serves a call; the events of the answer go to `sink`. The caller cancels by dropping the call.
-  forward @1 (request :Call.ForwardRequest, sink :AnswerSink) -> ();
+  forward @0 (request :Call.ForwardRequest, sink :AnswerSink) -> ();
   # Answers at once.
-  ping @2 () -> ();
+  ping @1 () -> ();
+}
+
+# What crosses an authenticated connection for control, packed, either way.
+struct ControlFrame {
+  union {
+    # Messages that were ready together.
+    messages @0 :List(ControlMessage);
+    # The number of frames of messages that have come so far.
+    acknowledged @1 :UInt64;
+  }
 }
 
 # Takes the events of one answer.
--- a/src/operator/render/html_sections.rs
+++ b/src/operator/render/html_sections.rs
@@ -279,8 +279,7 @@
             @for row in rows {
                 li {
                     (format::time_of_day(row.first_at_unix_ms)) " "
-                    @if let Some(ticket) = row.ticket { strong { "ticket " (ticket) } ": " }
-                    (row.summary)
+                    (summary(row))
                     " (" (seen_by(row)) ")"
                 }
             }
@@ -288,6 +287,14 @@
     }
 }
 
+/// Returns what changed, with the ticket unless the text names it.
+pub(super) fn summary(row: &ChangeRow) -> String {
+    match row.ticket.map(|ticket| format!("ticket {ticket}")) {
+        Some(ticket) if !row.summary.contains(&ticket) => format!("{ticket}: {}", row.summary),
+        _ => row.summary.clone(),
+    }
+}
+
 /// Returns where a change was seen.
 pub(super) fn seen_by(row: &ChangeRow) -> String {
     match row.vms.as_slice() {
--- a/src/operator/render/text.rs
+++ b/src/operator/render/text.rs
@@ -2,6 +2,7 @@
 
 use super::format;
 use super::html_sections::seen_by;
+use super::html_sections::summary;
 use super::text_table::TextTable;
 use crate::operator::wire::AuditWire;
 use crate::operator::wire::ExplanationSetWire;
@@ -174,14 +175,11 @@
 fn changes(page: &PageWire) -> String {
     let mut text = "\nRecent changes\n".to_owned();
     for row in &page.changes {
-        let origin = match row.ticket {
-            Some(ticket) => format!("ticket {ticket}"),
-            None => "system".to_owned(),
-        };
+        let origin = row.ticket.map_or("system: ", |_| "");
         text.push_str(&format!(
-            "  {} {origin}: {} ({})\n",
+            "  {} {origin}{} ({})\n",
             format::time_of_day(row.first_at_unix_ms),
-            row.summary,
+            summary(row),
             seen_by(row)
         ));
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,8 +1,9 @@
 //! Messages and transport between VMs.
 //!
-//! Each connection starts with an authenticated [`handshake`] and then carries capnp-rpc, whose
-//! objects live on one thread: one for the [`CapnpPeerLink`], which dials, and one for the
-//! [`PeerServer`], which accepts.
+//! Each connection starts with an authenticated [`handshake`]. Connections for forwarded calls then
+//! carry capnp-rpc, whose objects live on one thread: one for the [`CapnpPeerLink`], which dials,
+//! and one for the [`PeerServer`], which accepts. Connections for control carry packed Cap'n Proto
+//! messages without calls.
 
 mod answer_pump;
 mod answer_receiver;
@@ -10,7 +11,9 @@
 mod capnp_peer_link;
 mod connection;
 mod connection_use;
-mod control_sender;
+mod control_connection;
+mod control_receiver;
+mod counted_socket;
 mod delivery;
 mod forward_request;
 mod forward_sender;
@@ -35,6 +38,7 @@
 mod peer_thread;
 mod peer_timings;
 mod peer_worker;
+mod pings;
 pub mod wire;
 mod wire_error;
 
--- a/src/peer/peer_server.rs
+++ b/src/peer/peer_server.rs
@@ -9,7 +9,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
-use tokio::sync::mpsc;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
@@ -20,7 +19,8 @@
 
 use super::connection::Connection;
 use super::connection::ConnectionEnd;
-use super::control_sender::send_control;
+use super::control_connection::ControlConnection;
+use super::control_receiver::ControlReceiver;
 use super::handshake;
 use super::handshake::Dialer;
 use super::peer_service::PeerService;
@@ -34,7 +34,6 @@
 
 /// The connections whose handshake may run at once; more are closed.
 const HANDSHAKES_MAX: usize = 64;
-const REPLY_QUEUE_MESSAGES: usize = 64;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections of other VMs until it is shut down or dropped.
@@ -162,13 +161,21 @@
     }
 
     async fn run(&self, stream: TcpStream, dialer: Dialer) -> io::Result<()> {
+        match dialer.purpose {
+            ConnectionPurpose::Forward => self.run_forward(stream, dialer).await,
+            ConnectionPurpose::Control | ConnectionPurpose::Boot => {
+                self.run_control(stream, dialer)
+            }
+        }
+    }
+
+    async fn run_forward(&self, stream: TcpStream, dialer: Dialer) -> io::Result<()> {
         let closed = CancellationToken::new();
         let service = PeerService {
             context: self.context.clone(),
             handler: self.handler.clone(),
             runtime: self.runtime.clone(),
-            from: dialer.name.clone(),
-            end: ConnectionEnd::Acceptor,
+            from: dialer.name,
             closed: closed.clone(),
         };
         let connection = Connection::start(
@@ -179,46 +186,40 @@
             Some(capnp_rpc::new_client::<peer::Client, _>(service)),
             closed,
         )?;
-        if dialer.purpose == ConnectionPurpose::Boot {
-            self.open_reply_path(&connection, &dialer);
-        }
-        self.watch(&connection, dialer.purpose).await;
+        self.watch(&connection).await;
         Ok(())
     }
 
-    /// Lets control messages to the dialer travel back on its own connection.
-    fn open_reply_path(&self, connection: &Connection, dialer: &Dialer) {
-        let (sender, mut replies) = mpsc::channel(REPLY_QUEUE_MESSAGES);
-        self.context.add_reply_path(dialer.name.clone(), sender);
-        let context = self.context.clone();
-        let connection = connection.clone();
-        spawn_local(async move {
-            let mut batch = Vec::new();
-            loop {
-                tokio::select! {
-                    received = replies.recv_many(&mut batch, REPLY_QUEUE_MESSAGES) => {
-                        if received == 0 {
-                            return;
-                        }
-                        send_control(&context, &connection, &batch);
-                        batch.clear();
-                    }
-                    () = connection.closed.cancelled() => return,
-                }
-            }
-        });
+    fn run_control(&self, stream: TcpStream, dialer: Dialer) -> io::Result<()> {
+        let timings = self.context.timings;
+        let receiver = ControlReceiver {
+            context: self.context.clone(),
+            handler: self.handler.clone(),
+            from: dialer.name.clone(),
+            end: ConnectionEnd::Acceptor,
+        };
+        // The dialer closes its idle connections first.
+        let silence_limit = timings.accepted_silence_timeout + timings.idle_timeout;
+        let connection = ControlConnection::start(
+            stream,
+            dialer.purpose,
+            self.context.clone(),
+            Some(receiver),
+            Some(silence_limit),
+        )?;
+        if dialer.purpose == ConnectionPurpose::Boot {
+            self.context
+                .add_reply_path(dialer.name, connection.outgoing);
+        } else {
+            // Nothing is sent on it but acknowledgements.
+            spawn_local(keep(connection));
+        }
+        Ok(())
     }
 
     /// Closes the connection once no byte has come for too long.
-    async fn watch(&self, connection: &Connection, purpose: ConnectionPurpose) {
-        let timings = self.context.timings;
-        let limit = match purpose {
-            ConnectionPurpose::Forward => timings.accepted_silence_timeout,
-            // The dialer closes its idle connections first.
-            ConnectionPurpose::Control | ConnectionPurpose::Boot => {
-                timings.accepted_silence_timeout + timings.idle_timeout
-            }
-        };
+    async fn watch(&self, connection: &Connection) {
+        let limit = self.context.timings.accepted_silence_timeout;
         while !connection.is_closed() {
             let silence = connection.silence();
             let Some(left) = limit.checked_sub(silence).filter(|left| !left.is_zero()) else {
@@ -233,3 +234,7 @@
         }
     }
 }
+
+async fn keep(connection: ControlConnection) {
+    connection.closed.cancelled().await;
+}
--- a/src/peer/peer_service.rs
+++ b/src/peer/peer_service.rs
@@ -1,4 +1,4 @@
-//! Serves what a peer asks for on one connection.
+//! Serves the calls that a peer forwards on one connection.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -7,10 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::answer_pump::AnswerPump;
-use super::connection::ConnectionEnd;
-use super::generated::peer_capnp::control_message;
 use super::generated::peer_capnp::peer;
-use super::wire::read_control;
 use super::wire::read_forward;
 use super::ForwardRequest;
 use super::MessageKind;
@@ -24,7 +21,7 @@
 
 const WORD_BYTES: u64 = 8;
 
-/// Serves what a peer asks for on one connection.
+/// Serves the calls that a peer forwards on one connection.
 pub(super) struct PeerService {
     pub(super) context: Arc<PeerContext>,
     pub(super) handler: Arc<dyn PeerHandler>,
@@ -32,8 +29,6 @@
     pub(super) runtime: Handle,
     /// The peer's name, as it has proved it.
     pub(super) from: Name,
-    /// The end that this VM holds.
-    pub(super) end: ConnectionEnd,
     /// Closes the connection when it is cancelled.
     pub(super) closed: CancellationToken,
 }
@@ -53,15 +48,8 @@
         capnp::Error::failed(error.to_string())
     }
 
-    /// Tells whether the peer may still use the connection.
-    ///
-    /// A VM that this one has dialed by its address need not be in the roster.
-    fn is_admitted(&self) -> bool {
-        self.end == ConnectionEnd::Dialer || self.context.is_known(&self.from)
-    }
-
     fn check_admitted(&self) -> Result<(), capnp::Error> {
-        if self.is_admitted() {
+        if self.context.is_known(&self.from) {
             return Ok(());
         }
         self.context.counters.add_fault(PeerFault::UnknownName);
@@ -71,31 +59,6 @@
         ))
     }
 
-    /// Takes each message that can be read; one that names an unknown object spoils no other.
-    fn take_control(&self, params: &peer::ControlParams) -> Result<(), WireError> {
-        let mut unread = Ok(());
-        for reader in params.get()?.get_messages()? {
-            match self.take_message(reader) {
-                Ok(()) => {}
-                Err(error @ WireError::UnknownName { .. }) => unread = Err(error),
-                Err(error) => return Err(error),
-            }
-        }
-        unread
-    }
-
-    fn take_message(&self, reader: control_message::Reader<'_>) -> Result<(), WireError> {
-        let bytes = reader.total_size()?.word_count * WORD_BYTES;
-        let message = read_control(reader, &self.context.catalog.load())?;
-        let kind = MessageKind::of_message(&message);
-        self.context.counters.add_received(kind, bytes);
-        match self.context.vm_named(&self.from) {
-            Some(from) => self.handler.on_message(from, message),
-            None => self.handler.on_seed_message(self.from.clone(), message),
-        }
-        Ok(())
-    }
-
     fn take_forward(&self, params: &peer::ForwardParams) -> Result<ForwardRequest, WireError> {
         let reader = params.get()?.get_request()?;
         let bytes = reader.total_size()?.word_count * WORD_BYTES;
@@ -132,16 +95,6 @@
 }
 
 impl peer::Server for PeerService {
-    async fn control(
-        self: Rc<Self>,
-        params: peer::ControlParams,
-        _results: peer::ControlResults,
-    ) -> Result<(), capnp::Error> {
-        self.check_admitted()?;
-        self.take_control(&params)
-            .map_err(|error| self.reject(&error))
-    }
-
     async fn forward(
         self: Rc<Self>,
         params: peer::ForwardParams,
--- a/src/peer/peer_worker.rs
+++ b/src/peer/peer_worker.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use tokio::net::TcpStream;
-use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -17,12 +16,11 @@
 use super::backoff::Backoff;
 use super::connection::Connection;
 use super::connection::ConnectionEnd;
-use super::control_sender::ping_until_closed;
-use super::control_sender::send_control;
+use super::control_connection::ControlConnection;
+use super::control_receiver::ControlReceiver;
 use super::forward_sender::send_forward;
-use super::generated::peer_capnp::peer;
 use super::handshake;
-use super::peer_service::PeerService;
+use super::pings::ping_until_closed;
 use super::ConnectionPurpose;
 use super::ForwardRequest;
 use super::HandshakeError;
@@ -70,7 +68,13 @@
 
 struct OpenConnection {
     address: SocketAddr,
-    connection: Connection,
+    connection: DialedConnection,
+}
+
+#[derive(Clone)]
+enum DialedConnection {
+    Control(ControlConnection),
+    Forward(Connection),
 }
 
 impl ForwardJob {
@@ -136,21 +140,24 @@
         }
     }
 
-    fn send(&self, connection: &Connection, items: impl Iterator<Item = WorkItem>) {
-        let mut messages = Vec::new();
+    fn send(&self, connection: &DialedConnection, items: impl Iterator<Item = WorkItem>) {
         for item in items {
-            match item {
-                WorkItem::Control(message) => messages.push(message),
-                WorkItem::Forward(job) => send_forward(&self.context, connection, *job),
+            match (connection, item) {
+                (DialedConnection::Control(connection), WorkItem::Control(message)) => {
+                    if !connection.send(message) {
+                        self.context.counters.add_fault(PeerFault::Dropped);
+                    }
+                }
+                (DialedConnection::Forward(connection), WorkItem::Forward(job)) => {
+                    send_forward(&self.context, connection, *job);
+                }
+                (_, item) => item.refuse(&self.context, "the connection serves another purpose"),
             }
         }
-        if !messages.is_empty() {
-            send_control(&self.context, connection, &messages);
-        }
     }
 
     /// Returns the open connection, or opens one unless the last attempt has just failed.
-    async fn connection(&mut self) -> Result<Connection, HandshakeError> {
+    async fn connection(&mut self) -> Result<DialedConnection, HandshakeError> {
         let address = self.address()?;
         if let Some(open) = &self.open {
             if open.address == address && !open.connection.is_closed() {
@@ -181,11 +188,11 @@
     /// Lets calls that run over the open connection end, and uses it for nothing new.
     fn retire(&mut self) {
         if let Some(open) = self.open.take() {
-            open.connection.uses.retire();
+            open.connection.retire();
         }
     }
 
-    async fn dial(&self, address: SocketAddr) -> Result<Connection, HandshakeError> {
+    async fn dial(&self, address: SocketAddr) -> Result<DialedConnection, HandshakeError> {
         let dialing = async {
             let mut stream = TcpStream::connect(address).await?;
             let context = &self.context;
@@ -201,37 +208,46 @@
         };
         let dialed = timeout(self.context.timings.connect_timeout, dialing).await;
         let (stream, name) = dialed.unwrap_or_else(|_| Err(timed_out()))?;
-        let closed = CancellationToken::new();
-        let own = self.own_service(name, &closed);
+        match self.purpose {
+            ConnectionPurpose::Forward => self.start_forward(stream),
+            ConnectionPurpose::Control | ConnectionPurpose::Boot => {
+                self.start_control(stream, name)
+            }
+        }
+    }
+
+    fn start_forward(&self, stream: TcpStream) -> Result<DialedConnection, HandshakeError> {
         let connection = Connection::start(
             stream,
             ConnectionEnd::Dialer,
             self.purpose,
             &self.context.counters,
-            own,
-            closed,
+            None,
+            CancellationToken::new(),
         )?;
-        // Acknowledgements tell of control connections, which cost nothing while they are idle.
-        if self.purpose == ConnectionPurpose::Forward {
-            spawn_local(ping_until_closed(self.context.clone(), connection.clone()));
-        }
-        Ok(connection)
+        spawn_local(ping_until_closed(self.context.clone(), connection.clone()));
+        Ok(DialedConnection::Forward(connection))
     }
 
-    /// Returns what the other side may call on a boot connection.
-    fn own_service(&self, from: Name, closed: &CancellationToken) -> Option<peer::Client> {
-        if self.purpose != ConnectionPurpose::Boot {
-            return None;
-        }
-        let service = PeerService {
+    /// What comes back on a boot connection goes to the handler; others bring no messages.
+    fn start_control(
+        &self,
+        stream: TcpStream,
+        from: Name,
+    ) -> Result<DialedConnection, HandshakeError> {
+        let handler = match self.purpose {
+            ConnectionPurpose::Boot => self.context.handler(),
+            ConnectionPurpose::Control | ConnectionPurpose::Forward => None,
+        };
+        let receiver = handler.map(|handler| ControlReceiver {
             context: self.context.clone(),
-            handler: self.context.handler()?,
-            runtime: Handle::current(),
+            handler,
             from,
             end: ConnectionEnd::Dialer,
-            closed: closed.clone(),
-        };
-        Some(capnp_rpc::new_client(service))
+        });
+        let context = self.context.clone();
+        let connection = ControlConnection::start(stream, self.purpose, context, receiver, None)?;
+        Ok(DialedConnection::Control(connection))
     }
 
     fn address(&self) -> io::Result<SocketAddr> {
@@ -254,6 +270,23 @@
     }
 }
 
+impl DialedConnection {
+    fn is_closed(&self) -> bool {
+        match self {
+            Self::Control(connection) => connection.is_closed(),
+            Self::Forward(connection) => connection.is_closed(),
+        }
+    }
+
+    /// Closes the connection, or lets the calls that use it end first.
+    fn retire(&self) {
+        match self {
+            Self::Control(connection) => connection.closed.cancel(),
+            Self::Forward(connection) => connection.uses.retire(),
+        }
+    }
+}
+
 impl Drop for PeerWorker {
     fn drop(&mut self) {
         self.retire();
--- a/tests/behaviour/peer/hostile_bytes.rs
+++ b/tests/behaviour/peer/hostile_bytes.rs
@@ -21,9 +21,8 @@
 const CONNECTIONS: u64 = 200;
 const WORD_BYTES: usize = 8;
 
-async fn authenticated(pair: &Pair) -> TcpStream {
+async fn authenticated(pair: &Pair, purpose: ConnectionPurpose) -> TcpStream {
     let mut stream = TcpStream::connect(pair.server.address()).await.unwrap();
-    let purpose = ConnectionPurpose::Control;
     let dialed = dial(&mut stream, &secret(), &name("dialer"), purpose, |_| true).await;
     dialed.unwrap();
     stream
@@ -54,9 +53,13 @@
 #[tokio::test]
 async fn hostile_bytes_close_their_connection_and_no_other() {
     let pair = pair(Script::Answer(3));
-    let mut bystander = authenticated(&pair).await;
+    let mut bystander = authenticated(&pair, ConnectionPurpose::Forward).await;
     for seed in 0..CONNECTIONS {
-        let mut stream = authenticated(&pair).await;
+        let purpose = match seed % 2 {
+            0 => ConnectionPurpose::Forward,
+            _ => ConnectionPurpose::Control,
+        };
+        let mut stream = authenticated(&pair, purpose).await;
         let bytes = match seed {
             0 => HUGE.to_vec(),
             _ => framed_noise(seed),
