--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -32,6 +32,12 @@
         /// What went wrong.
         reason: String,
     },
+    /// The identifier of a request does not parse.
+    #[error("expected a request identifier of 32 hexadecimal digits, got {request:?}")]
+    MalformedRequestId {
+        /// What was given.
+        request: String,
+    },
     /// The VM does not know the request.
     #[error("no VM knows the request {request}")]
     UnknownRequest {
@@ -47,15 +53,18 @@
     /// The program could not start, or a part of it failed.
     #[error("{0}")]
     Failed(String),
-    /// The daemon did not start.
+    /// A daemon did not start.
     #[error(transparent)]
     Daemon(#[from] DaemonError),
     /// The demo did not start.
     #[error(transparent)]
     Demo(#[from] DemoError),
-    /// A stand-in of an endpoint did not start.
+    /// An endpoint stand-in did not start.
     #[error(transparent)]
-    Endpoint(#[from] LaunchError),
+    StandInEndpoint(#[from] LaunchError),
+    /// The faults for a stand-in are not accepted.
+    #[error("--faults: {0}")]
+    Faults(serde_json::Error),
 }
 
 impl CliError {
@@ -65,12 +74,13 @@
             Self::CheckFailed { .. } | Self::DemoFailed => 1,
             Self::NoAnswer { .. } => 3,
             Self::UnknownRequest { .. } => 4,
+            Self::Faults(_) | Self::MalformedRequestId { .. } => 2,
             Self::Settings(_)
             | Self::StandIn(_)
-            | Self::Failed(_)
+            | Self::StandInEndpoint(_)
             | Self::Daemon(_)
             | Self::Demo(_)
-            | Self::Endpoint(_) => 5,
+            | Self::Failed(_) => 5,
         }
     }
 }
--- a/src/endpoint/answer_checker.rs
+++ b/src/endpoint/answer_checker.rs
@@ -20,6 +20,7 @@
 pub struct AnswerChecker {
     request_id: RequestId,
     next_offset: u64,
+    chunks_max: u64,
     is_ended: bool,
 }
 
@@ -29,15 +30,25 @@
         Self {
             request_id,
             next_offset: first_offset,
+            chunks_max: u64::MAX,
             is_ended: false,
         }
     }
 
+    /// Sets the number of chunks that the whole answer may have; a chunk is at least one token.
+    #[must_use]
+    pub fn with_chunk_limit(mut self, chunks_max: u64) -> Self {
+        self.chunks_max = chunks_max;
+        self
+    }
+
     /// Judges the next event that came.
     ///
     /// # Errors
     ///
-    /// Returns [`ErrorKind::AnswerTruncated`] if chunks before the event are missing.
+    /// Returns [`ErrorKind::AnswerTruncated`] if chunks before the event are missing, and
+    /// [`ErrorKind::EndpointFailed`] if the answer is longer than it may be or its end mark counts
+    /// too few chunks.
     pub fn check(&mut self, event: &AnswerEvent) -> Result<Verdict, GatewayError> {
         if self.is_ended || event.request_id != self.request_id {
             return Ok(Verdict::Drop);
@@ -64,6 +75,12 @@
             return Ok(Verdict::Drop);
         }
         self.refuse_gap(offset)?;
+        if offset >= self.chunks_max {
+            return Err(GatewayError::new(
+                ErrorKind::EndpointFailed,
+                "the answer is longer than was asked for",
+            ));
+        }
         self.next_offset += 1;
         Ok(Verdict::Pass)
     }
--- a/src/endpoint/engine_wire.rs
+++ b/src/endpoint/engine_wire.rs
@@ -21,6 +21,8 @@
 pub const ATTEMPT_HEADER: &str = "x-attempt";
 /// The header that carries the class of work.
 pub const PRIORITY_HEADER: &str = "x-priority";
+/// The header that carries the longest answer, in tokens; it goes before the body.
+pub const ANSWER_MAX_TOKENS_HEADER: &str = "x-answer-max-tokens";
 /// The header that names the first wanted chunk.
 pub const RESUME_OFFSET_HEADER: &str = "x-resume-offset";
 /// The header by which an endpoint says whether a refused call ran.
--- a/src/stand_in/engine/engine_faults.rs
+++ b/src/stand_in/engine/engine_faults.rs
@@ -17,6 +17,8 @@
     pub truncated_after_chunks: Option<u64>,
     /// The offset of a chunk that is left out.
     pub missing_chunk: Option<u64>,
+    /// The number of tokens by which an answer is longer than was asked for.
+    pub surplus_tokens: u64,
     /// Whether events of another request come between those of an answer.
     pub has_crossed_events: bool,
     /// Whether events come twice and once more after the next one.
