--- a/tests/behaviour/vm/core_fleet.rs
+++ b/tests/behaviour/vm/core_fleet.rs
@@ -137,8 +137,18 @@
 impl CoreFleet {
     /// A fleet with short times that has just been started; ticket 1 holds `objects`.
     pub fn new(seed: u64, regions: usize, vms_per_region: usize, accounts: usize) -> Self {
-        let settings = fast_core_settings;
         let tickets = vec![raw_ticket(1, objects(regions, vms_per_region, accounts))];
+        Self::with_settings(seed, regions, vms_per_region, tickets, fast_core_settings)
+    }
+
+    /// A fleet that has just been started with `tickets` published.
+    pub fn with_settings(
+        seed: u64,
+        regions: usize,
+        vms_per_region: usize,
+        tickets: Vec<RawTicket>,
+        settings: impl Fn(VmIdentity) -> CoreSettings,
+    ) -> Self {
         let mut fleet = Self {
             now: Monotonic::from_ms(1),
             vms: Vec::new(),
--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod explanations;
 mod key_withdrawal;
+mod processes;
 mod region_cut;
 mod support;
 mod unpublished_vm;
--- /dev/null
+++ b/tests/behaviour/vm/processes.rs
@@ -0,0 +1,178 @@
+//! A daemon as a process of its own: terminated, killed and stopped for a while.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use figramp::demo::raw_ticket;
+use figramp::stand_in::engine::EngineOptions;
+use figramp::stand_in::engine::EngineServer;
+use figramp::stand_in::platform::PlatformStandIn;
+use reqwest::Client;
+use reqwest::Response;
+use serde_json::json;
+
+use super::support::stream_body;
+use super::support::streamed_text;
+
+/// Longer than the pause that a daemon takes for none.
+const PAUSE: Duration = Duration::from_secs(6);
+const POLL: Duration = Duration::from_millis(20);
+
+/// A daemon in its own process, with stand-ins in this one.
+struct Process {
+    child: Child,
+    caller: SocketAddr,
+    operator: SocketAddr,
+    settings: PathBuf,
+    _engine: EngineServer,
+    _platform: PlatformStandIn,
+}
+
+impl Process {
+    /// Starts a daemon on a loopback address of its own.
+    async fn start(test: u8) -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformStandIn::start(any_port).await.expect("it starts");
+        let engine = EngineServer::launch(EngineOptions::default()).await;
+        let engine = engine.expect("it starts");
+        let [high, low] = (std::process::id() as u16).to_be_bytes();
+        let address = |port| SocketAddr::from(([127, high.max(1), low, test], port));
+        platform.publish(raw_ticket(1, objects(engine.address())));
+        let folder = std::env::temp_dir().join(format!("figramp-{high}-{low}-{test}"));
+        fs::create_dir_all(&folder).expect("the folder is made");
+        fs::write(folder.join("secret"), "a secret of this test and no other")
+            .expect("the secret is written");
+        let settings = folder.join("settings.toml");
+        let text = format!(
+            "[vm]\nname = \"one\"\nregion = \"here\"\navailability_zone = \"here-a\"\n\
+             caller_address = \"{}\"\npeer_address = \"{}\"\noperator_address = \"{}\"\n\
+             [platform]\naddress = \"{}\"\n[peers]\nsecret_file = {:?}\n",
+            address(7100),
+            address(7200),
+            address(7300),
+            platform.address(),
+            folder.join("secret"),
+        );
+        fs::write(&settings, text).expect("the settings are written");
+        let mut process = Self {
+            child: spawn(&settings),
+            caller: address(7100),
+            operator: address(7300),
+            settings,
+            _engine: engine,
+            _platform: platform,
+        };
+        process.wait_until_serving().await;
+        process
+    }
+
+    async fn ask(&self, body: &str) -> Result<Response, reqwest::Error> {
+        let url = format!("http://{}/v1/chat/completions", self.caller);
+        let request = Client::new().post(url).body(body.to_owned());
+        request
+            .header("content-type", "application/json")
+            .send()
+            .await
+    }
+
+    async fn wait_until_serving(&mut self) {
+        let (body, _) = stream_body(1);
+        let serving = async {
+            loop {
+                if matches!(self.ask(&body).await, Ok(response) if response.status() == 200) {
+                    return;
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let is_serving = tokio::time::timeout(Duration::from_secs(30), serving).await;
+        is_serving.expect("the daemon serves");
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &pid]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    async fn audit(&self) -> String {
+        let url = format!("http://{}/v1/audit", self.operator);
+        reqwest::get(url).await.unwrap().text().await.unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let folder = self.settings.parent().expect("the settings have a folder");
+        let _ = fs::remove_dir_all(folder);
+    }
+}
+
+fn spawn(settings: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_figramp"))
+        .args(["serve", "--settings"])
+        .arg(settings)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts")
+}
+
+fn objects(engine: SocketAddr) -> Vec<serde_json::Value> {
+    vec![
+        json!({"kind": "region", "name": "here",
+            "value": {"availability_zones": ["here-a"], "links": []}}),
+        json!({"kind": "route", "name": "plan-reviews", "value": {
+            "kind": "model", "is_open": true, "class": "long", "repeatability": "idempotent",
+            "deadline_ms": 60_000, "first_event_timeout_ms": 5_000,
+            "silence_timeout_ms": 5_000, "answer_max_tokens": 4_096}}),
+        json!({"kind": "endpoint", "name": "engine", "value": {
+            "kind": "engine", "address": engine, "region": "here",
+            "availability_zone": "here-a", "routes": ["plan-reviews"], "state": "active",
+            "concurrency": 16, "checks_fencing": true}}),
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_terminated_daemon_finishes_its_answers_and_exits_with_success() {
+    let mut process = Process::start(1).await;
+    let (body, answer) = stream_body(1_500);
+    let running = process.ask(&body).await.expect("the answer begins");
+    process.signal("-TERM");
+    let text = running.text().await.expect("the answer ends well");
+    assert_eq!(streamed_text(&text), (answer, true));
+    let status = tokio::task::block_in_place(|| process.child.wait());
+    assert!(status.expect("the process ends").success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_daemon_breaks_answers_off_and_its_successor_serves() {
+    let mut process = Process::start(2).await;
+    let (body, _) = stream_body(4_000);
+    let running = process.ask(&body).await.expect("the answer begins");
+    process.signal("-KILL");
+    assert!(running.text().await.is_err(), "the answer seems whole");
+    process.child.wait().expect("the process ends");
+    process.child = spawn(&process.settings);
+    process.wait_until_serving().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_daemon_notices_its_pause_and_serves_again() {
+    let mut process = Process::start(3).await;
+    process.signal("-STOP");
+    tokio::time::sleep(PAUSE).await;
+    process.signal("-CONT");
+    process.wait_until_serving().await;
+    while !process.audit().await.contains("paused") {
+        tokio::time::sleep(POLL).await;
+    }
+}
