Report in rounds and keep tokens while the home has plenty

Reports of all accounts go out together every two seconds, the last report on a grant is sent once, and a VM keeps its tokens for the life of the grant unless the home says that tokens are scarce.

--- a/src/limits/account_draws.rs
+++ b/src/limits/account_draws.rs
@@ -57,6 +57,7 @@
     regions: SecondaryMap<RegionKey, DrawRegion>,
     burst_tokens: u64,
     is_report_due: bool,
+    is_scarce: bool,
 }
 
 /// The home that a region's VMs can be drawn through.
@@ -131,6 +132,7 @@
             regions: SecondaryMap::new(),
             burst_tokens: 0,
             is_report_due: false,
+            is_scarce: true,
         }
     }
 
@@ -164,7 +166,7 @@
         self.give_up_silent(now, settings.draw_timeout);
         self.lots
             .close_expired(now, settings.refund_window, &self.pool);
-        if self.need.tokens == 0 {
+        if self.need.tokens == 0 && self.is_scarce {
             let keep_tokens = 2 * self.ahead_target_tokens(settings);
             self.lots
                 .close_idle(now, keep_tokens, settings.idle_return, &self.pool);
@@ -213,14 +215,13 @@
         is_denied
     }
 
-    /// Returns the reports that are due apart from draws: at once if much of the burst is free
-    /// again, or after a while.
-    pub fn due_reports(&mut self, now: Monotonic, settings: &LimitsSettings) -> Vec<OutgoingDraw> {
-        let elapsed = now.since(self.reported_at);
+    /// Returns the reports that are due apart from draws: in each round of all accounts, and at
+    /// once if much of the burst is free again.
+    pub fn due_reports(&mut self, now: Monotonic, is_round: bool) -> Vec<OutgoingDraw> {
         let is_much = self.lots.unreported_tokens() > self.burst_tokens / REPORT_DIVISOR;
         let is_early = self.is_report_due || is_much;
-        let is_due = elapsed >= settings.draw_period || (is_early && elapsed >= REPORT_GAP);
-        if !is_due {
+        let is_due = is_early && now.since(self.reported_at) >= REPORT_GAP;
+        if !is_round && !is_due {
             return Vec::new();
         }
         self.reported_at = now;
@@ -280,6 +281,7 @@
     ) {
         // A draw ahead of need may get nothing while requests that wait would get tokens.
         let is_short = u64::from(grant.tokens) < pending.need_tokens;
+        self.is_scarce = !grant.retry_after.is_zero();
         let pause = grant.retry_after.clamp(RETRY_MIN, RETRY_MAX);
         let retry_at = is_short.then(|| now + pause);
         self.put_region(pending.target.region, Some(from), retry_at);
@@ -319,7 +321,12 @@
     }
 
     fn ahead_target_tokens(&self, settings: &LimitsSettings) -> u64 {
-        let expected_tokens = self.demand.expected_tokens(settings.draw_period);
+        let horizon = if self.is_scarce {
+            settings.draw_period
+        } else {
+            settings.grant_lifetime
+        };
+        let expected_tokens = self.demand.expected_tokens(horizon);
         expected_tokens.min(self.burst_tokens / AHEAD_DIVISOR)
     }
 
--- a/src/limits/draw_desk.rs
+++ b/src/limits/draw_desk.rs
@@ -32,6 +32,7 @@
     draws: SecondaryMap<ClientAccountKey, AccountDraws>,
     seen_tokens: SecondaryMap<ClientAccountKey, u64>,
     last_forgotten_number: u32,
+    reported_at: Monotonic,
 }
 
 /// What a VM knows when it picks the homes to draw from.
@@ -104,13 +105,17 @@
     /// Keeps the books of all accounts and returns the draws and reports that are due.
     pub fn tick(&mut self, context: &DrawContext<'_>) -> DueDraws {
         self.wake_accounts(context.now);
+        let is_round = context.now.since(self.reported_at) >= context.settings.draw_period;
+        if is_round {
+            self.reported_at = context.now;
+        }
         let mut due = DueDraws::default();
         for (account, draws) in &mut self.draws {
             let published = context.catalog.client_accounts.get(account);
             draws.put_burst(published.map_or(0, |published| published.burst_tokens));
             draws.keep_books(context.now, context.settings);
             collect_due(context, account, draws, &mut due);
-            due.extend(draws.due_reports(context.now, context.settings));
+            due.extend(draws.due_reports(context.now, is_round));
         }
         self.forget_idle();
         due
--- a/src/limits/held_lots.rs
+++ b/src/limits/held_lots.rs
@@ -10,7 +10,7 @@
 use crate::clock::Monotonic;
 
 /// The number of times that a last report is sent.
-const LAST_REPORT_COUNT: u8 = 2;
+const LAST_REPORT_COUNT: u8 = 1;
 
 /// The most reports in one draw.
 const REPORTS_PER_DRAW: usize = 16;
--- a/src/limits/home_ledger.rs
+++ b/src/limits/home_ledger.rs
@@ -165,16 +165,25 @@
             let lot = HomeLot::new(tokens, now, expires_at, refund_until);
             self.lots.insert(id, lot);
         }
-        let missing_tokens = need_tokens.saturating_sub(tokens + self.balance_tokens);
         AccountGrant {
             account: draw.account,
             number: draw.number,
             tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
             lifetime: terms.lifetime,
-            retry_after: Duration::from_micros(self.share.accrual_us(missing_tokens.max(1))),
+            retry_after: self.retry_after(need_tokens.saturating_sub(tokens)),
         }
     }
 
+    /// Returns the time in which the missing tokens accrue; zero while tokens are plentiful.
+    fn retry_after(&self, missing_tokens: u64) -> Duration {
+        let is_plentiful = self.balance_tokens >= self.share.burst_tokens / 2;
+        if missing_tokens == 0 && is_plentiful {
+            return Duration::ZERO;
+        }
+        let lacking_tokens = missing_tokens.saturating_sub(self.balance_tokens).max(1);
+        Duration::from_micros(self.share.accrual_us(lacking_tokens))
+    }
+
     /// Returns what a draw gets for waiting requests: all, as many whole requests as the balance
     /// covers, or a part of a large request if nobody else is collecting for one.
     fn tokens_for_need(&mut self, now: Monotonic, holder: VmKey, draw: &AccountDraw) -> u64 {
--- a/src/limits/message.rs
+++ b/src/limits/message.rs
@@ -124,6 +124,7 @@
     pub tokens: u32,
     /// The life of the grant, counted from the time when the holder sent the draw.
     pub lifetime: Duration,
-    /// The time after which the rest of the wish is likely to be there.
+    /// The time after which the rest of the wish is likely to be there; zero while the home has
+    /// plenty.
     pub retry_after: Duration,
 }
