--- a/src/limits/account_draws.rs
+++ b/src/limits/account_draws.rs
@@ -35,6 +35,9 @@
 /// The part of the burst that a VM keeps ahead of need at most, as a divisor.
 const AHEAD_DIVISOR: u64 = 32;
 
+/// The number of expected requests from which tokens are drawn ahead of need.
+const AHEAD_REQUESTS: f64 = 4.0;
+
 /// The number of other regions that are asked at the same time.
 const PARALLEL_DRAWS: usize = 2;
 
@@ -118,7 +121,7 @@
         last_number: u32,
     ) -> Self {
         let mut demand = Demand::default();
-        demand.sample(now, pool.reserved_tokens());
+        demand.sample(now, &pool);
         Self {
             account,
             pool,
@@ -162,7 +165,7 @@
 
     /// Keeps the books: gives up silent draws, closes lots, samples the demand.
     pub fn keep_books(&mut self, now: Monotonic, settings: &LimitsSettings) {
-        self.demand.sample(now, self.pool.reserved_tokens());
+        self.demand.sample(now, &self.pool);
         self.give_up_silent(now, settings.draw_timeout);
         self.lots
             .close_expired(now, settings.refund_window, &self.pool);
@@ -326,6 +329,9 @@
         } else {
             settings.grant_lifetime
         };
+        if self.demand.expected_requests(horizon) < AHEAD_REQUESTS {
+            return 0;
+        }
         let expected_tokens = self.demand.expected_tokens(horizon);
         expected_tokens.min(self.burst_tokens / AHEAD_DIVISOR)
     }
--- a/src/limits/controller.rs
+++ b/src/limits/controller.rs
@@ -48,12 +48,32 @@
     desk: DrawDesk,
 }
 
-/// A message on its way to a VM that may be this one.
+/// What an event finds: the time, the published objects and the other VMs.
+struct Moment<'a> {
+    now: Monotonic,
+    catalog: &'a Catalog,
+    view: &'a MembershipView,
+    region: RegionKey,
+}
+
+/// Messages to VMs, this one perhaps among them, and actions that follow.
+#[derive(Default)]
+struct Outbox {
+    queue: VecDeque<Outgoing>,
+    actions: Vec<LimitsAction>,
+}
+
 struct Outgoing {
     to: VmKey,
     message: LimitsMessage,
 }
 
+impl Outbox {
+    fn push(&mut self, to: VmKey, message: LimitsMessage) {
+        self.queue.push_back(Outgoing { to, message });
+    }
+}
+
 impl LimitsController {
     /// Creates the controller of a VM that starts at `now`.
     pub fn new(
@@ -86,21 +106,19 @@
         if let Some(region) = self.region(catalog) {
             self.leases.put_roster(now, catalog, region);
         }
-        let Some(region) = self.enter(now, catalog, out) else {
+        let Some(moment) = self.enter(now, catalog, view, out) else {
             return;
         };
         let (change, sends) = self.leases.tick(now, catalog, view);
-        self.note_acquired(now, catalog, region, change.acquired, out);
+        self.note_acquired(&moment, change.acquired, out);
         out.extend(sends.into_iter().map(|send| LimitsAction::Send {
             to: send.to,
             message: send.message,
         }));
         let held = self.leases.held();
-        self.books.tick(now, catalog, region, held);
-        let due = self.with_context(now, catalog, view, region, |desk, context| {
-            desk.tick(context)
-        });
-        self.send_due(now, catalog, view, due, out);
+        self.books.tick(now, catalog, moment.region, held);
+        let due = self.with_desk(&moment, |desk, context| desk.tick(context));
+        self.send_due(&moment, due, out);
     }
 
     /// Takes a message of another VM.
@@ -113,7 +131,7 @@
         message: LimitsMessage,
         out: &mut Vec<LimitsAction>,
     ) {
-        let Some(region) = self.enter(now, catalog, out) else {
+        let Some(moment) = self.enter(now, catalog, view, out) else {
             return;
         };
         match message {
@@ -126,11 +144,13 @@
             }
             LimitsMessage::LeaseAnswer(answer) => {
                 let acquired = self.leases.on_answer(now, from, &answer);
-                self.note_acquired(now, catalog, region, acquired, out);
+                self.note_acquired(&moment, acquired, out);
             }
             LimitsMessage::LeaseRelease(release) => self.leases.on_release(from, &release),
             LimitsMessage::Draw(_) | LimitsMessage::Grant(_) => {
-                self.deliver(now, catalog, view, from, message, out);
+                let mut outbox = Outbox::default();
+                self.handle(&moment, from, message, &mut outbox);
+                self.flush(&moment, outbox, out);
             }
         }
     }
@@ -145,13 +165,13 @@
         missing_tokens: u64,
         out: &mut Vec<LimitsAction>,
     ) {
-        let Some(region) = self.enter(now, catalog, out) else {
+        let Some(moment) = self.enter(now, catalog, view, out) else {
             return;
         };
-        let due = self.with_context(now, catalog, view, region, |desk, context| {
+        let due = self.with_desk(&moment, |desk, context| {
             desk.want(context, account, missing_tokens)
         });
-        self.send_due(now, catalog, view, due, out);
+        self.send_due(&moment, due, out);
     }
 
     /// Drops everything that was granted to the VM before a pause.
@@ -182,94 +202,67 @@
     }
 
     /// Drops leases that have run out, before anything relies on them.
-    fn enter(
+    fn enter<'a>(
         &mut self,
         now: Monotonic,
-        catalog: &Catalog,
+        catalog: &'a Catalog,
+        view: &'a MembershipView,
         out: &mut Vec<LimitsAction>,
-    ) -> Option<RegionKey> {
+    ) -> Option<Moment<'a>> {
         let region = self.region(catalog)?;
         let lost = self.leases.drop_lost(now);
         if !lost.is_empty() {
             self.books.close(catalog, lost);
             out.push(LimitsAction::LeaseLost { shards: lost });
         }
-        Some(region)
+        Some(Moment {
+            now,
+            catalog,
+            view,
+            region,
+        })
     }
 
     fn note_acquired(
         &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        region: RegionKey,
+        moment: &Moment<'_>,
         acquired: ShardSet,
         out: &mut Vec<LimitsAction>,
     ) {
         if !acquired.is_empty() {
-            self.books.open(now, catalog, region, acquired);
+            self.books
+                .open(moment.now, moment.catalog, moment.region, acquired);
             out.push(LimitsAction::LeaseAcquired { shards: acquired });
         }
     }
 
-    fn with_context<T>(
+    fn with_desk<T>(
         &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        view: &MembershipView,
-        region: RegionKey,
+        moment: &Moment<'_>,
         act: impl FnOnce(&mut DrawDesk, &DrawContext<'_>) -> T,
     ) -> T {
         let context = DrawContext {
-            now,
-            catalog,
-            view,
+            now: moment.now,
+            catalog: moment.catalog,
+            view: moment.view,
             leases: &self.leases,
             settings: &self.settings,
-            region,
+            region: moment.region,
         };
         act(&mut self.desk, &context)
     }
 
-    fn send_due(
-        &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        view: &MembershipView,
-        due: DueDraws,
-        out: &mut Vec<LimitsAction>,
-    ) {
-        let mut queue = VecDeque::new();
-        self.queue_due(due, &mut queue, out);
-        self.flush(now, catalog, view, queue, out);
-    }
-
-    fn deliver(
-        &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        view: &MembershipView,
-        from: VmKey,
-        message: LimitsMessage,
-        out: &mut Vec<LimitsAction>,
-    ) {
-        let mut queue = VecDeque::new();
-        self.handle(now, catalog, view, from, message, &mut queue, out);
-        self.flush(now, catalog, view, queue, out);
+    fn send_due(&mut self, moment: &Moment<'_>, due: DueDraws, out: &mut Vec<LimitsAction>) {
+        let mut outbox = Outbox::default();
+        self.queue_due(due, &mut outbox);
+        self.flush(moment, outbox, out);
     }
 
     /// Sends what is queued; what goes to this VM itself is handled at once.
-    fn flush(
-        &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        view: &MembershipView,
-        mut queue: VecDeque<Outgoing>,
-        out: &mut Vec<LimitsAction>,
-    ) {
-        while let Some(next) = queue.pop_front() {
+    fn flush(&mut self, moment: &Moment<'_>, mut outbox: Outbox, out: &mut Vec<LimitsAction>) {
+        while let Some(next) = outbox.queue.pop_front() {
             if next.to == self.own {
-                let own = self.own;
-                self.handle(now, catalog, view, own, next.message, &mut queue, out);
+                self.handle(moment, self.own, next.message, &mut outbox);
             } else {
                 out.push(LimitsAction::Send {
                     to: next.to,
@@ -277,133 +270,96 @@
                 });
             }
         }
+        out.append(&mut outbox.actions);
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn handle(
         &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        view: &MembershipView,
+        moment: &Moment<'_>,
         from: VmKey,
         message: LimitsMessage,
-        queue: &mut VecDeque<Outgoing>,
-        out: &mut Vec<LimitsAction>,
+        outbox: &mut Outbox,
     ) {
         match message {
-            LimitsMessage::Draw(draw) => self.take_draw(now, catalog, draw, queue),
-            LimitsMessage::Grant(grant) => {
-                self.take_grant(now, catalog, view, from, &grant, queue, out);
-            }
+            LimitsMessage::Draw(draw) => self.take_draw(moment, draw, outbox),
+            LimitsMessage::Grant(grant) => self.take_grant(moment, from, &grant, outbox),
             _ => {}
         }
     }
 
     /// Answers the parts of a draw whose home this VM is and passes the others on, once.
-    fn take_draw(
-        &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        draw: Draw,
-        queue: &mut VecDeque<Outgoing>,
-    ) {
-        let accounts = self
-            .books
-            .draw(now, catalog, &self.leases, &self.settings, &draw);
+    fn take_draw(&mut self, moment: &Moment<'_>, draw: Draw, outbox: &mut Outbox) {
+        let accounts = self.books.draw(
+            moment.now,
+            moment.catalog,
+            &self.leases,
+            &self.settings,
+            &draw,
+        );
         if !accounts.is_empty() {
-            queue.push_back(Outgoing {
-                to: draw.holder,
-                message: LimitsMessage::Grant(Grant {
-                    incarnation: draw.incarnation,
-                    accounts,
-                }),
-            });
+            let grant = Grant {
+                incarnation: draw.incarnation,
+                accounts,
+            };
+            outbox.push(draw.holder, LimitsMessage::Grant(grant));
         }
         if !draw.is_relayed {
-            self.relay(now, catalog, draw, queue);
+            self.relay(moment, draw, outbox);
         }
     }
 
-    fn relay(
-        &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        draw: Draw,
-        queue: &mut VecDeque<Outgoing>,
-    ) {
+    fn relay(&mut self, moment: &Moment<'_>, draw: Draw, outbox: &mut Outbox) {
         let mut by_home: BTreeMap<VmKey, Vec<AccountDraw>> = BTreeMap::new();
         for part in draw.accounts {
-            let Some(account) = catalog.client_accounts.get(part.account) else {
+            let Some(account) = moment.catalog.client_accounts.get(part.account) else {
                 continue;
             };
             let shard = Shard::of_account(&account.name);
-            let home = self.leases.home(now, shard);
+            let home = self.leases.home(moment.now, shard);
             if let Some(home) = home.filter(|home| *home != self.own) {
                 by_home.entry(home).or_default().push(part);
             }
         }
         for (home, accounts) in by_home {
-            queue.push_back(Outgoing {
-                to: home,
-                message: LimitsMessage::Draw(Draw {
-                    holder: draw.holder,
-                    incarnation: draw.incarnation,
-                    is_relayed: true,
-                    accounts,
-                }),
-            });
+            let relayed = Draw {
+                holder: draw.holder,
+                incarnation: draw.incarnation,
+                is_relayed: true,
+                accounts,
+            };
+            outbox.push(home, LimitsMessage::Draw(relayed));
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn take_grant(
-        &mut self,
-        now: Monotonic,
-        catalog: &Catalog,
-        view: &MembershipView,
-        from: VmKey,
-        grant: &Grant,
-        queue: &mut VecDeque<Outgoing>,
-        out: &mut Vec<LimitsAction>,
-    ) {
-        let Some(region) = catalog.vms.get(self.own).map(|vm| vm.region) else {
-            return;
-        };
+    fn take_grant(&mut self, moment: &Moment<'_>, from: VmKey, grant: &Grant, outbox: &mut Outbox) {
         if grant.incarnation != self.incarnation {
             return;
         }
         for part in &grant.accounts {
-            let (outcome, due) = self.with_context(now, catalog, view, region, |desk, context| {
-                desk.take_grant(context, from, part)
-            });
+            let (outcome, due) =
+                self.with_desk(moment, |desk, context| desk.take_grant(context, from, part));
             if outcome == GrantOutcome::Arrived {
-                out.push(LimitsAction::TokensArrived {
+                outbox.actions.push(LimitsAction::TokensArrived {
                     account: part.account,
                 });
             }
-            self.queue_due(due, queue, out);
+            self.queue_due(due, outbox);
         }
     }
 
-    fn queue_due(
-        &self,
-        due: DueDraws,
-        queue: &mut VecDeque<Outgoing>,
-        out: &mut Vec<LimitsAction>,
-    ) {
+    fn queue_due(&self, due: DueDraws, outbox: &mut Outbox) {
         for (to, accounts) in due.draws {
-            queue.push_back(Outgoing {
-                to,
-                message: LimitsMessage::Draw(Draw {
-                    holder: self.own,
-                    incarnation: self.incarnation,
-                    is_relayed: false,
-                    accounts,
-                }),
-            });
-        }
-        for account in due.denied {
-            out.push(LimitsAction::TokensDenied { account });
+            let draw = Draw {
+                holder: self.own,
+                incarnation: self.incarnation,
+                is_relayed: false,
+                accounts,
+            };
+            outbox.push(to, LimitsMessage::Draw(draw));
         }
+        let denied = due.denied.into_iter();
+        outbox
+            .actions
+            .extend(denied.map(|account| LimitsAction::TokensDenied { account }));
     }
 }
--- a/src/limits/token_pool.rs
+++ b/src/limits/token_pool.rs
@@ -20,6 +20,7 @@
 pub struct TokenPool {
     lots: ArcSwap<Vec<Arc<Lot>>>,
     reserved_tokens: AtomicU64,
+    reservation_count: AtomicU64,
     retry_at_us: AtomicU64,
 }
 
@@ -64,6 +65,7 @@
             return Err(self.shortfall(now, missing_tokens));
         }
         self.reserved_tokens.fetch_add(tokens, Ordering::Relaxed);
+        self.reservation_count.fetch_add(1, Ordering::Relaxed);
         Ok(reservation)
     }
 
@@ -84,6 +86,11 @@
         self.reserved_tokens.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of reservations since the start of the process.
+    pub fn reservation_count(&self) -> u64 {
+        self.reservation_count.load(Ordering::Relaxed)
+    }
+
     /// Replaces the lots; the order is the order in which they are spent.
     pub(super) fn put_lots(&self, lots: Vec<Arc<Lot>>) {
         self.lots.store(Arc::new(lots));
