--- a/src/endpoint/http_endpoint_client.rs
+++ b/src/endpoint/http_endpoint_client.rs
@@ -29,6 +29,7 @@
 use super::LoadReportWire;
 use super::OrderOutcome;
 use super::OrderWire;
+use super::ANSWER_MAX_TOKENS_HEADER;
 use super::ATTEMPT_HEADER;
 use super::PRIORITY_HEADER;
 use super::REQUEST_ID_HEADER;
@@ -76,6 +77,7 @@
             .header(CONTENT_TYPE, JSON_TYPE)
             .header(PRIORITY_HEADER, priority_of(call.class))
             .header(RESUME_OFFSET_HEADER, call.resume_offset)
+            .header(ANSWER_MAX_TOKENS_HEADER, completion.answer_max_tokens)
             .body(completion.body.clone());
         Ok(request)
     }
@@ -139,9 +141,10 @@
             .header(ATTEMPT_HEADER, guard.attempt());
         let response = send(request, &limits, &mut guard).await?;
         match call.body {
-            CallBody::Completion(_) => {
+            CallBody::Completion(completion) => {
                 let response = accept_completion(response, &mut guard)?;
-                let checker = AnswerChecker::new(call.request_id, call.resume_offset);
+                let checker = AnswerChecker::new(call.request_id, call.resume_offset)
+                    .with_chunk_limit(completion.answer_max_tokens);
                 Ok(EngineAnswer::new(response, checker, limits, guard).into_stream())
             }
             CallBody::Service(_) => {
--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -1,3 +1,14 @@
 //! Tests of whole VMs.
 
+mod allowed_regions;
+mod bookings;
+mod core_fleet;
+mod drain;
+mod explanations;
+mod key_withdrawal;
+mod processes;
+mod region_cut;
+mod support;
+mod unpublished_vm;
+mod whole_answers;
 mod whole_path;
