--- a/src/limits/account_draws.rs
+++ b/src/limits/account_draws.rs
@@ -35,6 +35,9 @@
 /// The part of the burst that a VM keeps ahead of need at most, as a divisor.
 const AHEAD_DIVISOR: u64 = 32;
 
+/// The number of expected requests from which tokens are drawn ahead of need.
+const AHEAD_REQUESTS: f64 = 4.0;
+
 /// The number of other regions that are asked at the same time.
 const PARALLEL_DRAWS: usize = 2;
 
@@ -57,6 +60,7 @@
     regions: SecondaryMap<RegionKey, DrawRegion>,
     burst_tokens: u64,
     is_report_due: bool,
+    is_scarce: bool,
 }
 
 /// The home that a region's VMs can be drawn through.
@@ -117,7 +121,7 @@
         last_number: u32,
     ) -> Self {
         let mut demand = Demand::default();
-        demand.sample(now, pool.reserved_tokens());
+        demand.sample(now, &pool);
         Self {
             account,
             pool,
@@ -131,6 +135,7 @@
             regions: SecondaryMap::new(),
             burst_tokens: 0,
             is_report_due: false,
+            is_scarce: true,
         }
     }
 
@@ -160,11 +165,11 @@
 
     /// Keeps the books: gives up silent draws, closes lots, samples the demand.
     pub fn keep_books(&mut self, now: Monotonic, settings: &LimitsSettings) {
-        self.demand.sample(now, self.pool.reserved_tokens());
+        self.demand.sample(now, &self.pool);
         self.give_up_silent(now, settings.draw_timeout);
         self.lots
             .close_expired(now, settings.refund_window, &self.pool);
-        if self.need.tokens == 0 {
+        if self.need.tokens == 0 && self.is_scarce {
             let keep_tokens = 2 * self.ahead_target_tokens(settings);
             self.lots
                 .close_idle(now, keep_tokens, settings.idle_return, &self.pool);
@@ -213,14 +218,13 @@
         is_denied
     }
 
-    /// Returns the reports that are due apart from draws: at once if much of the burst is free
-    /// again, or after a while.
-    pub fn due_reports(&mut self, now: Monotonic, settings: &LimitsSettings) -> Vec<OutgoingDraw> {
-        let elapsed = now.since(self.reported_at);
+    /// Returns the reports that are due apart from draws: in each round of all accounts, and at
+    /// once if much of the burst is free again.
+    pub fn due_reports(&mut self, now: Monotonic, is_round: bool) -> Vec<OutgoingDraw> {
         let is_much = self.lots.unreported_tokens() > self.burst_tokens / REPORT_DIVISOR;
         let is_early = self.is_report_due || is_much;
-        let is_due = elapsed >= settings.draw_period || (is_early && elapsed >= REPORT_GAP);
-        if !is_due {
+        let is_due = is_early && now.since(self.reported_at) >= REPORT_GAP;
+        if !is_round && !is_due {
             return Vec::new();
         }
         self.reported_at = now;
@@ -280,6 +284,7 @@
     ) {
         // A draw ahead of need may get nothing while requests that wait would get tokens.
         let is_short = u64::from(grant.tokens) < pending.need_tokens;
+        self.is_scarce = !grant.retry_after.is_zero();
         let pause = grant.retry_after.clamp(RETRY_MIN, RETRY_MAX);
         let retry_at = is_short.then(|| now + pause);
         self.put_region(pending.target.region, Some(from), retry_at);
@@ -319,7 +324,15 @@
     }
 
     fn ahead_target_tokens(&self, settings: &LimitsSettings) -> u64 {
-        let expected_tokens = self.demand.expected_tokens(settings.draw_period);
+        let horizon = if self.is_scarce {
+            settings.draw_period
+        } else {
+            settings.grant_lifetime
+        };
+        if self.demand.expected_requests(horizon) < AHEAD_REQUESTS {
+            return 0;
+        }
+        let expected_tokens = self.demand.expected_tokens(horizon);
         expected_tokens.min(self.burst_tokens / AHEAD_DIVISOR)
     }
 
