--- a/src/queueing/fair_queue.rs
+++ b/src/queueing/fair_queue.rs
@@ -21,6 +21,9 @@
 
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(600);
+/// The part of the time until the latest start that an expected wait may take; the rest covers what
+/// others add meanwhile.
+const WAIT_MAX_PERCENT: u32 = 75;
 const CLASSES: [WorkClass; 2] = [WorkClass::Interactive, WorkClass::Long];
 
 #[derive(Clone, Debug)]
@@ -172,7 +175,7 @@
             .flows
             .get(&item.client_account)
             .map_or(0, |flow| flow.slots.len());
-        if now + wait > item.start_by {
+        if wait > item.start_by.since(now) * WAIT_MAX_PERCENT / 100 {
             return Some(RefusedReason::TooLate);
         }
         if account_len >= self.limits.account_max_requests {
