--- /dev/null
+++ b/benches/fleet/mod.rs
@@ -0,0 +1,20 @@
+//! A fleet of VMs' membership and limits decisions in virtual time: a list of pending events.
+
+mod bucket;
+mod events;
+mod network;
+mod published;
+mod runner;
+mod vm;
+
+pub use bucket::ExcessMeter;
+pub use bucket::IdealBucket;
+pub use published::AccountPlan;
+pub use published::Published;
+pub use runner::Fleet;
+pub use runner::FleetPlan;
+pub use runner::Traffic;
+
+use network::Network;
+use vm::FleetVm;
+use vm::Request;
--- a/src/configuration/store.rs
+++ b/src/configuration/store.rs
@@ -9,6 +9,7 @@
 use super::BucketVersions;
 use super::ObjectHash;
 use super::ObjectId;
+use super::ObjectKind;
 use super::ObjectRecord;
 use super::ObjectVersion;
 use super::StoreDigest;
@@ -132,9 +133,14 @@
 
     /// Builds the catalog of all values, keeping the keys of `previous`.
     ///
-    /// Objects of `overlay` take the place of published ones of the same identifier. Also returns
-    /// the names of the objects whose references are not published.
-    pub(super) fn build_catalog(
+    /// Also returns the names of the objects whose references are not published.
+    pub fn build_catalog(&self, previous: &Catalog) -> (Catalog, Vec<Name>) {
+        self.build_catalog_with(previous, &OverlayObjects::default())
+    }
+
+    /// Builds the catalog of all values and of `overlay`, whose objects take the place of published
+    /// ones of the same identifier.
+    pub(super) fn build_catalog_with(
         &self,
         previous: &Catalog,
         overlay: &OverlayObjects,
@@ -144,7 +150,14 @@
             .filter(|record| !overlay.objects.contains_key(&record.id))
             .filter_map(|record| Some((&record.id.name, record.value.as_deref()?)));
         let added = overlay.objects.iter().map(|(id, spec)| (&id.name, spec));
-        CatalogBuilder::new(previous).build(self.highest, published.chain(added))
+        let unpublished_vms = overlay
+            .objects
+            .keys()
+            .filter(|id| id.kind == ObjectKind::Vm)
+            .map(|id| id.name.clone());
+        CatalogBuilder::new(previous)
+            .with_unpublished_vms(unpublished_vms)
+            .build(self.highest, published.chain(added))
     }
 }
 
--- a/src/operator/render/html_sections.rs
+++ b/src/operator/render/html_sections.rs
@@ -171,6 +171,10 @@
                                 th { "State" }
                                 th class="n" { "Ticket" }
                                 th class="n" { "Answers under way" }
+                                th class="n" { "Accepted" }
+                                th class="n" { "Not in full" }
+                                th class="n" { "First token p95" }
+                                th class="n" { "Between tokens p95" }
                             }
                         }
                         tbody { @for row in &page.vms { (vm(row)) } }
@@ -189,6 +193,10 @@
             td { (row.state) }
             td class="n" { (row.ticket_in_force) }
             td class="n" { (format::number(row.open_streams)) }
+            td class="n" { (format::number(row.accepted)) }
+            td class="n" { span class=(off(row.failed)) { (format::number(row.failed)) } }
+            td class="n" { (format::latency(row.first_token.p95_us)) }
+            td class="n" { (format::latency(row.between_tokens.p95_us)) }
         }
     }
 }
@@ -271,8 +279,7 @@
             @for row in rows {
                 li {
                     (format::time_of_day(row.first_at_unix_ms)) " "
-                    @if let Some(ticket) = row.ticket { strong { "ticket " (ticket) } ": " }
-                    (row.summary)
+                    (summary(row))
                     " (" (seen_by(row)) ")"
                 }
             }
@@ -280,6 +287,14 @@
     }
 }
 
+/// Returns what changed, with the ticket unless the text names it.
+pub(super) fn summary(row: &ChangeRow) -> String {
+    match row.ticket.map(|ticket| format!("ticket {ticket}")) {
+        Some(ticket) if !row.summary.contains(&ticket) => format!("{ticket}: {}", row.summary),
+        _ => row.summary.clone(),
+    }
+}
+
 /// Returns where a change was seen.
 pub(super) fn seen_by(row: &ChangeRow) -> String {
     match row.vms.as_slice() {
--- a/tests/behaviour/limits/mod.rs
+++ b/tests/behaviour/limits/mod.rs
@@ -1,1 +1,9 @@
 //! Tests of the `limits` behaviour.
+
+#[path = "../../../benches/fleet/mod.rs"]
+pub mod fleet;
+mod home_lease;
+mod home_ledger;
+mod interval_bound;
+mod service_inside_the_rate;
+mod token_pool;
