--- a/benches/policy_model/run.rs
+++ b/benches/policy_model/run.rs
@@ -1,5 +1,7 @@
 //! The loop over events in virtual time.
 
+mod answers;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
@@ -11,7 +13,6 @@
 use figramp::endpoint::LoadReport;
 use figramp::request::Call;
 use figramp::request::CallBody;
-use figramp::request::Usage;
 use figramp::request::Visited;
 use figramp::routing::Attempt;
 use figramp::routing::EndpointFailure;
@@ -486,152 +487,6 @@
         }
     }
 
-    fn first_token(&mut self, started: Started) {
-        let sent = &mut self.sent[started.attempt];
-        let Some(attempt) = &mut sent.attempt else {
-            return;
-        };
-        let node = &self.nodes[sent.vm];
-        let load = node.loads.get(self.endpoint_keys[sent.engine]).unwrap();
-        load.on_first_event(Monotonic::from_us(self.now_us), attempt);
-        let mut at_us = self.now_us;
-        if let Some(away) = &mut self.away[sent.request] {
-            at_us += self.setup.size.one_way_us;
-            let load = self.nodes[away.vm].loads.get(away.endpoint).unwrap();
-            if let Some(attempt) = &mut away.attempt {
-                load.on_first_event(Monotonic::from_us(at_us), attempt);
-            }
-        } else if node.region != self.engines[sent.engine].region {
-            at_us += 2 * self.setup.size.one_way_us;
-        }
-        let outcome = &mut self.results.outcomes[sent.request];
-        outcome.first_token_us = Some(outcome.first_token_us.unwrap_or(at_us));
-    }
-
-    fn done(&mut self, started: Started) {
-        let sent = &mut self.sent[started.attempt];
-        let (request, vm, engine) = (sent.request, sent.vm, sent.engine);
-        let Some(attempt) = sent.attempt.take() else {
-            return;
-        };
-        let now = Monotonic::from_us(self.now_us);
-        let usage = Usage {
-            prompt_tokens: started.prompt_tokens,
-            cached_tokens: started.cached_tokens,
-            answer_tokens: 1,
-        };
-        let load = self.nodes[vm]
-            .loads
-            .get(self.endpoint_keys[engine])
-            .unwrap();
-        load.on_done(now, attempt, usage);
-        if let Some(Away {
-            vm,
-            endpoint,
-            attempt: Some(attempt),
-        }) = self.away[request].take()
-        {
-            let load = self.nodes[vm].loads.get(endpoint).unwrap();
-            load.on_done(now, attempt, usage);
-        }
-        let outcome = &mut self.results.outcomes[request];
-        outcome.is_done = true;
-        outcome.cached_tokens = started.cached_tokens;
-        self.engines[engine].finish(started.attempt);
-        self.start(engine);
-        self.drain(vm);
-    }
-
-    fn failed(&mut self, index: usize) {
-        let sent = &mut self.sent[index];
-        let (request, vm, engine) = (sent.request, sent.vm, sent.engine);
-        let Some(attempt) = sent.attempt.take() else {
-            return;
-        };
-        let endpoint = self.endpoint_keys[engine];
-        let load = self.nodes[vm].loads.get(endpoint).unwrap();
-        load.on_failed(
-            Monotonic::from_us(self.now_us),
-            attempt,
-            EndpointFailure::Broken,
-        );
-        self.excluded[request].push(endpoint);
-        if self.excluded[request].len() < ATTEMPTS_MAX {
-            self.arrive(request, vm);
-        }
-    }
-
-    fn take_report(&mut self, vm: usize) {
-        let region = self.nodes[vm].region;
-        let is_told_all = self.setup.policy == Policy::LeastAnywhere;
-        let reports = self
-            .engines
-            .iter()
-            .enumerate()
-            .filter(|(_, engine)| engine.region == region || is_told_all)
-            .filter(|(_, engine)| engine.is_up)
-            .map(|(index, engine)| {
-                let report = LoadReport {
-                    running: engine.running.len() as u32,
-                    waiting: engine.waiting.len() as u32,
-                    age_ms: REPORT_LAG_US / 1_000,
-                    ..LoadReport::default()
-                };
-                (index, report)
-            })
-            .collect();
-        self.after(REPORT_LAG_US, Event::Report { vm, reports });
-        self.after(REPORT_EVERY_US, Event::TakeReport { vm });
-    }
-
-    fn report(&mut self, vm: usize, reports: Vec<(usize, LoadReport)>) {
-        let now = Monotonic::from_us(self.now_us);
-        for (engine, report) in reports {
-            let load = self.nodes[vm]
-                .loads
-                .get(self.endpoint_keys[engine])
-                .unwrap();
-            load.on_report(now, &report);
-        }
-        self.drain(vm);
-    }
-
-    fn gossip(&mut self) {
-        let size = self.setup.size;
-        for index in 0..self.nodes.len() {
-            let region = self.nodes[index].region;
-            let places = size.engines[region] as u32 * size.concurrency;
-            let part = places / size.vms[region] as u32;
-            let load_permille = self.nodes[index].own_requests() * 1_000 / part.max(1);
-            let key = self.nodes[index].key;
-            for node in &mut self.nodes {
-                node.view.vms[key].load_permille = load_permille;
-            }
-        }
-        self.after(GOSSIP_EVERY_US, Event::Gossip);
-    }
-
-    fn tick(&mut self) {
-        for vm in 0..self.nodes.len() {
-            if !self.nodes[vm].is_idle() {
-                self.drain(vm);
-            }
-        }
-        self.after(TICK_US, Event::Tick);
-    }
-
-    fn change(&mut self, engine: usize, change: Change) {
-        match change {
-            Change::Down => {
-                for attempt in self.engines[engine].fail() {
-                    self.after(0, Event::Failed { attempt });
-                }
-            }
-            Change::Up => self.engines[engine].is_up = true,
-            Change::Slow(slowness) => self.engines[engine].slowness = slowness,
-        }
-    }
-
     fn random_vm(&mut self, region: usize) -> usize {
         let first: usize = self.setup.size.vms[..region].iter().sum();
         first + self.rng.random_range(0..self.setup.size.vms[region])
