Keep the hashes of a prompt's beginning as well as of its end

Cause: of a prompt with more than 64 blocks only the last hashes were kept, so two long prompts with a common beginning shared none and routing could not see it. Change: the first and the last 32 are kept. Seen failing: very_long_prompts_keep_the_hashes failed with the last 64. Result: 34 tests of caller, endpoint and sessions pass.

--- a/src/caller/prompt.rs
+++ b/src/caller/prompt.rs
@@ -25,8 +25,8 @@
 /// Computes hashes of growing prefixes of a prompt, shortest first.
 ///
 /// A hash is taken at the end of each full block of a message's text and at the end of each
-/// message, so two prompts share the hashes of their common beginning. The last 64 are kept if
-/// there are more.
+/// message, so two prompts share the hashes of their common beginning. Of more than 64, the first
+/// and the last 32 are kept: the first tell a common beginning, the last a conversation that grew.
 pub fn prefix_hashes(model: impl AsRef<str>, messages: &[MessageWire]) -> Vec<u64> {
     let mut hasher = Xxh3::new();
     hasher.update(model.as_ref().as_bytes());
@@ -38,7 +38,11 @@
         hash_text(&mut hasher, &message.text(), &mut hashes);
     }
     let surplus = hashes.len().saturating_sub(PREFIX_HASHES_MAX);
-    hashes.split_off(surplus)
+    let surplus_start = PREFIX_HASHES_MAX / 2;
+    if surplus > 0 {
+        hashes.drain(surplus_start..surplus_start + surplus);
+    }
+    hashes
 }
 
 fn hash_text(hasher: &mut Xxh3, text: &str, hashes: &mut Vec<u64>) {
--- a/tests/behaviour/caller/prompts.rs
+++ b/tests/behaviour/caller/prompts.rs
@@ -44,3 +44,16 @@
     assert_eq!(one[..3], two[..3]);
     assert_ne!(one[3], two[3]);
 }
+
+#[test]
+fn very_long_prompts_keep_the_hashes_of_their_beginning_and_end() {
+    let block = |index: usize| message(&format!("{index}"));
+    let one: Vec<MessageWire> = (0..200).map(block).collect();
+    let grown: Vec<MessageWire> = (0..210).map(block).collect();
+    let other: Vec<MessageWire> = (0..100).chain(500..600).map(block).collect();
+    let hashes = prefix_hashes("m", &one);
+    assert_eq!(hashes.len(), 64);
+    assert_eq!(hashes[..32], prefix_hashes("m", &other)[..32]);
+    let grown = prefix_hashes("m", &grown);
+    assert_eq!(hashes[42..], grown[32..54]);
+}
