Close connections whose request never becomes whole

Cause: a caller that sent half a head, or stalled in its body, kept its connection for good, and a shutdown waited for it without end (the new test timed out after 10 s). Change: a body has a limit on the time it takes to arrive; the relay closes a connection on which no request runs and nothing moves for as long. Rocket reads the first 14 bytes of a body before any route, so a body that stalls before them is closed without an answer.

--- a/src/caller/answer_body.rs
+++ b/src/caller/answer_body.rs
@@ -11,7 +11,7 @@
 use tokio_util::io::StreamReader;
 
 use super::answer_events::next_event;
-use super::caller_connection::CallerConnection;
+use super::caller_connection::OpenRequest;
 use super::sse_encoder::SseEncoder;
 use crate::errors::GatewayError;
 use crate::request::AnswerEvent;
@@ -26,7 +26,7 @@
     pending: Option<AnswerEvent>,
     events: AnswerStream,
     encoder: SseEncoder,
-    connection: Arc<CallerConnection>,
+    connection: Arc<OpenRequest>,
     is_finished: bool,
 }
 
@@ -36,7 +36,7 @@
         first: AnswerEvent,
         events: AnswerStream,
         encoder: SseEncoder,
-        connection: Arc<CallerConnection>,
+        connection: Arc<OpenRequest>,
     ) -> Self {
         connection.begin_answer();
         Self {
--- a/src/caller/caller_connection.rs
+++ b/src/caller/caller_connection.rs
@@ -1,9 +1,15 @@
 //! One open connection of a caller.
 
 use std::future::Future;
+use std::ops::Deref;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
 
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::errors::ErrorKind;
@@ -14,6 +20,39 @@
 pub(super) struct CallerConnection {
     hung_up: CancellationToken,
     is_answer_open: AtomicBool,
+    is_writing: AtomicBool,
+    request_count: AtomicUsize,
+    move_count: AtomicU64,
+}
+
+/// A request that runs on a connection of a caller.
+#[derive(Debug)]
+pub(super) struct OpenRequest {
+    connection: Arc<CallerConnection>,
+}
+
+impl OpenRequest {
+    /// Records that a request runs on `connection`, until it is dropped.
+    pub(super) fn new(connection: Arc<CallerConnection>) -> Self {
+        connection.request_count.fetch_add(1, Ordering::AcqRel);
+        Self { connection }
+    }
+}
+
+impl Deref for OpenRequest {
+    type Target = CallerConnection;
+
+    fn deref(&self) -> &Self::Target {
+        &self.connection
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        // The last bytes of the answer may still be on their way to the relay.
+        self.connection.record_move();
+        self.connection.request_count.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl CallerConnection {
@@ -42,6 +81,29 @@
         self.is_answer_open.load(Ordering::Acquire)
     }
 
+    /// Records that bytes came from either side.
+    pub(super) fn record_move(&self) {
+        self.move_count.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Records whether bytes wait for the caller to take them.
+    pub(super) fn set_writing(&self, is_writing: bool) {
+        self.is_writing.store(is_writing, Ordering::Release);
+    }
+
+    /// Completes once no request runs and nothing moves for at least `limit`.
+    pub(super) async fn idle_for(&self, limit: Duration) {
+        loop {
+            let moves_before = self.move_count.load(Ordering::Acquire);
+            sleep(limit).await;
+            let is_unmoved = self.move_count.load(Ordering::Acquire) == moves_before;
+            let has_request = self.request_count.load(Ordering::Acquire) > 0;
+            if is_unmoved && !has_request && !self.is_writing.load(Ordering::Acquire) {
+                return;
+            }
+        }
+    }
+
     /// Runs `work` until it completes or the caller is gone.
     ///
     /// # Errors
--- a/src/caller/caller_headers.rs
+++ b/src/caller/caller_headers.rs
@@ -8,7 +8,7 @@
 use rocket::request::Outcome;
 use rocket::Request;
 
-use super::caller_connection::CallerConnection;
+use super::caller_connection::OpenRequest;
 use super::caller_state::CallerState;
 use crate::catalog::KeyDigest;
 use crate::errors::ErrorKind;
@@ -30,7 +30,7 @@
     /// The key and the idempotency key, or why they can't be read.
     pub(super) credentials: Result<Credentials, GatewayError>,
     /// The connection that the request came on; none if it did not come through the listener.
-    pub(super) connection: Option<Arc<CallerConnection>>,
+    pub(super) connection: Option<Arc<OpenRequest>>,
 }
 
 /// What a caller shows.
@@ -57,7 +57,7 @@
     /// # Errors
     ///
     /// Returns [`ErrorKind::MalformedRequest`] if the request did not come through the listener.
-    pub(super) fn connection(&self) -> Result<Arc<CallerConnection>, GatewayError> {
+    pub(super) fn connection(&self) -> Result<Arc<OpenRequest>, GatewayError> {
         self.connection
             .clone()
             .ok_or_else(|| malformed("the request did not come through the callers' address"))
@@ -86,9 +86,10 @@
     }
 }
 
-fn find_connection(request: &Request<'_>) -> Option<Arc<CallerConnection>> {
+fn find_connection(request: &Request<'_>) -> Option<Arc<OpenRequest>> {
     let state = request.rocket().state::<CallerState>()?;
-    state.connections.find(request.remote()?)
+    let connection = state.connections.find(request.remote()?)?;
+    Some(Arc::new(OpenRequest::new(connection)))
 }
 
 fn read_key(headers: &HeaderMap<'_>) -> Result<Option<KeyDigest>, GatewayError> {
--- a/src/caller/caller_listener.rs
+++ b/src/caller/caller_listener.rs
@@ -15,6 +15,7 @@
 
 use super::caller_connections::CallerConnections;
 use super::connection_relay::relay;
+use super::CallerLimits;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(15);
@@ -36,7 +37,7 @@
 struct Relays {
     server: SocketAddr,
     connections: Arc<CallerConnections>,
-    write_timeout: Duration,
+    limits: CallerLimits,
     open: TaskTracker,
 }
 
@@ -50,7 +51,7 @@
         bind_address: SocketAddr,
         server: SocketAddr,
         connections: Arc<CallerConnections>,
-        write_timeout: Duration,
+        limits: CallerLimits,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(bind_address).await?;
         let address = listener.local_addr()?;
@@ -58,7 +59,7 @@
         let relays = Relays {
             server,
             connections,
-            write_timeout,
+            limits,
             open: open.clone(),
         };
         Ok(Self {
@@ -120,7 +121,7 @@
         server.set_nodelay(true)?;
         let peer = server.local_addr()?;
         let connection = self.connections.open(peer);
-        relay(&connection, caller, server, self.write_timeout).await;
+        relay(&connection, caller, server, self.limits).await;
         self.connections.close(peer);
         Ok(())
     }
--- a/src/caller/caller_server.rs
+++ b/src/caller/caller_server.rs
@@ -58,13 +58,8 @@
             .mount("/", service_routes())
             .register("/", catchers![catchers::unrouted]);
         let server = HttpServer::launch(rocket).await?;
-        let listener = CallerListener::start(
-            bind_address,
-            server.address(),
-            connections,
-            limits.write_timeout,
-        )
-        .await?;
+        let listener =
+            CallerListener::start(bind_address, server.address(), connections, limits).await?;
         Ok(Self { listener, server })
     }
 
--- a/src/caller/completion_answer.rs
+++ b/src/caller/completion_answer.rs
@@ -7,7 +7,7 @@
 use super::answer_body::AnswerBody;
 use super::answer_events::next_content;
 use super::caller_answer::CallerAnswer;
-use super::caller_connection::CallerConnection;
+use super::caller_connection::OpenRequest;
 use super::sse_encoder::SseEncoder;
 use crate::endpoint::UsageWire;
 use crate::errors::GatewayError;
@@ -60,7 +60,7 @@
 pub(super) async fn streamed(
     meta: CompletionMeta,
     mut events: AnswerStream,
-    connection: Arc<CallerConnection>,
+    connection: Arc<OpenRequest>,
 ) -> Result<CallerAnswer, GatewayError> {
     let first = next_content(&mut events).await?;
     let encoder = SseEncoder::new(meta.id, meta.model, meta.created_unix_s);
--- a/src/caller/completion_routes.rs
+++ b/src/caller/completion_routes.rs
@@ -7,12 +7,14 @@
 use rocket::post;
 use rocket::Data;
 use rocket::State;
+use tokio::time::timeout;
 
 use super::caller_answer::CallerAnswer;
 use super::caller_headers::CallerHeaders;
 use super::caller_state::CallerState;
 use super::completion_answer;
 use super::completion_answer::CompletionMeta;
+use super::CallerLimits;
 use super::CompletionWire;
 use crate::catalog::Name;
 use crate::errors::ErrorKind;
@@ -42,11 +44,9 @@
     let received_at = state.clock.now();
     let connection = headers.connection()?;
     let credentials = headers.credentials?;
-    let body = read_body(data, state.limits.body_max_bytes).await?;
+    let body = read_body(data, state.limits).await?;
     let wire = CompletionWire::parse(&body)?;
-    let model = Name::new(&wire.model).map_err(|error| {
-        GatewayError::new(ErrorKind::MalformedRequest, format!("model: {error}"))
-    })?;
+    let model = Name::new(&wire.model).map_err(|error| malformed(format!("model: {error}")))?;
     let completion = wire.into_call(body)?;
     let is_stream = completion.is_stream;
     let meta = CompletionMeta {
@@ -77,14 +77,15 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::BodyTooLarge`] if the body is over `max_bytes`, and
-/// [`ErrorKind::MalformedRequest`] if it ends early.
-pub(super) async fn read_body(data: Data<'_>, max_bytes: u64) -> Result<Bytes, GatewayError> {
-    let body = data
-        .open(max_bytes.bytes())
-        .into_bytes()
+/// Returns [`ErrorKind::BodyTooLarge`] if the body is over the limit, and
+/// [`ErrorKind::MalformedRequest`] if it ends early or takes too long to arrive.
+pub(super) async fn read_body(data: Data<'_>, limits: CallerLimits) -> Result<Bytes, GatewayError> {
+    let max_bytes = limits.body_max_bytes;
+    let reading = data.open(max_bytes.bytes()).into_bytes();
+    let body = timeout(limits.read_timeout, reading)
         .await
-        .map_err(|_| GatewayError::new(ErrorKind::MalformedRequest, "the body ended early"))?;
+        .map_err(|_| malformed("the body did not arrive in time"))?
+        .map_err(|_| malformed("the body ended early"))?;
     if !body.is_complete() {
         return Err(GatewayError::new(
             ErrorKind::BodyTooLarge,
@@ -93,3 +94,7 @@
     }
     Ok(Bytes::from(body.into_inner()))
 }
+
+fn malformed(message: impl Into<String>) -> GatewayError {
+    GatewayError::new(ErrorKind::MalformedRequest, message)
+}
--- a/src/caller/connection_relay.rs
+++ b/src/caller/connection_relay.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::caller_connection::CallerConnection;
+use super::CallerLimits;
 
 const READ_BUFFER_BYTES: usize = 8 * 1_024;
 /// How long a caller may take to read an answer that came before its request was whole.
@@ -23,23 +24,26 @@
 /// carriage return, so these bytes never stand inside them.
 const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
 
-/// Relays bytes in both directions until one side ends or the connection is broken off.
+/// Relays bytes in both directions until one side ends, the connection is broken off, or no request
+/// comes on it for the time that one may take to arrive.
 pub(super) async fn relay(
     connection: &CallerConnection,
     mut caller: TcpStream,
     mut server: TcpStream,
-    write_timeout: Duration,
+    limits: CallerLimits,
 ) {
     let (caller_read, caller_write) = caller.split();
     let (server_read, server_write) = server.split();
     let caller_write = CallerWriter {
         caller: caller_write,
-        write_timeout,
+        connection,
+        write_timeout: limits.write_timeout,
     };
-    let mut requests = std::pin::pin!(relay_requests(caller_read, server_write));
+    let mut requests = std::pin::pin!(relay_requests(connection, caller_read, server_write));
     let answers = relay_answers(connection, server_read, caller_write);
     tokio::select! {
         () = &mut requests => {}
+        () = connection.idle_for(limits.read_timeout) => {}
         written = answers => {
             if written.is_ok() {
                 // Closing a socket with unread bytes would take the answer back from the caller.
@@ -53,16 +57,20 @@
 /// The writing half of a caller's connection.
 struct CallerWriter<'a> {
     caller: WriteHalf<'a>,
+    connection: &'a CallerConnection,
     write_timeout: Duration,
 }
 
 impl CallerWriter<'_> {
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.connection.set_writing(true);
         let mut rest = bytes;
         while !rest.is_empty() {
             let written = timeout(self.write_timeout, self.caller.write(rest)).await??;
             rest = &rest[written..];
         }
+        self.connection.record_move();
+        self.connection.set_writing(false);
         Ok(())
     }
 }
@@ -70,9 +78,14 @@
 /// Relays the caller's bytes until the caller is gone.
 ///
 /// When the server takes no more, the rest is read and dropped.
-async fn relay_requests(caller: ReadHalf<'_>, mut server: WriteHalf<'_>) {
+async fn relay_requests(
+    connection: &CallerConnection,
+    caller: ReadHalf<'_>,
+    mut server: WriteHalf<'_>,
+) {
     let mut is_server_open = true;
     while let Ok(Some(bytes)) = read_some(&caller).await {
+        connection.record_move();
         if is_server_open {
             is_server_open = server.write_all(&bytes).await.is_ok();
         }
--- a/src/caller/service_route.rs
+++ b/src/caller/service_route.rs
@@ -66,7 +66,7 @@
     let method = http_method(request.method())?;
     let content_type = request.headers().get_one("content-type");
     let content_type = content_type.map(str::to_owned);
-    let body = read_body(data, state.limits.body_max_bytes).await?;
+    let body = read_body(data, state.limits).await?;
     refuse_method_override(request, &body)?;
     let call = IncomingCall {
         id: headers.id,
--- a/tests/behaviour/caller/hang_up.rs
+++ b/tests/behaviour/caller/hang_up.rs
@@ -66,3 +66,13 @@
     let noticed = tokio::time::timeout(NOTICE_LIMIT, dropped.cancelled()).await;
     assert!(noticed.is_ok());
 }
+
+#[tokio::test]
+async fn a_connection_whose_answer_takes_long_does_not_count_as_idle() {
+    let (engine, server) = launch_engine_and_gateway(EngineOptions::default()).await;
+    engine.set_faults(faults(r#"{"first_event_delay_ms":2500}"#));
+    let body = r#"{"model":"m","max_tokens":1,"messages":[{"role":"a"}]}"#;
+    let url = format!("http://{}/v1/chat/completions", server.address());
+    let response = reqwest::Client::new().post(url).body(body).send().await;
+    assert_eq!(response.unwrap().status(), 200);
+}
--- a/tests/behaviour/caller/shutdown.rs
+++ b/tests/behaviour/caller/shutdown.rs
@@ -4,11 +4,14 @@
 
 use figramp::stand_in::engine::EngineOptions;
 use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use super::support::launch_engine_and_gateway;
+use super::support::launch_script;
 use super::support::read_to_close;
 use super::support::send_raw_completion;
+use super::support::Then;
 
 #[tokio::test]
 async fn shutdown_sends_open_answers_to_their_end_and_closes_idle_connections() {
@@ -34,3 +37,28 @@
     );
     shutdown.await.unwrap();
 }
+
+#[tokio::test]
+async fn requests_that_never_become_whole_do_not_hold_a_shutdown_up() {
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: vm\r\ncontent-length: 90\r\n\r\n";
+    let begun_body = format!("{head}{}", "x".repeat(20));
+    let table = [
+        ("", ""),
+        (&head[..20], ""),
+        (head, ""),
+        (&begun_body, "HTTP/1.1 400"),
+    ];
+    for (sent, answer_start) in table {
+        let server = launch_script(&[], Then::Hang).await;
+        let mut socket = TcpStream::connect(server.address()).await.unwrap();
+        socket.write_all(sent.as_bytes()).await.unwrap();
+        // The server has to see the bytes before it shuts down; later it would see none.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let shutdown = tokio::time::timeout(Duration::from_secs(10), server.shutdown());
+        let (answer, shutdown) = tokio::join!(read_to_close(&mut socket), shutdown);
+        assert!(
+            answer.starts_with(answer_start) && shutdown.is_ok(),
+            "{sent}: {answer}"
+        );
+    }
+}
--- a/tests/behaviour/caller/support.rs
+++ b/tests/behaviour/caller/support.rs
@@ -196,6 +196,7 @@
     let clock = Arc::new(SystemClock::new());
     let limits = CallerLimits {
         body_max_bytes: BODY_MAX_BYTES,
+        read_timeout: Duration::from_secs(1),
         write_timeout: Duration::from_secs(1),
         ..CallerLimits::default()
     };
