Test that an unacknowledged control frame closes its connection

Cause: the new control connections had no test of silence. Change: the relay of the forwarding tests serves control, too; a connection is closed before its fault is counted, so that who sees the count finds it closed.

--- a/src/peer/control_connection.rs
+++ b/src/peer/control_connection.rs
@@ -118,10 +118,11 @@
             fault = self.write_all(writer, messages) => fault,
             () = closed.cancelled() => None,
         };
+        closed.cancel();
+        closer.close();
         if let Some(fault) = fault {
             self.context.counters.add_fault(fault);
         }
-        closer.close();
     }
 
     /// Reads frames until the connection ends; returns what is wrong with it.
--- a/tests/behaviour/peer/control.rs
+++ b/tests/behaviour/peer/control.rs
@@ -1,5 +1,6 @@
 //! Control messages between VMs.
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,7 @@
 use super::fixture::wait_for;
 use super::fixture::Script;
 use super::fixture::WAIT_MAX;
+use super::relay::Relay;
 
 fn summary(ticket: u64) -> PeerMessage {
     PeerMessage::Configuration(ConfigurationMessage::Summary(Summary {
@@ -87,6 +89,27 @@
     }
 }
 
+#[tokio::test]
+async fn a_silent_connection_is_replaced_when_nothing_is_acknowledged() {
+    let relay = std::cell::OnceCell::new();
+    let mut pair = pair_through(Script::Stall, timings(), |address| {
+        let (started, reached) = Relay::launch(address);
+        assert!(relay.set(started).is_ok());
+        reached
+    });
+    pair.link.send(pair.serving, summary(1));
+    assert_eq!(next(&mut pair.messages).await, summary(1));
+    relay.get().unwrap().is_silent.store(true, Ordering::SeqCst);
+    pair.link.send(pair.serving, summary(2));
+    let counters = pair.link_context.counters.clone();
+    wait_for("the close of the silent connection", || {
+        counters.faults(PeerFault::Silent) == 1
+    })
+    .await;
+    pair.link.send(pair.serving, summary(3));
+    assert_eq!(next(&mut pair.messages).await, summary(3));
+}
+
 /// The connection for forwarded calls is pinged meanwhile.
 #[tokio::test]
 async fn an_idle_control_connection_costs_nothing() {
--- a/tests/behaviour/peer/mod.rs
+++ b/tests/behaviour/peer/mod.rs
@@ -5,4 +5,5 @@
 mod forwarding;
 mod handshake;
 mod hostile_bytes;
+mod relay;
 mod wire_roundtrip;
