Do not let the record of a departed account pass for one without a key

Cause: a record whose account had left the sender's catalog was written with an empty account, which a reader takes for a caller without a key; the record then stood under a wrong name and a repeat of the call could run again. Change: such an account is written as a text that is no name, and the reader drops the message. Before: the new test of idempotency::wire failed, the message came back as one without a key. After: it passes.

--- a/src/idempotency/wire_ids.rs
+++ b/src/idempotency/wire_ids.rs
@@ -9,16 +9,19 @@
 use crate::peer::WireError;
 use crate::request::IdempotencyKey;
 
+/// Stands for an account that has left the catalog; no name is like it, so that no reader takes
+/// the record for one of callers without a key.
+const UNPUBLISHED: &str = "?";
+
 pub(super) fn write_record_id(
     catalog: &Catalog,
     id: &RecordId,
     mut builder: record_id::Builder<'_>,
 ) {
-    let account = id
-        .client_account
-        .and_then(|key| catalog.client_accounts.get(key));
-    if let Some(account) = account {
-        builder.set_client_account(account.name.as_str());
+    if let Some(key) = id.client_account {
+        let account = catalog.client_accounts.get(key);
+        let name = account.map_or(UNPUBLISHED, |account| account.name.as_str());
+        builder.set_client_account(name);
     }
     builder.set_key(id.key.as_str());
 }
--- a/tests/behaviour/idempotency/wire.rs
+++ b/tests/behaviour/idempotency/wire.rs
@@ -112,3 +112,24 @@
     let read = round_trip(message, &fleet.catalog, &Catalog::default());
     assert!(matches!(read, Err(WireError::UnknownName { .. })));
 }
+
+#[test]
+fn a_record_of_an_account_that_left_is_not_taken_for_one_without_a_key() {
+    let fleet = Fleet::new();
+    let mut left = Catalog::clone(&fleet.catalog);
+    left.client_accounts.clear();
+    let call = fleet.call(RequestId(1), 0);
+    let message = IdempotencyMessage::Release {
+        id: RecordId::of_call(&call).unwrap(),
+        attempt: AttemptId {
+            coordinator: fleet.nodes[0].key,
+            boot: 1,
+            sequence: 1,
+        },
+    };
+    let read = round_trip(&message, &left, &fleet.catalog);
+    assert!(
+        matches!(read, Err(WireError::UnknownName { .. })),
+        "{read:?}"
+    );
+}
