Tell a lack of homes from a spent rate

Cause: after a cold start nobody grants tokens for a lease and a vote, about 13 s with the settings of production. Change: a denial says whether homes have answered; without one the refusal is not_ready with the time to come back, and it counts as refused inside the rate. Result: vm::cold_start passes; it cannot be written against the code before, which had no reason.

--- a/benches/fleet/vm.rs
+++ b/benches/fleet/vm.rs
@@ -172,7 +172,7 @@
                 message: Message::Limits(message),
             }),
             LimitsAction::TokensArrived { account } => Some(Effect::Arrived(account)),
-            LimitsAction::TokensDenied { account } => Some(Effect::Denied(account)),
+            LimitsAction::TokensDenied { account, .. } => Some(Effect::Denied(account)),
             _ => None,
         })
         .collect()
--- a/src/limits/account_draws.rs
+++ b/src/limits/account_draws.rs
@@ -9,6 +9,7 @@
 use super::held_lots::HeldLots;
 use super::AccountDraw;
 use super::AccountGrant;
+use super::DenialReason;
 use super::LimitsSettings;
 use super::Lot;
 use super::TokenPool;
@@ -200,22 +201,29 @@
             .collect()
     }
 
-    /// Tells whether requests wait in vain: nothing is on its way, and nobody can be asked now.
-    pub fn deny_need(&mut self, now: Monotonic, targets: &[DrawTarget]) -> bool {
+    /// Tells why requests wait in vain, if nothing is on its way and nobody can be asked now.
+    pub fn deny_need(&mut self, now: Monotonic, targets: &[DrawTarget]) -> Option<DenialReason> {
         if self.need.tokens == 0 || !self.pending.is_empty() {
-            return false;
+            return None;
         }
         let retry_at = targets
             .iter()
             .map(|target| self.retry_at(target.region))
             .min();
-        let is_denied = retry_at.is_none_or(|retry_at| retry_at > now);
-        if is_denied {
-            self.pool.put_retry_at(retry_at.unwrap_or(now + RETRY_MAX));
-            self.need = Need::default();
-            self.return_all(now);
+        if retry_at.is_some_and(|retry_at| retry_at <= now) {
+            return None;
         }
-        is_denied
+        self.pool.put_retry_at(retry_at.unwrap_or(now + RETRY_MAX));
+        self.need = Need::default();
+        self.return_all(now);
+        let has_home = targets
+            .iter()
+            .any(|target| self.known_home(target.region).is_some());
+        Some(if has_home {
+            DenialReason::Spent
+        } else {
+            DenialReason::NoHome
+        })
     }
 
     /// Returns the reports that are due apart from draws: in each round of all accounts, and at
--- a/src/limits/action.rs
+++ b/src/limits/action.rs
@@ -5,6 +5,15 @@
 use crate::catalog::ClientAccountKey;
 use crate::catalog::VmKey;
 
+/// Why requests get no tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DenialReason {
+    /// The homes in reach have answered and have no tokens left: the account is over its rate.
+    Spent,
+    /// No home is known or has answered; whether the account is over its rate is not known.
+    NoHome,
+}
+
 /// What the limits decision asks its caller to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LimitsAction {
@@ -20,10 +29,12 @@
         /// The account.
         account: ClientAccountKey,
     },
-    /// A draw found no tokens; requests that wait for them give up.
+    /// Nobody has tokens to give; requests that wait for them give up.
     TokensDenied {
         /// The account.
         account: ClientAccountKey,
+        /// Why.
+        reason: DenialReason,
     },
     /// This VM accrues the accounts of these shards from now on; for the audit trail.
     LeaseAcquired {
--- a/src/limits/controller.rs
+++ b/src/limits/controller.rs
@@ -360,6 +360,9 @@
         let denied = due.denied.into_iter();
         outbox
             .actions
-            .extend(denied.map(|account| LimitsAction::TokensDenied { account }));
+            .extend(denied.map(|denied| LimitsAction::TokensDenied {
+                account: denied.account,
+                reason: denied.reason,
+            }));
     }
 }
--- a/src/limits/draw_desk.rs
+++ b/src/limits/draw_desk.rs
@@ -13,6 +13,7 @@
 use super::share::Share;
 use super::AccountDraw;
 use super::AccountGrant;
+use super::DenialReason;
 use super::LimitsSettings;
 use super::Shard;
 use super::TokenPool;
@@ -52,13 +53,22 @@
     pub region: RegionKey,
 }
 
+/// An account whose requests wait in vain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DeniedDraw {
+    /// The account.
+    pub account: ClientAccountKey,
+    /// Why.
+    pub reason: DenialReason,
+}
+
 /// The draws to send, by receiver, and the accounts whose requests wait in vain.
 #[derive(Debug, Default)]
 pub struct DueDraws {
     /// The draws, by receiver.
     pub draws: BTreeMap<VmKey, Vec<AccountDraw>>,
     /// The accounts whose requests wait in vain.
-    pub denied: Vec<ClientAccountKey>,
+    pub denied: Vec<DeniedDraw>,
 }
 
 impl DueDraws {
@@ -208,8 +218,8 @@
         .first()
         .is_some_and(|target| target.region == context.region);
     due.extend(draws.due(context.now, &targets, is_first_near, context.settings));
-    if draws.deny_need(context.now, &targets) {
-        due.denied.push(account);
+    if let Some(reason) = draws.deny_need(context.now, &targets) {
+        due.denied.push(DeniedDraw { account, reason });
     }
 }
 
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -22,6 +22,7 @@
 mod token_pools;
 mod wire;
 
+pub use action::DenialReason;
 pub use action::LimitsAction;
 pub use controller::LimitsController;
 pub use home_ledger::GrantTerms;
--- a/src/vm/admission.rs
+++ b/src/vm/admission.rs
@@ -10,6 +10,7 @@
 use crate::catalog::ClientAccount;
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
+use crate::limits::DenialReason;
 use crate::limits::Reservation;
 use crate::limits::Shortfall;
 use crate::limits::TokenPool;
@@ -83,9 +84,10 @@
             .want_tokens(account_key, shortfall.missing_tokens);
         match timeout(wait, news).await {
             Ok(Some(TokenNews::Arrived)) => {}
-            Ok(Some(TokenNews::Denied)) => {
+            Ok(Some(TokenNews::Denied(DenialReason::Spent))) => {
                 return Err(rate_limited(account, shortfall, RateStanding::Over))
             }
+            Ok(Some(TokenNews::Denied(DenialReason::NoHome))) => return Err(no_home(shortfall)),
             Ok(None) | Err(_) => {
                 return Err(rate_limited(account, shortfall, RateStanding::Inside))
             }
@@ -102,6 +104,17 @@
     }
 }
 
+fn no_home(shortfall: Shortfall) -> AdmissionRefusal {
+    let message = "no VM in reach grants tokens of the account yet";
+    let retry_after = shortfall.retry_after.unwrap_or(RETRY_AFTER_MIN);
+    let error = GatewayError::new(ErrorKind::NotReady, message)
+        .with_retry_after(retry_after.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX));
+    AdmissionRefusal {
+        error,
+        standing: RateStanding::Inside,
+    }
+}
+
 fn rate_limited(
     account: &ClientAccount,
     shortfall: Shortfall,
--- a/src/vm/control_handle.rs
+++ b/src/vm/control_handle.rs
@@ -10,6 +10,7 @@
 use crate::errors::GatewayError;
 use crate::idempotency::CallOutcome;
 use crate::idempotency::IdempotencyAnswer;
+use crate::limits::DenialReason;
 use crate::request::Call;
 use crate::request::RequestId;
 
@@ -18,8 +19,8 @@
 pub enum TokenNews {
     /// Tokens of the account arrived.
     Arrived,
-    /// The account has no tokens left.
-    Denied,
+    /// Nobody has tokens of the account to give.
+    Denied(DenialReason),
 }
 
 /// What is to be done with a submission of a non-idempotent call.
--- a/src/vm/control_loop.rs
+++ b/src/vm/control_loop.rs
@@ -143,7 +143,9 @@
             CoreAction::PublishView(view) => blackboard.membership.store(view),
             CoreAction::PublishPools(pools) => blackboard.token_pools.store(Arc::new(pools)),
             CoreAction::TokensArrived(account) => self.tell(account, TokenNews::Arrived),
-            CoreAction::TokensDenied(account) => self.tell(account, TokenNews::Denied),
+            CoreAction::TokensDenied { account, reason } => {
+                self.tell(account, TokenNews::Denied(reason));
+            }
             CoreAction::Proceed(id) => self.reply(id, BeginReply::Proceed),
             CoreAction::AnswerCall { id, answer } => self.reply(id, BeginReply::Answer(answer)),
             CoreAction::Ready => self.open(),
--- a/src/vm/core.rs
+++ b/src/vm/core.rs
@@ -286,8 +286,8 @@
                 LimitsAction::TokensArrived { account } => {
                     out.push(CoreAction::TokensArrived(account));
                 }
-                LimitsAction::TokensDenied { account } => {
-                    out.push(CoreAction::TokensDenied(account));
+                LimitsAction::TokensDenied { account, reason } => {
+                    out.push(CoreAction::TokensDenied { account, reason });
                 }
                 LimitsAction::LeaseAcquired { shards } => {
                     let shard_count = shards.iter().count();
--- a/src/vm/core_action.rs
+++ b/src/vm/core_action.rs
@@ -8,6 +8,7 @@
 use crate::catalog::VmKey;
 use crate::configuration::ServiceRead;
 use crate::idempotency::IdempotencyAnswer;
+use crate::limits::DenialReason;
 use crate::limits::TokenPools;
 use crate::membership::MembershipView;
 use crate::peer::PeerMessage;
@@ -34,7 +35,12 @@
     /// Requests that wait for tokens of the account try again.
     TokensArrived(ClientAccountKey),
     /// Requests that wait for tokens of the account give up.
-    TokensDenied(ClientAccountKey),
+    TokensDenied {
+        /// The account.
+        account: ClientAccountKey,
+        /// Why.
+        reason: DenialReason,
+    },
     /// A recorded submission is sent to an endpoint, once.
     Proceed(RequestId),
     /// A submission is answered without being sent.
--- a/tests/behaviour/vm/core_fleet.rs
+++ b/tests/behaviour/vm/core_fleet.rs
@@ -19,6 +19,7 @@
 use figramp::configuration::VmIdentity;
 use figramp::demo::fast_core_settings;
 use figramp::demo::raw_ticket;
+use figramp::limits::DenialReason;
 use figramp::membership::Incarnation;
 use figramp::peer::generated::peer_capnp::control_message;
 use figramp::peer::wire::read_control;
@@ -49,7 +50,7 @@
     pub sent_messages: u64,
     pub service_reads: u64,
     pub tokens_arrived: u64,
-    pub tokens_denied: u64,
+    pub denials: Vec<DenialReason>,
 }
 
 /// A message or an answer of the service on its way.
@@ -183,7 +184,7 @@
             sent_messages: 0,
             service_reads: 0,
             tokens_arrived: 0,
-            tokens_denied: 0,
+            denials: Vec::new(),
         };
         match self.vms.iter().position(|old| old.name == vm.name) {
             Some(place) => self.vms[place] = vm,
@@ -242,7 +243,7 @@
                 self.push(self.now + delay, from, Delivery::Event(event));
             }
             CoreAction::TokensArrived(_) => self.vms[from].tokens_arrived += 1,
-            CoreAction::TokensDenied(_) => self.vms[from].tokens_denied += 1,
+            CoreAction::TokensDenied { reason, .. } => self.vms[from].denials.push(reason),
             CoreAction::Ready => self.vms[from].is_ready = true,
             CoreAction::Audit(event) => self.vms[from].audit.push(event),
             CoreAction::PublishCatalog(_)
--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -3,10 +3,12 @@
 mod allowed_regions;
 mod answer_length;
 mod bookings;
+mod cold_start;
 mod core_fleet;
 mod drain;
 mod explanations;
 mod key_withdrawal;
+mod keys;
 mod processes;
 mod region_cut;
 mod support;
