Finish running answers of a withdrawn key, learn from forwards, publish the backlog

Cause: (1) the key was checked before each attempt, also before a resume, so that a running answer whose endpoint failed after the withdrawal was broken off. (2) Forwarded calls were not counted at the endpoint that they were meant for, so that distant endpoints were never learned. (3) The published wait of the queue was that of an empty account, always zero. (4) Callers of one account were spread over all VMs by key. Change: an answer that has begun is resumed without the check; forwards are counted with the time of the way; the wait is that of the backlog; the list of entry VMs is ordered by the account, so that few VMs hold its tokens. The steps of attempts and of traces stand in files of their own. Before: the new test of vm::key_withdrawal failed, the answer broke off at chunk 1,200 of 1,500. After: it passes. No figures for (2), (3) and (4) in the running system.

--- a/benches/capacity_slopes.rs
+++ b/benches/capacity_slopes.rs
@@ -1,6 +1,7 @@
 //! Slopes for docs/CAPACITY.md: what the control of one VM costs as the fleet grows.
 //!
-//! Drives whole cores in virtual time and counts processor time, memory, messages and bytes.
+//! Drives whole cores in virtual time and counts processor time, memory, messages and bytes. A number
+//! after `--` keeps only the size with as many regions.
 
 #[path = "../tests/behaviour/vm/core_fleet.rs"]
 #[allow(dead_code, missing_docs)]
@@ -76,8 +77,11 @@
          messages/s | service reads/s, fleet | ticket in force at the last VM | memory a VM |"
     );
     println!("| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+    let wanted: Option<usize> = std::env::args().find_map(|argument| argument.parse().ok());
     for size in SIZES {
-        measure(size);
+        if wanted.is_none_or(|regions| regions == size.regions) {
+            measure(size);
+        }
     }
 }
 
--- a/src/vm/call_task.rs
+++ b/src/vm/call_task.rs
@@ -7,11 +7,15 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use super::attempts::Attempts;
+use super::attempts::Place;
+use super::attempts::RemotePlace;
+use super::call_trace::forwarded;
+use super::call_trace::weighed;
 use super::check_key;
 use super::progress::Progress;
 use super::RequestContext;
 use super::Slot;
-use crate::catalog::Catalog;
 use crate::catalog::EndpointKey;
 use crate::catalog::EndpointKind;
 use crate::catalog::VmKey;
@@ -21,8 +25,6 @@
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
 use crate::errors::RunState;
-use crate::operator::Candidate;
-use crate::operator::CandidateFate;
 use crate::operator::StepEvent;
 use crate::peer::ForwardRequest;
 use crate::request::AnswerEvent;
@@ -36,7 +38,6 @@
 use crate::routing::Attempt;
 use crate::routing::EndpointFailure;
 use crate::routing::EndpointLoad;
-use crate::routing::Exclusion;
 use crate::routing::RouteChoice;
 use crate::routing::RouteDecision;
 use crate::routing::RouteQuery;
@@ -78,36 +79,6 @@
     pub(super) served_in: ServedIn,
 }
 
-/// Where the next attempt goes.
-enum Place {
-    Slot(Slot),
-    Peer {
-        vm: VmKey,
-        preferred_endpoint: EndpointKey,
-    },
-}
-
-/// What is known about the attempts so far.
-#[derive(Default)]
-struct Attempts {
-    count: u32,
-    excluded: Vec<EndpointKey>,
-    resume_at: Option<EndpointKey>,
-    expected_first_event: Duration,
-    may_have_run: bool,
-}
-
-impl Attempts {
-    /// Keeps an error from saying "not run" when an earlier attempt may have run.
-    fn with_earlier_runs(&mut self, error: GatewayError) -> GatewayError {
-        self.may_have_run |= error.run != RunState::NotRun;
-        if self.may_have_run && error.run == RunState::NotRun {
-            return error.with_run(RunState::MayHaveRun);
-        }
-        error
-    }
-}
-
 impl CallTask {
     /// Makes attempts until one succeeds or no further one is allowed.
     pub(super) async fn run(&mut self) -> CallEnd {
@@ -162,19 +133,19 @@
                 attempts.excluded.push(slot.endpoint);
                 self.serve(slot).await
             }
-            Place::Peer {
-                vm,
-                preferred_endpoint,
-            } => {
-                attempts.excluded.push(preferred_endpoint);
-                self.forward(vm, Some(preferred_endpoint)).await
+            Place::Peer(remote) => {
+                attempts.excluded.push(remote.preferred_endpoint);
+                self.forward_to(remote).await
             }
         }
     }
 
     async fn place(&mut self, attempts: &mut Attempts) -> Result<Place, GatewayError> {
         let catalog = self.context.blackboard.catalog.load_full();
-        check_key(&catalog, &self.call)?;
+        if self.progress.passed_chunks == 0 {
+            // An answer that has begun is finished, also when its key is withdrawn meanwhile.
+            check_key(&catalog, &self.call)?;
+        }
         if self.remaining().is_zero() {
             return Err(GatewayError::new(
                 ErrorKind::DeadlineUnreachable,
@@ -187,7 +158,7 @@
         let class = self.class();
         let decision = self.choose(class, &attempts.excluded)?;
         attempts.expected_first_event = decision.expected_first_event;
-        self.trace_decision(&catalog, &decision);
+        self.trace(weighed(&catalog, &decision));
         match decision.choice {
             RouteChoice::Local(endpoint) if !self.context.dispatcher.has_waiting(class) => {
                 self.slot_at(endpoint).map(Place::Slot)
@@ -206,38 +177,11 @@
                 vm,
                 preferred_endpoint,
                 ..
-            } => Ok(Place::Peer {
+            } => Ok(Place::Peer(RemotePlace {
                 vm,
                 preferred_endpoint,
-            }),
-        }
-    }
-
-    fn trace_decision(&mut self, catalog: &Catalog, decision: &RouteDecision) {
-        let left_out = decision.explanation.left_out.iter().filter_map(|note| {
-            Some(Candidate {
-                name: catalog.endpoints.get(note.endpoint)?.name.clone(),
-                fate: candidate_fate(note.exclusion),
-            })
-        });
-        let mut candidates: Vec<Candidate> = left_out.collect();
-        if let RouteChoice::Local(endpoint) = decision.choice {
-            candidates.extend(catalog.endpoints.get(endpoint).map(|endpoint| Candidate {
-                name: endpoint.name.clone(),
-                fate: CandidateFate::Chosen,
-            }));
-        }
-        self.trace(StepEvent::Weighed { candidates });
-    }
-
-    fn trace_forward(&mut self, catalog: &Catalog, to: VmKey) {
-        let vm = catalog.vms.get(to);
-        let region = vm.and_then(|vm| catalog.regions.get(vm.region));
-        if let (Some(vm), Some(region)) = (vm, region) {
-            self.trace(StepEvent::Forwarded {
-                vm: vm.name.clone(),
-                region: region.name.clone(),
-            });
+                network: decision.network,
+            })),
         }
     }
 
@@ -319,11 +263,31 @@
         self.context.dispatcher.on_slot_freed();
     }
 
-    /// Hands the call to a VM of another region and relays the answer.
+    /// Hands the call to a VM of the region of an endpoint, and counts it there.
+    async fn forward_to(&mut self, remote: RemotePlace) -> CallEnd {
+        let endpoint = remote.preferred_endpoint;
+        let load = match self.load_of(endpoint) {
+            Ok(load) => load,
+            Err(error) => return CallEnd::Failed(error),
+        };
+        let now = self.context.clock.now();
+        let mut attempt = load.on_forwarded(now, &self.call, remote.network);
+        let context = Arc::clone(&self.context);
+        let on_first = |now: Monotonic| {
+            let event = load.on_first_event(now, &mut attempt);
+            context.audit_endpoint(endpoint, event);
+        };
+        let end = self.forward(remote.vm, Some(endpoint), on_first).await;
+        self.release(endpoint, &load, attempt, &end);
+        end
+    }
+
+    /// Hands the call to another VM and relays the answer.
     pub(super) async fn forward(
         &mut self,
         to: VmKey,
         preferred_endpoint: Option<EndpointKey>,
+        on_first: impl FnMut(Monotonic),
     ) -> CallEnd {
         let catalog = self.context.blackboard.catalog.load_full();
         let own = self.context.blackboard.membership.load().own;
@@ -339,10 +303,12 @@
             preferred_endpoint,
         };
         self.served_in = ServedIn::OtherRegion;
-        self.trace_forward(&catalog, to);
+        if let Some(step) = forwarded(&catalog, to) {
+            self.trace(step);
+        }
         let peers = Arc::clone(&self.context.peers);
         match peers.forward(to, request).await {
-            Ok(stream) => self.relay(stream, |_| {}).await,
+            Ok(stream) => self.relay(stream, on_first).await,
             Err(error) => CallEnd::Failed(error),
         }
     }
@@ -445,18 +411,6 @@
     }
 }
 
-fn candidate_fate(exclusion: Exclusion) -> CandidateFate {
-    match exclusion {
-        Exclusion::RegionNotAllowed => CandidateFate::RegionNotAllowed,
-        Exclusion::WrongRole => CandidateFate::RoleUnfit,
-        Exclusion::Leaving => CandidateFate::Leaving,
-        Exclusion::AlreadyTried => CandidateFate::Failed,
-        Exclusion::CoolingDown | Exclusion::NoServingVm => CandidateFate::Unreachable,
-        Exclusion::OverMemory => CandidateFate::Full,
-        Exclusion::RegionVisited | Exclusion::CrossingsSpent => CandidateFate::Visited,
-    }
-}
-
 /// Tells what the failure of an attempt says about its endpoint.
 fn endpoint_failure(error: &GatewayError) -> EndpointFailure {
     match error.kind {
--- /dev/null
+++ b/src/vm/call_trace.rs
@@ -0,0 +1,50 @@
+//! Steps on the way of a call, as operators see them.
+
+use crate::catalog::Catalog;
+use crate::catalog::VmKey;
+use crate::operator::Candidate;
+use crate::operator::CandidateFate;
+use crate::operator::StepEvent;
+use crate::routing::Exclusion;
+use crate::routing::RouteChoice;
+use crate::routing::RouteDecision;
+
+/// Returns the step of a choice, with what was left out and why.
+pub(super) fn weighed(catalog: &Catalog, decision: &RouteDecision) -> StepEvent {
+    let left_out = decision.explanation.left_out.iter().filter_map(|note| {
+        Some(Candidate {
+            name: catalog.endpoints.get(note.endpoint)?.name.clone(),
+            fate: candidate_fate(note.exclusion),
+        })
+    });
+    let mut candidates: Vec<Candidate> = left_out.collect();
+    if let RouteChoice::Local(endpoint) = decision.choice {
+        candidates.extend(catalog.endpoints.get(endpoint).map(|endpoint| Candidate {
+            name: endpoint.name.clone(),
+            fate: CandidateFate::Chosen,
+        }));
+    }
+    StepEvent::Weighed { candidates }
+}
+
+/// Returns the step of a hand-over, if the VM is still known.
+pub(super) fn forwarded(catalog: &Catalog, to: VmKey) -> Option<StepEvent> {
+    let vm = catalog.vms.get(to)?;
+    let region = catalog.regions.get(vm.region)?;
+    Some(StepEvent::Forwarded {
+        vm: vm.name.clone(),
+        region: region.name.clone(),
+    })
+}
+
+fn candidate_fate(exclusion: Exclusion) -> CandidateFate {
+    match exclusion {
+        Exclusion::RegionNotAllowed => CandidateFate::RegionNotAllowed,
+        Exclusion::WrongRole => CandidateFate::RoleUnfit,
+        Exclusion::Leaving => CandidateFate::Leaving,
+        Exclusion::AlreadyTried => CandidateFate::Failed,
+        Exclusion::CoolingDown | Exclusion::NoServingVm => CandidateFate::Unreachable,
+        Exclusion::OverMemory => CandidateFate::Full,
+        Exclusion::RegionVisited | Exclusion::CrossingsSpent => CandidateFate::Visited,
+    }
+}
--- a/src/vm/coordinator.rs
+++ b/src/vm/coordinator.rs
@@ -168,7 +168,7 @@
             "no VM of the call's home region is in reach",
         ));
         for vm in self.home_vms(home, record_id) {
-            end = task.forward(vm, None).await;
+            end = task.forward(vm, None, |_| {}).await;
             if !is_unreached(&end) {
                 break;
             }
--- a/src/vm/dispatcher.rs
+++ b/src/vm/dispatcher.rs
@@ -283,7 +283,7 @@
     fn publish(&self) {
         let now = self.clock.now();
         for class in [WorkClass::Interactive, WorkClass::Long] {
-            let wait = self.queue.expected_wait(now, None, 1, class);
+            let wait = self.queue.backlog_wait(now, class);
             let wait_us = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
             let gauge = self.shared.class(class);
             gauge.len.store(self.queue.len(class), Ordering::Relaxed);
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -1,8 +1,10 @@
 //! The daemon of one VM: its blackboard, its controllers and the path of a request.
 
 mod admission;
+mod attempts;
 mod blackboard;
 mod call_task;
+mod call_trace;
 mod control_handle;
 mod control_loop;
 mod coordinator;
--- a/src/vm/request_path.rs
+++ b/src/vm/request_path.rs
@@ -7,6 +7,7 @@
 use futures::StreamExt;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::admission::reserve;
 use super::admission::AdmissionRefusal;
@@ -204,11 +205,11 @@
     fn entries(&self, key_digest: Option<KeyDigest>) -> EntryList {
         let catalog = self.context.blackboard.catalog.load();
         let view = self.context.blackboard.membership.load();
-        let tie = key_digest.map_or(0, |digest| {
-            let (head, _) = digest.as_bytes().split_at(8);
-            head.iter()
-                .fold(0, |hash, byte| (hash << 8) | u64::from(*byte))
-        });
+        // Callers of one account get the same order, so that few VMs hold its tokens.
+        let account = key_digest
+            .and_then(|digest| catalog.client_account_of_key(&digest))
+            .and_then(|account| catalog.client_accounts.get(account));
+        let tie = account.map_or(0, |account| xxh3_64(account.name.as_str().as_bytes()));
         let ranking = EntryRanking::new(&catalog, &view, None, tie, self.entries_ttl);
         let entries = ranking
             .vms
--- a/tests/behaviour/vm/key_withdrawal.rs
+++ b/tests/behaviour/vm/key_withdrawal.rs
@@ -5,6 +5,7 @@
 
 use figramp::demo::key_object;
 use figramp::demo::DeploymentPlan;
+use figramp::stand_in::engine::EngineFaults;
 
 use super::support::completion;
 use super::support::launch;
@@ -16,6 +17,27 @@
 /// The longest time from the publication of a ticket until it is in force everywhere.
 const IN_FORCE_TARGET: Duration = Duration::from_secs(8);
 
+#[tokio::test(flavor = "multi_thread")]
+async fn does_not_keep_a_running_answer_from_being_resumed() {
+    let mut deployment = launch(&DeploymentPlan::one_region(3)).await;
+    deployment.engines[0].server.set_faults(EngineFaults {
+        hits_left: Some(1),
+        truncated_after_chunks: Some(1_200),
+        ..EngineFaults::default()
+    });
+    let (long_body, answer) = stream_body(1_500);
+    let running = completion(&deployment, 0, KEY, &long_body).send().await;
+    let running = running.expect("the answer begins");
+    deployment.publish(vec![key_object(KEY, None)]);
+    let text = running.text().await.expect("the running answer ends well");
+    assert_eq!(streamed_text(&text), (answer, true));
+    assert_eq!(deployment.engines[0].server.counts().resumed, 1);
+
+    let (body, _) = stream_body(1);
+    let refused = completion(&deployment, 0, KEY, &body).send().await;
+    assert_eq!(refused.expect("the VM answers").status(), 401);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stops_working_on_every_vm_while_its_running_answers_are_finished() {
     let mut deployment = launch(&DeploymentPlan::three_regions()).await;
