Split long files and put the fleet of the limits with the tests

Change: draw targets, draw regions, the ends of a call and the views of a VM stand in files of their own; the fleet is under tests/behaviour/limits; contact counts published VMs.

--- a/benches/limits_policy.rs
+++ b/benches/limits_policy.rs
@@ -1,6 +1,7 @@
 //! Prints how ways to hold a rate over all VMs compare: static shares, one home in the world, and
 //! a home per region with grants.
 
+#[path = "../tests/behaviour/limits/fleet/mod.rs"]
 #[allow(dead_code)]
 mod fleet;
 
--- a/benches/limits_slopes.rs
+++ b/benches/limits_slopes.rs
@@ -1,6 +1,7 @@
 //! Measures the processor time of a tick and the control bytes of a VM over growing fleets and
 //! numbers of accounts.
 
+#[path = "../tests/behaviour/limits/fleet/mod.rs"]
 #[allow(dead_code)]
 mod fleet;
 
--- a/src/limits/account_draws.rs
+++ b/src/limits/account_draws.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use slotmap::SecondaryMap;
-
 use super::demand::Demand;
+use super::draw_regions::DrawRegions;
+use super::draw_target::DrawTarget;
+use super::draw_target::GrantOutcome;
+use super::draw_target::OutgoingDraw;
 use super::held_lots::HeldLots;
 use super::AccountDraw;
 use super::AccountGrant;
@@ -45,8 +47,8 @@
 /// The draws of one account on one VM.
 ///
 /// Requests that wait are served from the home of the own region first, then from the homes of
-/// other regions, nearest first, each asked for a part. A home that had too little, or that did not answer, is left alone
-/// for a while.
+/// other regions, nearest first, each asked for a part. A home that had too little, or that did not
+/// answer, is left alone for a while.
 #[derive(Debug)]
 pub struct AccountDraws {
     account: ClientAccountKey,
@@ -58,41 +60,12 @@
     last_number: u32,
     ahead_at: Monotonic,
     reported_at: Monotonic,
-    regions: SecondaryMap<RegionKey, DrawRegion>,
+    regions: DrawRegions,
     burst_tokens: u64,
     is_report_due: bool,
     is_scarce: bool,
 }
 
-/// The home that a region's VMs can be drawn through.
-#[derive(Clone, Copy, Debug)]
-pub struct DrawTarget {
-    /// The region.
-    pub region: RegionKey,
-    /// The home, or a VM that passes a draw on to it.
-    pub vm: VmKey,
-}
-
-/// A draw to send.
-#[derive(Clone, Debug)]
-pub struct OutgoingDraw {
-    /// The receiver.
-    pub to: VmKey,
-    /// The draw.
-    pub draw: AccountDraw,
-}
-
-/// What a grant means for waiting requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum GrantOutcome {
-    /// Tokens arrived.
-    Arrived,
-    /// The home had none.
-    Empty,
-    /// The grant was given up before, or is too old.
-    Stale,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct PendingDraw {
     number: u32,
@@ -107,12 +80,6 @@
     unit_tokens: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct DrawRegion {
-    home: Option<VmKey>,
-    retry_at: Monotonic,
-}
-
 impl AccountDraws {
     /// Creates the draws of an account, numbered after `last_number`.
     pub fn new(
@@ -133,7 +100,7 @@
             last_number,
             ahead_at: Monotonic::ZERO,
             reported_at: now,
-            regions: SecondaryMap::new(),
+            regions: DrawRegions::default(),
             burst_tokens: 0,
             is_report_due: false,
             is_scarce: true,
@@ -161,7 +128,7 @@
 
     /// Returns the home of another region that last granted something.
     pub fn known_home(&self, region: RegionKey) -> Option<VmKey> {
-        self.regions.get(region)?.home
+        self.regions.home(region)
     }
 
     /// Keeps the books: gives up silent draws, closes lots, samples the demand.
@@ -208,7 +175,7 @@
         }
         let retry_at = targets
             .iter()
-            .map(|target| self.retry_at(target.region))
+            .map(|target| self.regions.retry_at(target.region))
             .min();
         if retry_at.is_some_and(|retry_at| retry_at <= now) {
             return None;
@@ -295,16 +262,8 @@
         self.is_scarce = !grant.retry_after.is_zero();
         let pause = grant.retry_after.clamp(RETRY_MIN, RETRY_MAX);
         let retry_at = is_short.then(|| now + pause);
-        self.put_region(pending.target.region, Some(from), retry_at);
-    }
-
-    fn put_region(&mut self, region: RegionKey, home: Option<VmKey>, retry_at: Option<Monotonic>) {
-        let known = self.regions.get(region).copied().unwrap_or_default();
-        let next = DrawRegion {
-            home,
-            retry_at: retry_at.unwrap_or(known.retry_at),
-        };
-        self.regions.insert(region, next);
+        self.regions
+            .put(pending.target.region, Some(from), retry_at);
     }
 
     fn give_up_silent(&mut self, now: Monotonic, timeout: Duration) {
@@ -315,7 +274,8 @@
         self.pending = pending;
         for draw in silent {
             self.lots.give_up(draw.number, draw.target.vm);
-            self.put_region(draw.target.region, None, Some(now + RETRY_MAX));
+            self.regions
+                .put(draw.target.region, None, Some(now + RETRY_MAX));
         }
     }
 
@@ -358,7 +318,7 @@
             if self.is_pending(near.region) {
                 return Vec::new();
             }
-            if self.is_open(now, near.region) {
+            if self.regions.is_open(now, near.region) {
                 return vec![*near];
             }
         }
@@ -371,7 +331,9 @@
         targets
             .iter()
             .skip(usize::from(is_first_near))
-            .filter(|target| self.is_open(now, target.region) && !self.is_pending(target.region))
+            .filter(|target| {
+                self.regions.is_open(now, target.region) && !self.is_pending(target.region)
+            })
             .take(free)
             .copied()
             .collect()
@@ -389,16 +351,6 @@
             .any(|pending| pending.target.region == region)
     }
 
-    fn is_open(&self, now: Monotonic, region: RegionKey) -> bool {
-        now >= self.retry_at(region)
-    }
-
-    fn retry_at(&self, region: RegionKey) -> Monotonic {
-        self.regions
-            .get(region)
-            .map_or(Monotonic::ZERO, |region| region.retry_at)
-    }
-
     fn draw(
         &mut self,
         now: Monotonic,
--- a/src/limits/controller.rs
+++ b/src/limits/controller.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
-use super::account_draws::GrantOutcome;
 use super::draw_desk::DrawContext;
 use super::draw_desk::DrawDesk;
 use super::draw_desk::DueDraws;
+use super::draw_target::GrantOutcome;
 use super::home_books::HomeBooks;
 use super::region_leases::RegionLeases;
 use super::AccountDraw;
--- a/src/limits/draw_desk.rs
+++ b/src/limits/draw_desk.rs
@@ -6,9 +6,9 @@
 use slotmap::SecondaryMap;
 
 use super::account_draws::AccountDraws;
-use super::account_draws::DrawTarget;
-use super::account_draws::GrantOutcome;
-use super::account_draws::OutgoingDraw;
+use super::draw_target::DrawTarget;
+use super::draw_target::GrantOutcome;
+use super::draw_target::OutgoingDraw;
 use super::region_leases::RegionLeases;
 use super::share::Share;
 use super::AccountDraw;
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -5,6 +5,8 @@
 mod controller;
 mod demand;
 mod draw_desk;
+mod draw_regions;
+mod draw_target;
 mod held_lots;
 mod home_books;
 mod home_ledger;
--- a/src/membership/membership.rs
+++ b/src/membership/membership.rs
@@ -26,7 +26,6 @@
 use crate::catalog::Catalog;
 use crate::catalog::RegionKey;
 use crate::catalog::ServiceState;
-use crate::catalog::TicketNumber;
 use crate::catalog::VmKey;
 use crate::clock::Monotonic;
 use crate::platform::VmListEntry;
@@ -334,7 +333,7 @@
     fn view_of(&self, now: Monotonic, catalog: &Catalog, vm: VmKey) -> VmView {
         let published = &catalog.vms[vm];
         let mut view = if vm == self.own {
-            heard_view(self.own_heartbeat(), Liveness::Alive)
+            VmView::heard(self.own_heartbeat(), Liveness::Alive)
         } else if Some(published.region) == self.own_region(catalog) {
             self.near_view(vm)
         } else {
@@ -348,15 +347,15 @@
     fn near_view(&self, vm: VmKey) -> VmView {
         let liveness = self.table.liveness(vm);
         match self.table.heartbeat(vm) {
-            Some(heartbeat) => heard_view(heartbeat, liveness),
-            None => unheard_view(liveness),
+            Some(heartbeat) => VmView::heard(heartbeat, liveness),
+            None => VmView::unheard(liveness),
         }
     }
 
     fn far_view(&self, now: Monotonic, region: RegionKey, vm: VmKey) -> VmView {
         let lifetime = self.settings.summary_lifetime;
         let liveness = self.remote.liveness(now, region, vm, lifetime);
-        let mut view = unheard_view(liveness);
+        let mut view = VmView::unheard(liveness);
         if let Some(summary) = self.remote.vm(region, vm) {
             view.is_leaving = summary.is_leaving();
             view.load_permille = summary.load_permille();
@@ -368,9 +367,9 @@
         let Some(region) = self.own_region(catalog) else {
             return RegionContact::Minority;
         };
-        let roster_len = catalog.vms_in(region).count();
+        let roster_len = catalog.published_vms_in(region).count();
         let alive_len = catalog
-            .vms_in(region)
+            .published_vms_in(region)
             .filter(|vm| vms[*vm].liveness == Liveness::Alive)
             .count();
         if alive_len * 2 > roster_len {
@@ -380,23 +379,3 @@
         }
     }
 }
-
-fn heard_view(heartbeat: Heartbeat, liveness: Liveness) -> VmView {
-    VmView {
-        liveness,
-        is_leaving: heartbeat.status.is_leaving,
-        incarnation: heartbeat.incarnation,
-        ticket_in_force: heartbeat.status.ticket_in_force,
-        load_permille: heartbeat.status.load_permille,
-    }
-}
-
-fn unheard_view(liveness: Liveness) -> VmView {
-    VmView {
-        liveness,
-        is_leaving: false,
-        incarnation: Incarnation::default(),
-        ticket_in_force: TicketNumber::default(),
-        load_permille: 0,
-    }
-}
--- a/src/membership/membership_view.rs
+++ b/src/membership/membership_view.rs
@@ -2,6 +2,7 @@
 
 use slotmap::SecondaryMap;
 
+use super::Heartbeat;
 use super::Incarnation;
 use crate::catalog::Catalog;
 use crate::catalog::RegionKey;
@@ -74,6 +75,28 @@
 }
 
 impl VmView {
+    /// Returns the view of a VM whose latest heartbeat is known.
+    pub(super) const fn heard(heartbeat: Heartbeat, liveness: Liveness) -> Self {
+        Self {
+            liveness,
+            is_leaving: heartbeat.status.is_leaving,
+            incarnation: heartbeat.incarnation,
+            ticket_in_force: heartbeat.status.ticket_in_force,
+            load_permille: heartbeat.status.load_permille,
+        }
+    }
+
+    /// Returns the view of a VM of which no heartbeat is known.
+    pub(super) const fn unheard(liveness: Liveness) -> Self {
+        Self {
+            liveness,
+            is_leaving: false,
+            incarnation: Incarnation(0),
+            ticket_in_force: TicketNumber(0),
+            load_permille: 0,
+        }
+    }
+
     /// Tells whether the VM may be given new work.
     pub fn is_serving(&self) -> bool {
         self.liveness == Liveness::Alive && !self.is_leaving
--- a/src/vm/call_task.rs
+++ b/src/vm/call_task.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use super::attempts::Attempts;
 use super::attempts::Place;
 use super::attempts::RemotePlace;
+use super::call_end::endpoint_failure;
+use super::call_end::truncated;
+use super::call_end::AnswerSink;
+use super::call_end::CallEnd;
+use super::call_end::HangUpPolicy;
 use super::call_trace::forwarded;
 use super::call_trace::weighed;
 use super::check_key;
@@ -24,14 +28,12 @@
 use crate::endpoint::EndpointCall;
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
-use crate::errors::RunState;
 use crate::operator::StepEvent;
 use crate::peer::ForwardRequest;
 use crate::request::AnswerEvent;
 use crate::request::AnswerPayload;
 use crate::request::AnswerStream;
 use crate::request::Call;
-use crate::request::Usage;
 use crate::retry::AttemptFailure;
 use crate::retry::RetryDecision;
 use crate::routing::choose;
@@ -43,29 +45,6 @@
 use crate::routing::RouteQuery;
 use crate::telemetry::ServedIn;
 
-/// Where the events of an answer go.
-pub(super) type AnswerSink = mpsc::Sender<Result<AnswerEvent, GatewayError>>;
-
-/// What happens when the caller hangs up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum HangUpPolicy {
-    /// The call is cancelled.
-    Cancel,
-    /// The call runs to its end, so that its outcome is known.
-    Finish,
-}
-
-/// How a call ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum CallEnd {
-    /// The caller got the whole answer.
-    Whole(Usage),
-    /// The call was refused or failed.
-    Failed(GatewayError),
-    /// The caller hung up.
-    HungUp,
-}
-
 /// A call on its way through this VM.
 pub(super) struct CallTask {
     pub(super) context: Arc<RequestContext>,
@@ -410,21 +389,3 @@
         GatewayError::new(ErrorKind::DeadlineExceeded, "the deadline has passed")
     }
 }
-
-/// Tells what the failure of an attempt says about its endpoint.
-fn endpoint_failure(error: &GatewayError) -> EndpointFailure {
-    match error.kind {
-        ErrorKind::EndpointRefused => EndpointFailure::Refused,
-        ErrorKind::AnswerSilent => EndpointFailure::Silent,
-        ErrorKind::EndpointFailed | ErrorKind::AnswerTruncated => EndpointFailure::Broken,
-        _ => EndpointFailure::Unrelated,
-    }
-}
-
-fn truncated() -> GatewayError {
-    GatewayError::new(
-        ErrorKind::AnswerTruncated,
-        "the answer ended without its end mark",
-    )
-    .with_run(RunState::MayHaveRun)
-}
--- a/src/vm/coordinator.rs
+++ b/src/vm/coordinator.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 
-use super::call_task::AnswerSink;
-use super::call_task::CallEnd;
+use super::call_end::AnswerSink;
+use super::call_end::CallEnd;
+use super::call_end::HangUpPolicy;
 use super::call_task::CallTask;
-use super::call_task::HangUpPolicy;
 use super::progress::AnswerKeeping;
 use super::progress::Progress;
 use super::BeginReply;
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempts;
 mod blackboard;
+mod call_end;
 mod call_task;
 mod call_trace;
 mod control_handle;
--- a/src/vm/outcome.rs
+++ b/src/vm/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::call_task::CallEnd;
+use super::call_end::CallEnd;
 use super::coordinator::CallReport;
 use super::RequestContext;
 use crate::catalog::Catalog;
--- a/tests/behaviour/limits/mod.rs
+++ b/tests/behaviour/limits/mod.rs
@@ -1,6 +1,5 @@
 //! Tests of the `limits` behaviour.
 
-#[path = "../../../benches/fleet/mod.rs"]
 pub mod fleet;
 mod home_lease;
 mod home_ledger;
