Tell the real failure, count bookings once, and end the demo on SIGTERM

Cause: (1) when the last endpoint had been tried, its failure was hidden by no_endpoint. (2) The entry VM counted each booking that another VM answered as run, also a repeated one. (3) rate_limited told the time of the next draw, 400 ms at most, also when the missing tokens take seconds to accrue. (4) The demo waited for SIGINT alone, and the stand-in of the platform took SIGTERM from it; it also printed the log of a library. All four were found by using the demo and one VM as a newcomer. Change: the failure of the last attempt is answered; the VM that runs a booking counts it; the time to come back is at least that of the accrual; the demo ends on both signals and logs warnings only. Before: vm::failed_attempts failed with no_endpoint in place of endpoint_failed. After: it passes; vm::bookings now counts 1 run and 8 repeated over 9 VMs. (3) and (4) have no test.

--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -1,12 +1,18 @@
 //! `figramp demo`.
 
+use super::log_setup;
 use super::runtime;
 use super::CliError;
 use crate::demo::run_demo;
 use crate::demo::DemoOptions;
+use crate::settings::LogSettings;
 
 /// Runs the demo; with a number of requests it ends by itself.
 pub(super) fn run(request_count: Option<u64>) -> Result<(), CliError> {
+    let _logger = log_setup::start(LogSettings {
+        level: log::LevelFilter::Warn,
+        ..LogSettings::default()
+    })?;
     let options = DemoOptions {
         requests: request_count,
     };
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -1,6 +1,8 @@
 //! The demo as a program.
 
 use indicatif::ProgressBar;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
 
 use super::run_load;
 use super::DemoError;
@@ -36,8 +38,7 @@
     }
     print_hint(&deployment);
     let Some(requests) = options.requests else {
-        // An error here means that no signal can be waited for.
-        let _ = tokio::signal::ctrl_c().await;
+        wait_for_signal().await;
         return Ok(true);
     };
     let progress = ProgressBar::new(requests);
@@ -47,6 +48,17 @@
     Ok(summary.is_clean())
 }
 
+/// Waits for `SIGINT` or `SIGTERM`; returns at once if signals cannot be caught.
+async fn wait_for_signal() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return;
+    };
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = terminate.recv() => {}
+    }
+}
+
 fn print_hint(deployment: &Deployment) {
     let vm = &deployment.vms[0].daemon;
     println!("\nThe operators' page: http://{}/", vm.operator_address());
--- a/src/stand_in/platform/server.rs
+++ b/src/stand_in/platform/server.rs
@@ -127,6 +127,8 @@
 
 fn config(address: SocketAddr) -> rocket::Config {
     let shutdown = rocket::config::Shutdown {
+        ctrlc: false,
+        signals: std::collections::HashSet::new(),
         grace: 0,
         mercy: 0,
         ..rocket::config::Shutdown::default()
--- a/src/telemetry/account_statistics.rs
+++ b/src/telemetry/account_statistics.rs
@@ -52,6 +52,17 @@
     pub unknown: u64,
 }
 
+impl BookingCounts {
+    /// Adds one call.
+    pub fn add(&mut self, outcome: BookingOutcome) {
+        match outcome {
+            BookingOutcome::Run => self.run += 1,
+            BookingOutcome::Repeated => self.repeated += 1,
+            BookingOutcome::Unknown => self.unknown += 1,
+        }
+    }
+}
+
 impl AccountStatistics {
     /// Adds one request.
     pub fn add(&mut self, outcome: &RequestOutcome) {
@@ -77,11 +88,8 @@
         }
         self.tokens += outcome.tokens;
         self.served_in_other_region += u64::from(outcome.served_in == ServedIn::OtherRegion);
-        match outcome.booking {
-            Some(BookingOutcome::Run) => self.bookings.run += 1,
-            Some(BookingOutcome::Repeated) => self.bookings.repeated += 1,
-            Some(BookingOutcome::Unknown) => self.bookings.unknown += 1,
-            None => {}
+        if let Some(booking) = outcome.booking {
+            self.bookings.add(booking);
         }
         if let Some(first_token_us) = outcome.times.first_token_us {
             self.first_token.record(first_token_us, 1);
--- a/src/telemetry/day_statistics.rs
+++ b/src/telemetry/day_statistics.rs
@@ -4,6 +4,7 @@
 
 use super::Absorb;
 use super::AccountStatistics;
+use super::BookingRecord;
 use super::RequestEnd;
 use super::RequestOutcome;
 use crate::catalog::Name;
@@ -101,6 +102,15 @@
     }
 }
 
+impl DayStatistics {
+    /// Adds what became of a non-idempotent call that another VM handed over.
+    pub fn add_booking(&mut self, booking: BookingRecord) {
+        self.roll_over(booking.ended_at);
+        let account = self.accounts.entry(booking.client_account).or_default();
+        account.bookings.add(booking.outcome);
+    }
+}
+
 impl Absorb for DayStatistics {
     type Item = RequestOutcome;
 
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -5,6 +5,7 @@
 
 mod account_statistics;
 mod answer_timer;
+mod booking_record;
 mod day_statistics;
 mod latency_histogram;
 mod metric_labels;
@@ -18,6 +19,7 @@
 pub use account_statistics::BookingCounts;
 pub use answer_timer::AnswerTimer;
 pub use answer_timer::AnswerTimes;
+pub use booking_record::BookingRecord;
 pub use day_statistics::Day;
 pub use day_statistics::DayStatistics;
 pub use day_statistics::HourCounts;
--- a/src/telemetry/recorder.rs
+++ b/src/telemetry/recorder.rs
@@ -5,6 +5,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 
 use super::Absorb;
+use super::BookingRecord;
 use super::DayStatistics;
 use super::Metrics;
 use super::Queued;
@@ -27,6 +28,13 @@
     metrics: Metrics,
 }
 
+/// What the path of a request has to tell.
+#[derive(Debug)]
+enum TelemetryEvent {
+    Request(Box<RequestOutcome>),
+    Booking(BookingRecord),
+}
+
 /// Counts an answer as being sent, for its own life.
 #[derive(Debug)]
 pub struct OpenStream(Gauge);
@@ -48,7 +56,12 @@
 
     /// Records a request that has ended.
     pub fn record(&self, outcome: RequestOutcome) {
-        self.state.put(outcome);
+        self.state.put(TelemetryEvent::Request(Box::new(outcome)));
+    }
+
+    /// Records what became of a non-idempotent call that another VM handed over.
+    pub fn record_booking(&self, booking: BookingRecord) {
+        self.state.put(TelemetryEvent::Booking(booking));
     }
 
     /// Works off what was recorded; called from time to time so that no request has to do it.
@@ -82,11 +95,16 @@
 }
 
 impl Absorb for TelemetryState {
-    type Item = RequestOutcome;
-
-    fn absorb(&mut self, outcome: RequestOutcome) {
-        self.metrics.add(&outcome);
-        self.statistics.absorb(outcome);
+    type Item = TelemetryEvent;
+
+    fn absorb(&mut self, event: TelemetryEvent) {
+        match event {
+            TelemetryEvent::Request(outcome) => {
+                self.metrics.add(&outcome);
+                self.statistics.absorb(*outcome);
+            }
+            TelemetryEvent::Booking(booking) => self.statistics.add_booking(booking),
+        }
     }
 }
 
--- a/src/vm/admission.rs
+++ b/src/vm/admission.rs
@@ -122,7 +122,7 @@
 ) -> AdmissionRefusal {
     let missing_ms = shortfall.missing_tokens.saturating_mul(1_000);
     let accrual = Duration::from_millis(missing_ms / account.rate_tokens_per_s.max(1));
-    let retry_after = shortfall.retry_after.unwrap_or(accrual);
+    let retry_after = shortfall.retry_after.unwrap_or_default().max(accrual);
     let message = match standing {
         RateStanding::Over => "the account is over its rate",
         RateStanding::Inside | RateStanding::Unknown => "no tokens could be drawn in time",
--- a/src/vm/call_task.rs
+++ b/src/vm/call_task.rs
@@ -74,7 +74,7 @@
                 RetryDecision::ResumeFrom(_) => {
                     attempts.resume_at = attempts.excluded.pop();
                 }
-                RetryDecision::GiveUp(error) => return CallEnd::Failed(error),
+                RetryDecision::GiveUp(error) => return CallEnd::Failed(attempts.cause_of(error)),
             }
             self.trace(StepEvent::Retried { kind });
         }
--- a/src/vm/coordinator.rs
+++ b/src/vm/coordinator.rs
@@ -173,14 +173,10 @@
                 break;
             }
         }
-        let booking = match &end {
-            CallEnd::Whole(_) => Some(BookingOutcome::Run),
-            CallEnd::Failed(error) if error.run != RunState::NotRun => {
-                Some(BookingOutcome::Unknown)
-            }
-            CallEnd::HungUp => Some(BookingOutcome::Unknown),
-            CallEnd::Failed(_) => None,
-        };
+        // The VM that runs the call counts it; what happens when it is out of reach is not known.
+        let is_lost = matches!(&end, CallEnd::Failed(error) if error.kind == ErrorKind::PeerUnreachable
+            && error.run != RunState::NotRun);
+        let booking = is_lost.then_some(BookingOutcome::Unknown);
         report(end, task, booking)
     }
 
--- a/src/vm/request_path.rs
+++ b/src/vm/request_path.rs
@@ -28,6 +28,7 @@
 use crate::caller::EntryList;
 use crate::caller::Gateway;
 use crate::caller::ModelList;
+use crate::catalog::ClientAccountKey;
 use crate::catalog::KeyDigest;
 use crate::catalog::RouteKind;
 use crate::catalog::VmKey;
@@ -44,6 +45,8 @@
 use crate::request::Call;
 use crate::request::IncomingCall;
 use crate::request::Usage;
+use crate::telemetry::BookingOutcome;
+use crate::telemetry::BookingRecord;
 
 /// The events of an answer that wait for a slow caller.
 const SINK_EVENTS: usize = 16;
@@ -173,6 +176,21 @@
     usage.prompt_tokens.saturating_add(usage.answer_tokens)
 }
 
+/// Counts what became of a non-idempotent call that another VM handed over.
+fn record_booking(
+    context: &RequestContext,
+    client_account: Option<ClientAccountKey>,
+    outcome: BookingOutcome,
+) {
+    let catalog = context.blackboard.catalog.load();
+    let account = client_account.and_then(|account| catalog.client_accounts.get(account));
+    context.telemetry.record_booking(BookingRecord {
+        ended_at: context.clock.wall_time(),
+        client_account: account.map(|account| account.name.clone()),
+        outcome,
+    });
+}
+
 /// Waits for the first event, so that a refusal has a status of its own.
 async fn first_event(
     mut receiver: mpsc::Receiver<Result<crate::request::AnswerEvent, GatewayError>>,
@@ -269,6 +287,7 @@
         check_key(&self.context.blackboard.catalog.load(), &call)?;
         let (sink, receiver) = mpsc::channel(SINK_EVENTS);
         let trace = self.trace_hand_over(from, &call);
+        let client_account = call.client_account;
         let context = Arc::clone(&self.context);
         let received_at = self.context.clock.now();
         tokio::spawn(async move {
@@ -281,6 +300,9 @@
                 trace,
             );
             let report = coordinator.run().await;
+            if let Some(outcome) = report.booking {
+                record_booking(&context, client_account, outcome);
+            }
             let (_, trace) = report.progress.into_parts();
             explain_end(&context, trace, &report.end, 0);
             if let CallEnd::Failed(error) = report.end {
--- a/tests/behaviour/vm/bookings.rs
+++ b/tests/behaviour/vm/bookings.rs
@@ -1,5 +1,8 @@
 //! Non-idempotent calls under faults of the service.
 
+use figramp::clock::Clock;
+use figramp::clock::SystemClock;
+use figramp::demo::Deployment;
 use figramp::demo::DeploymentPlan;
 use figramp::stand_in::service::ServiceFaults;
 
@@ -8,6 +11,19 @@
 use super::support::launch;
 use super::support::refusal;
 
+/// The bookings that all VMs together count as run and as repeated.
+fn counted_bookings(deployment: &Deployment) -> (u64, u64) {
+    let now = SystemClock::new().wall_time();
+    let statistics = deployment.vms.iter().map(|vm| {
+        let statistics = vm.daemon.context().telemetry.statistics(now);
+        let bookings = statistics.accounts.values().map(|account| account.bookings);
+        bookings.fold((0, 0), |sum, counts| {
+            (sum.0 + counts.run, sum.1 + counts.repeated)
+        })
+    });
+    statistics.fold((0, 0), |sum, counts| (sum.0 + counts.0, sum.1 + counts.1))
+}
+
 const FAULTS: [ServiceFaults; 3] = [
     ServiceFaults {
         hits_left: Some(1),
@@ -79,6 +95,10 @@
     answers.dedup();
     assert_eq!(answers.len(), 1, "{answers:?}");
     assert_eq!(executions(&deployment, "soil"), 1);
+    assert_eq!(
+        counted_bookings(&deployment),
+        (1, deployment.vms.len() as u64 - 1)
+    );
 
     let reused = booking(&deployment, 1, "truck", "other").send().await;
     let (kind, run) = refusal(reused.expect("the VM answers")).await;
--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -7,6 +7,7 @@
 mod core_fleet;
 mod drain;
 mod explanations;
+mod failed_attempts;
 mod key_withdrawal;
 mod keys;
 mod processes;
--- a/tests/behaviour/vm/support.rs
+++ b/tests/behaviour/vm/support.rs
@@ -88,7 +88,8 @@
 
 /// The kind and the run state of a refusal.
 pub async fn refusal(response: Response) -> (String, String) {
-    let body: Value = response.json().await.expect("a refusal is JSON");
+    let text = response.text().await.expect("a refusal is whole");
+    let body: Value = serde_json::from_str(&text).unwrap_or_else(|_| panic!("not JSON: {text}"));
     let text = |name: &str| body["error"][name].as_str().unwrap_or("").to_owned();
     (text("kind"), text("run"))
 }
