--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -167,6 +167,21 @@
         })
     }
 
+    /// Returns the object of an engine, as it is published.
+    pub fn engine_object(&self, index: usize, state: &str) -> Value {
+        let engine = &self.engines[index];
+        let routes = ["plant-tips", "plan-reviews"];
+        let address = engine.server.address();
+        endpoint(
+            "engine",
+            &engine.name,
+            engine.region,
+            address,
+            &routes,
+            state,
+        )
+    }
+
     async fn launch_endpoints(&mut self, plan: &RegionPlan) -> Result<(), DemoError> {
         for index in 1..=plan.engine_count {
             let server = EngineServer::launch(EngineOptions::default()).await?;
@@ -201,19 +216,17 @@
     }
 
     fn placed_objects(&self) -> Vec<Value> {
-        let engines = self.engines.iter().map(|engine| {
-            let routes = ["plant-tips", "plan-reviews"];
-            let address = engine.server.address();
-            endpoint("engine", &engine.name, engine.region, address, &routes)
-        });
+        let engines = (0..self.engines.len()).map(|index| self.engine_object(index, "active"));
         let services = self.services.iter().map(|service| {
             let address = service.server.address();
+            let routes = ["bookings"];
             endpoint(
                 "service",
                 &service.name,
                 service.region,
                 address,
-                &["bookings"],
+                &routes,
+                "active",
             )
         });
         let vms = (0..self.vms.len()).map(|index| self.vm_object(index, "active"));
@@ -221,7 +234,14 @@
     }
 }
 
-fn endpoint(kind: &str, name: &str, region: &str, address: SocketAddr, routes: &[&str]) -> Value {
+fn endpoint(
+    kind: &str,
+    name: &str,
+    region: &str,
+    address: SocketAddr,
+    routes: &[&str],
+    state: &str,
+) -> Value {
     json!({
         "kind": "endpoint",
         "name": name,
@@ -231,7 +251,7 @@
             "region": region,
             "availability_zone": zone_of(region),
             "routes": routes,
-            "state": "active",
+            "state": state,
             "concurrency": 16,
             "checks_fencing": true,
         },
--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -10,6 +10,7 @@
 mod failed_attempts;
 mod key_withdrawal;
 mod keys;
+mod leaving_endpoint;
 mod processes;
 mod region_cut;
 mod support;
