--- a/src/audit/event.rs
+++ b/src/audit/event.rs
@@ -82,20 +82,6 @@
         /// The endpoint.
         endpoint: Name,
     },
-    /// This VM became the home of an account's tokens or of its idempotency records.
-    HomeTakenOver {
-        /// The client account.
-        client_account: Name,
-        /// The duty.
-        duty: String,
-    },
-    /// This VM gave up being a home.
-    HomeGivenUp {
-        /// The client account.
-        client_account: Name,
-        /// The duty.
-        duty: String,
-    },
     /// This VM became the home of the tokens of some shards of client accounts.
     LeaseAcquired {
         /// The number of shards.
@@ -129,11 +115,6 @@
         /// The number of running requests.
         running_count: usize,
     },
-    /// The VM has finished its work.
-    DrainEnded {
-        /// The number of requests that were cut off.
-        unfinished_count: usize,
-    },
 }
 
 impl AuditEvent {
@@ -156,14 +137,11 @@
             Self::VmBack { .. } => "vm_back",
             Self::EndpointTakenOut { .. } => "endpoint_taken_out",
             Self::EndpointTakenBack { .. } => "endpoint_taken_back",
-            Self::HomeTakenOver { .. } => "home_taken_over",
-            Self::HomeGivenUp { .. } => "home_given_up",
             Self::LeaseAcquired { .. } => "lease_acquired",
             Self::LeaseLost { .. } => "lease_lost",
             Self::OrderGiven { .. } => "order_given",
             Self::OrderFenced { .. } => "order_fenced",
             Self::DrainStarted { .. } => "drain_started",
-            Self::DrainEnded { .. } => "drain_ended",
         }
     }
 
@@ -214,14 +192,6 @@
                 write!(f, "endpoint {endpoint} taken out: {reason}")
             }
             Self::EndpointTakenBack { endpoint } => write!(f, "endpoint {endpoint} taken back"),
-            Self::HomeTakenOver {
-                client_account,
-                duty,
-            } => write!(f, "took over {duty} of {client_account}"),
-            Self::HomeGivenUp {
-                client_account,
-                duty,
-            } => write!(f, "gave up {duty} of {client_account}"),
             Self::LeaseAcquired { shard_count } => {
                 write!(
                     f,
@@ -249,9 +219,6 @@
             Self::DrainStarted { running_count } => {
                 write!(f, "draining, {running_count} requests running")
             }
-            Self::DrainEnded { unfinished_count } => {
-                write!(f, "drained, {unfinished_count} requests cut off")
-            }
         }
     }
 }
