--- a/tests/behaviour/limits/service_inside_the_rate.rs
+++ b/tests/behaviour/limits/service_inside_the_rate.rs
@@ -76,6 +76,24 @@
     assert!(fleet.service_ratio(0, 0) > 0.98);
 }
 
+#[test]
+fn unused_reservations_of_long_requests_come_back() {
+    let traffic = Traffic {
+        reserved_tokens: (1_000, 1_000),
+        used_permille: (100, 200),
+        run_us: (S, 3 * S),
+        ..traffic(12.0, vec![1, 1, 1])
+    };
+    let fleet = fleet_with(3, traffic);
+    println!(
+        "refused {}, service {}",
+        fleet.refused_in_rate(0, 0),
+        fleet.service_ratio(0, 0)
+    );
+    assert!(fleet.refused_in_rate(0, 0) < 0.02);
+    assert!(fleet.service_ratio(0, 0) > 0.98);
+}
+
 #[test]
 fn requests_larger_than_one_share_are_served() {
     let traffic = Traffic {
