--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -1,6 +1,5 @@
 //! A client's request, checked and read to its end.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +13,6 @@
 use crate::catalog::Name;
 use crate::clock::Monotonic;
 use crate::deployment::AccountPolicy;
-use crate::deployment::Deployment;
 use crate::deployment::RegionKey;
 use crate::deployment::ServedRoute;
 use crate::deployment::ServiceProfile;
@@ -34,7 +32,6 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: RequestHead,
-    pub(super) deployment: Rc<Deployment>,
     pub(super) route: ServedRoute,
     pub(super) service: ServiceProfile,
     pub(super) account: Option<AccountPolicy>,
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -82,7 +82,6 @@
         headers: parts.headers,
         body,
         head,
-        deployment: accepted.deployment,
         route: accepted.route,
         service,
         account: accepted.account,
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -128,12 +128,12 @@
         let mut fleet = self.state.fleet.borrow_mut();
         let mut quota = self.state.quota.borrow_mut();
         for row in &message.rows {
-            if row.ip != self.state.settings.ip {
-                if let Some(deployment) = belief.deployment() {
-                    quota.on_row(now, row, deployment);
-                }
+            if !fleet.merge(now, row, row.ip == from) {
+                continue;
+            }
+            if let Some(deployment) = belief.deployment() {
+                quota.on_row(now, row, deployment);
             }
-            fleet.merge(now, row.clone(), row.ip == from);
         }
     }
 
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -72,36 +72,39 @@
         self.topology.region_of(self.own.zone)
     }
 
-    /// Takes a row over if it is newer than the one held.
+    /// Takes a row over if it is newer than the one held; returns whether it was.
     ///
     /// `is_from_itself` tells that the VM sent the row itself, which then counts in any case: after
     /// a step of the time of day a later start may have a lower number.
-    pub fn merge(&mut self, now: Monotonic, row: VmRow, is_from_itself: bool) {
+    pub fn merge(&mut self, now: Monotonic, row: &VmRow, is_from_itself: bool) -> bool {
         if row.ip == self.own.ip {
             if row.incarnation > self.own.incarnation {
                 self.own.incarnation = row.incarnation + 1;
             }
-            return;
+            return false;
         }
         if usize::from(row.zone.0) >= self.topology.zone_count() {
-            return;
+            return false;
         }
         match self.others.get_mut(&row.ip) {
             None => {
                 let vm = KnownVm {
                     beat_seen_at: now,
                     round_trip_ms: None,
-                    row,
+                    row: row.clone(),
                 };
-                self.others.insert(vm.row.ip, vm);
+                self.others.insert(row.ip, vm);
+                true
             }
             Some(known) => {
                 let held = (known.row.incarnation, known.row.beat);
                 let is_restarted = is_from_itself && row.incarnation != known.row.incarnation;
-                if is_restarted || (row.incarnation, row.beat) > held {
-                    known.row = row;
+                let is_newer = is_restarted || (row.incarnation, row.beat) > held;
+                if is_newer {
+                    known.row = row.clone();
                     known.beat_seen_at = now;
                 }
+                is_newer
             }
         }
     }
