--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -111,13 +111,17 @@
         } => (*address, CONNECT_TIMEOUT, Some(*placement)),
         Target::Vm { ip, .. } => (state.peer_address(*ip), FAR_CONNECT_TIMEOUT, None),
     };
+    let mut running = RunningRequest::new(Rc::clone(state), placement);
     let now = state.now();
     let connected = state
         .upstream
         .connection(now, address, idle_max, connect_timeout)
         .await;
     match connected {
-        Ok(lease) => Ok(RunningRequest::new(Rc::clone(state), placement, lease)),
+        Ok(lease) => {
+            running.attach(lease);
+            Ok(running)
+        }
         Err(error) => {
             log::info!(
                 request = &*request.head.request_id,
@@ -125,11 +129,7 @@
                 error:% = error;
                 "not reached"
             );
-            let now = state.now();
-            if let Some(placement) = &placement {
-                let mut endpoints = state.endpoints.borrow_mut();
-                endpoints.on_late_outcome(now, placement, AttemptOutcome::Unreachable);
-            }
+            running.note(AttemptOutcome::Unreachable);
             if let Target::Vm { ip, .. } = target {
                 state.fleet.borrow_mut().on_unreachable(*ip);
             }
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 
 use super::hop::Hop;
+use super::served_request::ServedRequest;
 use crate::catalog::Name;
 use crate::clock::Monotonic;
 use crate::deployment::AccountPolicy;
@@ -38,6 +39,7 @@
     pub(super) deadline: Monotonic,
     pub(super) hop: Option<Hop>,
     pub(super) _permit: BodyPermit,
+    pub(super) _served: ServedRequest,
 }
 
 impl ClientRequest {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod relay;
 mod request_intake;
 mod running_request;
+mod served_request;
 mod services;
 mod upstream;
 mod upstream_error;
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -16,6 +16,7 @@
 use super::attempts::Attempts;
 use super::client_request::ClientRequest;
 use super::hop::Hop;
+use super::served_request::ServedRequest;
 use super::EdgeBody;
 use super::Refusal;
 use super::RefusalKind;
@@ -52,6 +53,7 @@
     request: Request<Incoming>,
     hop: Option<Hop>,
 ) -> Response<EdgeBody> {
+    let served = ServedRequest::new(&state);
     let received_at = state.now();
     let head = RequestHead::decode(request.headers());
     let accepted = match accept(&state, &request, &head, received_at) {
@@ -88,6 +90,7 @@
         deadline: accepted.deadline,
         hop,
         _permit: permit,
+        _served: served,
     };
     serve_accepted(state, request).await
 }
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -16,21 +16,19 @@
 }
 
 impl RunningRequest {
-    /// Notes a request that is sent; `placement` is `None` at another VM.
-    pub(super) fn new(
-        state: Rc<EntryState>,
-        placement: Option<Placement>,
-        lease: ConnectionLease,
-    ) -> Self {
+    /// Notes a request that is about to be sent; `placement` is `None` at another VM.
+    ///
+    /// It counts from the choice on, not from the connection: requests that wait for connections
+    /// would otherwise all find the endpoint free.
+    pub(super) fn new(state: Rc<EntryState>, placement: Option<Placement>) -> Self {
         if let Some(placement) = &placement {
             let now = state.now();
             state.endpoints.borrow_mut().on_sent(now, placement);
         }
-        state.running_count.set(state.running_count.get() + 1);
         Self {
             state,
             placement,
-            lease: Some(lease),
+            lease: None,
             is_outcome_noted: false,
         }
     }
@@ -39,15 +37,20 @@
         self.placement.as_ref()
     }
 
+    /// Gives the request its connection.
+    pub(super) fn attach(&mut self, lease: ConnectionLease) {
+        self.lease = Some(lease);
+    }
+
     /// Returns the connection.
     ///
     /// # Panics
     ///
-    /// Panics after the request has finished.
+    /// Panics before the request has a connection.
     pub(super) const fn lease_mut(&mut self) -> &mut ConnectionLease {
         self.lease
             .as_mut()
-            .expect("a running request has a connection")
+            .expect("the request was sent on a connection")
     }
 
     /// Notes how the attempt went.
@@ -82,10 +85,6 @@
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-        let running_count = self.state.running_count.get();
-        self.state
-            .running_count
-            .set(running_count.saturating_sub(1));
         if let Some(placement) = &self.placement {
             let mut endpoints = self.state.endpoints.borrow_mut();
             if !self.is_outcome_noted {
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -52,7 +52,7 @@
     /// The memory for bodies.
     pub memory: MemoryBudget,
     /// The requests that are being served.
-    pub running_count: Cell<u32>,
+    pub running_count: Rc<Cell<u32>>,
     /// Wakes the task that reads the store.
     pub read_now: Notify,
     /// Random numbers.
@@ -81,7 +81,7 @@
             retries: RefCell::default(),
             upstream: Upstream::default(),
             memory: MemoryBudget::new(settings.memory_max_bytes),
-            running_count: Cell::new(0),
+            running_count: Rc::default(),
             read_now: Notify::new(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             clock,
