--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -20,18 +20,21 @@
 use super::RefusalKind;
 use super::UpstreamError;
 use crate::clock::Monotonic;
-use crate::deployment::EndpointStanding;
 use crate::deployment::RegionKey;
 use crate::entry::EntryState;
 use crate::fleet::NameHash;
 use crate::placement::choose_region;
+use crate::placement::is_refused;
 use crate::placement::AttemptOutcome;
 use crate::placement::EndpointKey;
 use crate::placement::NoPlacement;
+use crate::placement::OverloadQuery;
 use crate::placement::Placement;
 use crate::placement::PlacementQuery;
+use crate::placement::PromptHome;
 use crate::placement::RegionChoice;
 use crate::placement::RegionOption;
+use crate::placement::PREFILL_MS_PER_TOKEN;
 
 /// The part of the time left that a first attempt may take without a sign of the endpoint, where
 /// another attempt can follow.
@@ -212,18 +215,60 @@
 
     /// Chooses where the next attempt goes.
     fn choose(&self, now: Monotonic) -> Result<Target, Refusal> {
-        let own = self.own_placement(now);
+        let home = self.prompt_home(now);
+        let own = self.own_placement(now, home);
         let own_ms = own.as_ref().ok().map(|placement| placement.expected_ms);
-        let target_ms = self.request.route.target_latency.as_secs_f64() * 1_000.0;
-        let others = self.other_regions(now);
+        let target_ms = milliseconds(self.request.route.target_latency);
+        let others = self.other_regions(now, home);
         match (choose_region(own_ms, others, target_ms), own) {
-            (RegionChoice::Own, Ok(placement)) => Ok(self.endpoint(placement)),
+            (RegionChoice::Own, Ok(placement)) => {
+                self.check_overload(now, &placement, target_ms)?;
+                Ok(self.endpoint(placement))
+            }
             (RegionChoice::Other(region), _) => self.vm_of(now, region),
             (_, Err(reason)) => Err(self.none(reason)),
             (RegionChoice::None, Ok(_)) => Err(self.none(NoPlacement::NoneListed)),
         }
     }
 
+    fn check_overload(
+        &self,
+        now: Monotonic,
+        placement: &Placement,
+        target_ms: f64,
+    ) -> Result<(), Refusal> {
+        if self.ran_count > 0 || !self.request.service.is_engine {
+            return Ok(());
+        }
+        let query = OverloadQuery {
+            expected_ms: placement.expected_ms,
+            target_ms,
+            time_left_ms: milliseconds(self.request.time_left(now)),
+            is_busy: placement.is_busy,
+        };
+        match is_refused(&query) {
+            None => Ok(()),
+            Some(retry_after) => Err(self.refusal(RefusalKind::Overloaded, retry_after)),
+        }
+    }
+
+    /// Returns the endpoint that keeps the shared part of the prompt.
+    ///
+    /// Parts that take longer to prefill than to reach are kept once for all regions, others once
+    /// in each region.
+    fn prompt_home(&self, now: Monotonic) -> Option<PromptHome> {
+        let part_hash = self.request.head.first_part_hash?;
+        let prefill_ms = self.request.head.shared_tokens as f64 * PREFILL_MS_PER_TOKEN;
+        let is_shared_widely = prefill_ms > ROUND_TRIP_UNKNOWN_MS;
+        let endpoints = self.state.endpoints.borrow();
+        let fleet = self.state.fleet.borrow();
+        endpoints.prompt_home(now, &self.request.service.name, part_hash, |region| {
+            is_shared_widely
+                && self.request.allows(region)
+                && !fleet.ready_in(now, region).is_empty()
+        })
+    }
+
     fn none(&self, reason: NoPlacement) -> Refusal {
         if self.ran_count > 0 {
             return Refusal::new(RefusalKind::Failed);
@@ -231,16 +276,21 @@
         self.refusal(RefusalKind::NoEndpoint, reason.retry_after())
     }
 
-    fn own_placement(&self, now: Monotonic) -> Result<Placement, NoPlacement> {
+    fn own_placement(
+        &self,
+        now: Monotonic,
+        home: Option<PromptHome>,
+    ) -> Result<Placement, NoPlacement> {
         if !self.request.allows(self.state.settings.region) {
             return Err(NoPlacement::NoneListed);
         }
         let head = &self.request.head;
         let query = PlacementQuery {
             service: &self.request.service.name,
-            first_part_hash: head.first_part_hash,
             prompt_tokens: head.prompt_tokens,
             shared_tokens: head.shared_tokens,
+            cached_at: home.and_then(PromptHome::own),
+            rank: self.request.priority(),
             tried: &self.tried,
         };
         let fleet = self.state.fleet.borrow();
@@ -264,16 +314,17 @@
         }
     }
 
-    fn other_regions(&self, now: Monotonic) -> Vec<RegionOption> {
+    fn other_regions(&self, now: Monotonic, home: Option<PromptHome>) -> Vec<RegionOption> {
         if self.request.hop.is_some() {
             return Vec::new();
         }
         let topology = &self.state.settings.topology;
+        let endpoints = self.state.endpoints.borrow();
         let others = topology.regions().filter(|region| {
             *region != self.state.settings.region
                 && self.request.allows(*region)
                 && !self.tried_regions.contains(region)
-                && self.has_endpoints(*region)
+                && endpoints.serves_elsewhere(&self.request.service.name, *region)
         });
         let fleet = self.state.fleet.borrow();
         let mut rng = self.state.rng.borrow_mut();
@@ -281,25 +332,25 @@
         let options = others.filter_map(|region| {
             let (_, round_trip_ms) = fleet.gateway_to(now, region, &mut *rng)?;
             let wait_ms = fleet.wait_in(now, region, service);
+            let has_prompt = home == Some(PromptHome::Other(region));
+            let prefill_tokens = self.prefill_tokens(has_prompt);
             Some(RegionOption {
                 region,
                 expected_ms: round_trip_ms.unwrap_or(ROUND_TRIP_UNKNOWN_MS)
-                    + wait_ms.map_or(WAIT_UNKNOWN_MS, f64::from),
+                    + wait_ms.map_or(WAIT_UNKNOWN_MS, f64::from)
+                    + prefill_tokens as f64 * PREFILL_MS_PER_TOKEN,
+                has_prompt,
             })
         });
         options.collect()
     }
 
-    fn has_endpoints(&self, region: RegionKey) -> bool {
-        let topology = &self.state.settings.topology;
-        let belief = self.state.belief.borrow();
-        let listing = belief.listing();
-        listing.endpoints.iter().any(|record| {
-            record.standing == EndpointStanding::Ready
-                && topology.region_of(record.zone) == region
-                && record.service == self.request.service.name
-                && !listing.evacuated.contains(&record.zone)
-        })
+    fn prefill_tokens(&self, is_cached: bool) -> u64 {
+        let head = &self.request.head;
+        match is_cached {
+            true => head.prompt_tokens.saturating_sub(head.shared_tokens),
+            false => head.prompt_tokens,
+        }
     }
 
     fn vm_of(&self, now: Monotonic, region: RegionKey) -> Result<Target, Refusal> {
@@ -335,6 +386,10 @@
     }
 }
 
+fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
 async fn read_whole(answer: &mut Answer) -> Result<Bytes, UpstreamError> {
     let mut body = bytes::BytesMut::new();
     while let Some(frame) = answer.body.frame().await {
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -65,11 +65,10 @@
         self.account.as_ref().map(|account| &account.name)
     }
 
-    /// Returns the rank at a model engine; that of the account goes before that of the route.
-    fn priority(&self) -> Option<u8> {
+    /// Returns the rank, 0 first; that of the account goes before that of the route.
+    pub(super) fn priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
-        let priority = account.unwrap_or(self.route.priority);
-        self.service.is_engine.then(|| priority.min(PRIORITY_MAX))
+        account.unwrap_or(self.route.priority).min(PRIORITY_MAX)
     }
 
     /// Builds the request to an endpoint.
@@ -86,7 +85,7 @@
                 instance: instance.as_str(),
                 account: self.account_name(),
                 time_left: self.time_left(now),
-                priority: self.priority(),
+                priority: self.service.is_engine.then(|| self.priority()),
             },
         );
         if let Some(last_event_id) = resume_after {
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -1,25 +1,13 @@
 //! What a VM knows of one instance of an endpoint.
 
-use std::time::Duration;
-
 use super::load_estimate::LoadEstimate;
 use super::trust::Trust;
-use super::AttemptOutcome;
+use super::wait_estimate::WaitEstimate;
 use super::ColdGate;
-use super::Smoothed;
 use crate::clock::Monotonic;
 use crate::deployment::EndpointRecord;
 use crate::deployment::EndpointStanding;
 
-/// The weight of one answer in the mean latency: about the last five count.
-const LATENCY_WEIGHT: f64 = 0.2;
-
-/// The age at which the mean latency has lost half of what it lies above the lowest one.
-const LATENCY_HALF_LIFE: Duration = Duration::from_millis(1_000);
-
-/// The latency that is assumed of an endpoint without an answer so far.
-const LATENCY_UNKNOWN_MS: f64 = 30.0;
-
 /// What a VM knows of one instance of an endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointState {
@@ -30,8 +18,7 @@
     pub(super) cold_gate: ColdGate,
     pub(super) load: LoadEstimate,
     pub(super) trust: Trust,
-    latency_ms: Smoothed,
-    latency_at: Monotonic,
+    pub(super) waits: WaitEstimate,
 }
 
 impl EndpointState {
@@ -44,8 +31,7 @@
             cold_gate: ColdGate::new(now),
             load: LoadEstimate::default(),
             trust: Trust::default(),
-            latency_ms: Smoothed::default(),
-            latency_at: now,
+            waits: WaitEstimate::default(),
         }
     }
 
@@ -69,21 +55,8 @@
         self.load.own_requests()
     }
 
-    /// Returns the expected wait for the first event of a small request, in milliseconds.
-    pub fn wait_ms(&self, now: Monotonic) -> f64 {
-        let mean_ms = self.latency_ms.mean().unwrap_or(LATENCY_UNKNOWN_MS);
-        let age = now.since(self.latency_at).as_secs_f64();
-        let half_lives = age / LATENCY_HALF_LIFE.as_secs_f64();
-        let above_ms = (mean_ms - LATENCY_UNKNOWN_MS).max(0.0);
-        mean_ms.min(LATENCY_UNKNOWN_MS) + above_ms * 0.5_f64.powf(half_lives)
-    }
-
-    pub(super) fn on_outcome(&mut self, now: Monotonic, outcome: AttemptOutcome, work_ms: f64) {
-        self.trust.note(now, outcome);
-        if let AttemptOutcome::Answered { latency } = outcome {
-            let wait_ms = (latency.as_secs_f64() * 1_000.0 - work_ms).max(1.0);
-            self.latency_ms.add(wait_ms, LATENCY_WEIGHT);
-            self.latency_at = now;
-        }
+    /// Returns whether requests wait at the endpoint, or more than half of its places are taken.
+    pub fn is_busy(&self, now: Monotonic) -> bool {
+        self.load.total_requests(now) * 2 > self.record.slots
     }
 }
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -12,11 +12,13 @@
 use super::EndpointKey;
 use super::EndpointState;
 use super::PlacementQuery;
+use super::PromptHome;
 use crate::catalog::Name;
 use crate::clock::Monotonic;
 use crate::deployment::Deployment;
 use crate::deployment::EndpointListing;
 use crate::deployment::EndpointRecord;
+use crate::deployment::EndpointStanding;
 use crate::deployment::InstanceId;
 use crate::deployment::RegionKey;
 use crate::deployment::Topology;
@@ -24,7 +26,7 @@
 /// The time to prefill a prompt token that is not cached, in milliseconds.
 ///
 /// Engines of the sizes in docs/CAPACITY.md read some 50 tokens a millisecond.
-pub(super) const PREFILL_MS_PER_TOKEN: f64 = 0.02;
+pub const PREFILL_MS_PER_TOKEN: f64 = 0.02;
 
 /// The time to come back when nothing is known of it: endpoints are replaced within seconds.
 const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(1_000);
@@ -38,6 +40,19 @@
     pub expected_ms: f64,
     /// The prompt tokens that the endpoint will have to prefill.
     pub prefill_tokens: u64,
+    /// The rank of the request, 0 first.
+    pub rank: u8,
+    /// When the endpoint was chosen.
+    pub chosen_at: Monotonic,
+    /// Whether requests wait at the endpoint, or more than half of its places are taken.
+    pub is_busy: bool,
+}
+
+impl Placement {
+    /// Returns the time that the prefill of the prompt takes, in milliseconds.
+    fn work_ms(&self) -> f64 {
+        self.prefill_tokens as f64 * PREFILL_MS_PER_TOKEN
+    }
 }
 
 /// Why no endpoint was chosen.
@@ -78,6 +93,14 @@
     endpoints: SlotMap<EndpointKey, EndpointState>,
     by_instance: HashMap<InstanceId, EndpointKey>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
+    elsewhere: HashMap<Name, Vec<Elsewhere>>,
+}
+
+/// An endpoint of another region that takes requests.
+#[derive(Clone, Debug)]
+struct Elsewhere {
+    instance: InstanceId,
+    region: RegionKey,
 }
 
 impl EndpointTable {
@@ -88,6 +111,7 @@
             endpoints: SlotMap::with_key(),
             by_instance: HashMap::new(),
             by_service: HashMap::new(),
+            elsewhere: HashMap::new(),
         }
     }
 
@@ -107,11 +131,17 @@
         for state in self.endpoints.values_mut() {
             state.is_listed = false;
         }
+        self.elsewhere.clear();
         for record in &listing.endpoints {
-            if topology.region_of(record.zone) == self.region {
-                let is_evacuated = listing.evacuated.contains(&record.zone);
+            let region = topology.region_of(record.zone);
+            let is_evacuated = listing.evacuated.contains(&record.zone);
+            if region == self.region {
                 let cold_start = cold_start(deployment, &record.service);
                 self.update_one(now, record, is_evacuated, cold_start);
+            } else if !is_evacuated && record.standing == EndpointStanding::Ready {
+                let instance = record.instance.clone();
+                let endpoints = self.elsewhere.entry(record.service.clone());
+                endpoints.or_default().push(Elsewhere { instance, region });
             }
         }
         self.remove_unlisted()
@@ -176,7 +206,7 @@
     pub fn shortest_wait_ms(&self, now: Monotonic, service: &Name) -> Option<f64> {
         self.of_service(service)
             .filter(|(_, state)| state.takes_requests() && !state.trust.is_paused(now))
-            .map(|(_, state)| expected_ms(now, state, 0))
+            .map(|(_, state)| expected_ms(now, state, 0, MIDDLE_RANK))
             .min_by(f64::total_cmp)
     }
 
@@ -207,9 +237,6 @@
             rate_per_s: cold_rate_per_s,
             senders: SENDERS,
         };
-        let preferred = query
-            .first_part_hash
-            .and_then(|hash| self.preferred(now, query.service, hash));
         let keys = self.by_service.get(query.service).cloned();
         let mut best: Option<Placement> = None;
         let mut reason = NoPlacement::NoneListed;
@@ -234,13 +261,16 @@
                     continue;
                 }
             }
-            let prefill_tokens = query.prefill_tokens(preferred == Some(key));
-            let expected_ms = expected_ms(now, state, prefill_tokens);
+            let prefill_tokens = query.prefill_tokens(query.cached_at == Some(key));
+            let expected_ms = expected_ms(now, state, prefill_tokens, query.rank);
             if best.is_none_or(|best| expected_ms < best.expected_ms) {
                 best = Some(Placement {
                     endpoint: key,
                     expected_ms,
                     prefill_tokens,
+                    rank: query.rank,
+                    chosen_at: now,
+                    is_busy: state.is_busy(now),
                 });
             }
         }
@@ -248,11 +278,34 @@
     }
 
     /// Returns the endpoint that keeps the prompts that begin with a part.
-    fn preferred(&self, now: Monotonic, service: &Name, part_hash: u64) -> Option<EndpointKey> {
-        self.of_service(service)
+    ///
+    /// `is_reachable` tells whether the endpoints of another region may be used.
+    pub fn prompt_home(
+        &self,
+        now: Monotonic,
+        service: &Name,
+        part_hash: u64,
+        is_reachable: impl Fn(RegionKey) -> bool,
+    ) -> Option<PromptHome> {
+        let own = self
+            .of_service(service)
             .filter(|(_, state)| state.takes_requests() && !state.is_cold(now))
-            .max_by_key(|(_, state)| instance_score(&state.record.instance, part_hash))
-            .map(|(key, _)| key)
+            .map(|(key, state)| (&state.record.instance, PromptHome::Own(key)));
+        let elsewhere = self.elsewhere.get(service).into_iter().flatten();
+        let others = elsewhere
+            .filter(|endpoint| is_reachable(endpoint.region))
+            .map(|endpoint| (&endpoint.instance, PromptHome::Other(endpoint.region)));
+        own.chain(others)
+            .max_by_key(|(instance, _)| instance_score(instance, part_hash))
+            .map(|(_, home)| home)
+    }
+
+    /// Returns whether endpoints of a service take requests in another region.
+    pub fn serves_elsewhere(&self, service: &Name, region: RegionKey) -> bool {
+        let elsewhere = self.elsewhere.get(service).into_iter().flatten();
+        elsewhere
+            .map(|endpoint| endpoint.region)
+            .any(|other| other == region)
     }
 
     /// Notes a request that is sent to an endpoint.
@@ -262,15 +315,21 @@
                 state.cold_gate.on_sent();
             }
             state.load.on_sent(placement.prefill_tokens);
+            state
+                .waits
+                .on_sent(placement.chosen_at, placement.rank, placement.work_ms());
         }
     }
 
     /// Notes how the attempt went; the prompt is no longer being prefilled.
     pub fn on_outcome(&mut self, now: Monotonic, placement: &Placement, outcome: AttemptOutcome) {
+        self.on_abandoned(placement);
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            let work_ms = placement.prefill_tokens as f64 * PREFILL_MS_PER_TOKEN;
-            state.load.on_first_event(placement.prefill_tokens);
-            state.on_outcome(now, outcome, work_ms);
+            state.trust.note(now, outcome);
+            if let AttemptOutcome::Answered { latency } = outcome {
+                let wait_ms = latency.as_secs_f64() * 1_000.0 - placement.work_ms();
+                state.waits.on_answered(now, placement.rank, wait_ms);
+            }
         }
     }
 
@@ -282,7 +341,7 @@
         outcome: AttemptOutcome,
     ) {
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            state.on_outcome(now, outcome, 0.0);
+            state.trust.note(now, outcome);
         }
     }
 
@@ -290,6 +349,7 @@
     pub fn on_abandoned(&mut self, placement: &Placement) {
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
             state.load.on_first_event(placement.prefill_tokens);
+            state.waits.on_left(placement.rank, placement.chosen_at);
         }
     }
 
@@ -322,12 +382,16 @@
     }
 }
 
-fn expected_ms(now: Monotonic, state: &EndpointState, prefill_tokens: u64) -> f64 {
+/// The rank whose wait is told to other regions.
+const MIDDLE_RANK: u8 = 1;
+
+fn expected_ms(now: Monotonic, state: &EndpointState, prefill_tokens: u64, rank: u8) -> f64 {
     let ahead_tokens = state.load.own_prefill_tokens() + prefill_tokens;
     let prefill_ms = ahead_tokens as f64 * PREFILL_MS_PER_TOKEN;
     let slots = f64::from(state.record.slots.max(1));
     let occupancy = f64::from(state.load.total_requests(now)) / slots;
-    (state.wait_ms(now) * (1.0 + occupancy) + prefill_ms) * state.trust.attempts_per_success()
+    (state.waits.wait_ms(now, rank) * (1.0 + occupancy) + prefill_ms)
+        * state.trust.attempts_per_success()
 }
 
 fn cold_start(deployment: Option<&Deployment>, service: &Name) -> Duration {
--- a/src/placement/placement_query.rs
+++ b/src/placement/placement_query.rs
@@ -8,12 +8,14 @@
 pub struct PlacementQuery<'a> {
     /// The service.
     pub service: &'a Name,
-    /// The hash of the first part of the prompt, for model engines.
-    pub first_part_hash: Option<u64>,
     /// The prompt tokens.
     pub prompt_tokens: u64,
     /// The prompt tokens that other requests share.
     pub shared_tokens: u64,
+    /// The endpoint that keeps the shared part of the prompt, if it is of the own region.
+    pub cached_at: Option<EndpointKey>,
+    /// The rank of the request, 0 first.
+    pub rank: u8,
     /// The endpoints that the request was sent to already.
     pub tried: &'a [EndpointKey],
 }
--- a/src/placement/region_choice.rs
+++ b/src/placement/region_choice.rs
@@ -9,7 +9,7 @@
 
 /// The gain that a crossing must bring, in milliseconds; waits of other regions are up to two
 /// rounds of gossip old.
-const CROSSING_GAIN_MS: f64 = 100.0;
+const CROSSING_GAIN_MS: f64 = 60.0;
 
 /// A region in which a request may be served.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,6 +18,8 @@
     pub region: RegionKey,
     /// The expected time to the first event, the way there and back included, in milliseconds.
     pub expected_ms: f64,
+    /// Whether the region keeps the shared part of the prompt.
+    pub has_prompt: bool,
 }
 
 /// Where a request is served.
@@ -33,6 +35,9 @@
 
 /// Chooses the region of a request.
 ///
+/// A crossing pays where the own region is late, and where another one keeps a shared part of the
+/// prompt whose prefill takes longer than the way there and back.
+///
 /// `own_ms` is the expected time to the first event in the own region, `None` if no endpoint
 /// there can take the request.
 pub fn choose_region(
@@ -49,7 +54,7 @@
         (Some(_), None) => RegionChoice::Own,
         (Some(own_ms), Some(other)) => {
             let is_late_here = own_ms > target_ms * LOCAL_TARGET_PART;
-            if is_late_here && other.expected_ms + CROSSING_GAIN_MS < own_ms {
+            if (is_late_here || other.has_prompt) && other.expected_ms + CROSSING_GAIN_MS < own_ms {
                 RegionChoice::Other(other.region)
             } else {
                 RegionChoice::Own
