--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -44,6 +44,7 @@
         placement: Placement,
         address: SocketAddr,
         instance: Name,
+        copy_prompt_from: Option<SocketAddr>,
     },
     /// A VM of another region.
     Vm { ip: Ipv4Addr, attempts_max: u32 },
@@ -79,7 +80,11 @@
     let mut running = connect(state, request, target).await?;
     let sent_at = state.now();
     let message = match target {
-        Target::Endpoint { instance, .. } => request.to_endpoint(sent_at, instance, resume_after),
+        Target::Endpoint {
+            instance,
+            copy_prompt_from,
+            ..
+        } => request.to_endpoint(sent_at, instance, *copy_prompt_from, resume_after),
         Target::Vm { attempts_max, .. } => request.to_vm(sent_at, *attempts_max, resume_after),
     };
     let response = match timeout(patience, running.lease_mut().send(message)).await {
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -223,7 +223,7 @@
         match (choose_region(own_ms, others, target_ms), own) {
             (RegionChoice::Own, Ok(placement)) => {
                 self.check_overload(now, &placement, target_ms)?;
-                Ok(self.endpoint(placement))
+                Ok(self.endpoint(placement, home))
             }
             (RegionChoice::Other(region), _) => self.vm_of(now, region),
             (_, Err(reason)) => Err(self.none(reason)),
@@ -301,7 +301,7 @@
         })
     }
 
-    fn endpoint(&self, placement: Placement) -> Target {
+    fn endpoint(&self, placement: Placement, home: Option<PromptHome>) -> Target {
         let endpoints = self.state.endpoints.borrow();
         let record = endpoints
             .get(placement.endpoint)
@@ -311,6 +311,11 @@
             placement,
             address: record.address,
             instance: record.instance.id.clone(),
+            copy_prompt_from: home
+                .and_then(PromptHome::own)
+                .filter(|key| *key != placement.endpoint && self.request.head.shared_tokens > 0)
+                .and_then(|key| endpoints.get(key))
+                .map(|state| state.record().address),
         }
     }
 
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -1,5 +1,6 @@
 //! A client's request, checked and read to its end.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -76,6 +77,7 @@
         &self,
         now: Monotonic,
         instance: &Name,
+        copy_prompt_from: Option<SocketAddr>,
         resume_after: Option<u64>,
     ) -> Request<Full<Bytes>> {
         let mut request = self.copy();
@@ -85,6 +87,7 @@
                 instance: instance.as_str(),
                 account: self.account_name(),
                 time_left: self.time_left(now),
+                copy_prompt_from,
                 priority: self.service.is_engine.then(|| self.priority()),
             },
         );
--- a/src/platform/request_head.rs
+++ b/src/platform/request_head.rs
@@ -1,5 +1,6 @@
 //! The head of a client's request, and what becomes of it on the way to an endpoint.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::header;
@@ -17,6 +18,7 @@
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 const TENANT: HeaderName = HeaderName::from_static("tenant");
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 const REQUEST_PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 
 /// Headers that only the gateway may set towards an endpoint.
@@ -132,6 +134,8 @@
     pub account: Option<&'a Name>,
     /// How long the endpoint may work on it.
     pub time_left: Duration,
+    /// The endpoint from which it may copy the shared part of the prompt.
+    pub copy_prompt_from: Option<SocketAddr>,
     /// Its rank at a model engine, 0 first; `None` for services that know no ranks.
     pub priority: Option<u8>,
 }
@@ -171,6 +175,12 @@
     }
     let time_left_ms = u64::try_from(fields.time_left.as_millis()).unwrap_or(u64::MAX);
     headers.insert(TIMEOUT_MS, HeaderValue::from(time_left_ms));
+    if let Some(value) = fields
+        .copy_prompt_from
+        .and_then(|address| HeaderValue::from_str(&address.to_string()).ok())
+    {
+        headers.insert(KV_FETCH, value);
+    }
     if let Some(priority) = fields.priority {
         headers.insert(REQUEST_PRIORITY, HeaderValue::from(u64::from(priority)));
     }
