--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -273,6 +273,15 @@
         if self.ran_count > 0 {
             return Refusal::new(RefusalKind::Failed);
         }
+        log::info!(
+            request = &*self.request.head.request_id,
+            service = self.request.service.name.as_str(),
+            route = self.request.route.name.as_str(),
+            reason:? = reason,
+            tried = self.tried.len(),
+            tried_regions = self.tried_regions.len();
+            "no endpoint"
+        );
         self.refusal(RefusalKind::NoEndpoint, reason.retry_after())
     }
 
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -225,7 +225,16 @@
         .quota
         .borrow_mut()
         .try_take(now, account, units(account, request));
-    taken.map_err(|over| Refusal::retry_after(RefusalKind::RateLimited, over.retry_after))
+    taken.map_err(|over| {
+        log::info!(
+            request = &*request.head.request_id,
+            account = account.name.as_str(),
+            units = units(account, request),
+            balance = over.balance;
+            "over the rate"
+        );
+        Refusal::retry_after(RefusalKind::RateLimited, over.retry_after)
+    })
 }
 
 fn give_back(state: &EntryState, request: &ClientRequest) {
--- a/src/quota/account_bucket.rs
+++ b/src/quota/account_bucket.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Returns the units that the bucket holds; below zero if more were used.
+    pub const fn balance(&self) -> f64 {
+        self.balance
+    }
+
     /// Returns all units that this VM admitted.
     pub const fn own_units(&self) -> u64 {
         self.own_units
--- a/src/quota/quota_ledger.rs
+++ b/src/quota/quota_ledger.rs
@@ -20,6 +20,8 @@
 pub struct QuotaRefusal {
     /// When the account has units again.
     pub retry_after: Duration,
+    /// The balance of the bucket, in units.
+    pub balance: i64,
 }
 
 /// The buckets of all accounts.
@@ -70,7 +72,11 @@
             return Ok(());
         }
         let retry_after = bucket.refilled_in(rate_per_s, share);
-        Err(QuotaRefusal { retry_after })
+        let balance = bucket.balance() as i64;
+        Err(QuotaRefusal {
+            retry_after,
+            balance,
+        })
     }
 
     /// Gives back the units of a request that did not run.
