--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
+use rand::RngExt;
 use tokio::time::timeout;
 
 use super::attempt;
@@ -220,7 +221,8 @@
         let own_ms = own.as_ref().ok().map(|placement| placement.expected_ms);
         let target_ms = milliseconds(self.request.route.target_latency);
         let others = self.other_regions(now, home);
-        match (choose_region(own_ms, others, target_ms), own) {
+        let draw = self.state.rng.borrow_mut().random();
+        match (choose_region(own_ms, others, target_ms, draw), own) {
             (RegionChoice::Own, Ok(placement)) => {
                 self.check_overload(now, &placement, target_ms)?;
                 Ok(self.endpoint(placement, home))
--- a/src/placement/region_choice.rs
+++ b/src/placement/region_choice.rs
@@ -5,7 +5,7 @@
 /// The part of the target latency up to which the own region is used without comparison.
 ///
 /// Crossing costs bandwidth between regions, and is only worth it where it keeps an answer on time.
-const LOCAL_TARGET_PART: f64 = 0.7;
+const LOCAL_TARGET_PART: f64 = 0.3;
 
 /// The gain that a crossing must bring, in milliseconds; waits of other regions are up to two
 /// rounds of gossip old.
@@ -38,12 +38,17 @@
 /// A crossing pays where the own region is late, and where another one keeps a shared part of the
 /// prompt whose prefill takes longer than the way there and back.
 ///
+/// Waits of other regions are told with a delay, so VMs that all went to the best one would swamp
+/// it: a crossing for load is drawn with a probability that grows with the gain. `draw` is a random
+/// number from 0 to 1.
+///
 /// `own_ms` is the expected time to the first event in the own region, `None` if no endpoint
 /// there can take the request.
 pub fn choose_region(
     own_ms: Option<f64>,
     others: impl IntoIterator<Item = RegionOption>,
     target_ms: f64,
+    draw: f64,
 ) -> RegionChoice {
     let best = others
         .into_iter()
@@ -53,8 +58,10 @@
         (None, Some(other)) => RegionChoice::Other(other.region),
         (Some(_), None) => RegionChoice::Own,
         (Some(own_ms), Some(other)) => {
-            let is_late_here = own_ms > target_ms * LOCAL_TARGET_PART;
-            if (is_late_here || other.has_prompt) && other.expected_ms + CROSSING_GAIN_MS < own_ms {
+            let gain_ms = own_ms - other.expected_ms;
+            let is_slow_here = own_ms > target_ms * LOCAL_TARGET_PART;
+            let is_drawn = draw * own_ms < gain_ms;
+            if gain_ms > CROSSING_GAIN_MS && (other.has_prompt || (is_slow_here && is_drawn)) {
                 RegionChoice::Other(other.region)
             } else {
                 RegionChoice::Own
