--- /dev/null
+++ b/tests/behaviour/edge/mod.rs
@@ -0,0 +1,4 @@
+//! What clients get, and what endpoints are sent.
+
+mod event_splitting;
+mod refusals;
--- /dev/null
+++ b/tests/behaviour/fleet/wire.rs
@@ -0,0 +1,79 @@
+//! Datagrams survive their encoding; other bytes are refused.
+
+use std::time::Duration;
+
+use figramp::deployment::EndpointListing;
+use figramp::deployment::EndpointStanding;
+use figramp::fleet::decode_message;
+use figramp::fleet::encode_message;
+use figramp::fleet::AccountUsage;
+use figramp::fleet::FleetMessage;
+use figramp::fleet::MessageDigest;
+use figramp::fleet::NameHash;
+use figramp::fleet::ServiceWait;
+use quickcheck::quickcheck;
+
+use super::support::row;
+use crate::belief::support::at;
+use crate::belief::support::listing;
+
+fn message(listing: Option<EndpointListing>) -> FleetMessage {
+    let mut own = row(1, 77);
+    own.waits.push(ServiceWait {
+        service: NameHash(4),
+        wait_ms: 250,
+    });
+    own.usage.push(AccountUsage {
+        account: NameHash(9),
+        units: 1 << 40,
+    });
+    FleetMessage {
+        sent_at: at(1_234),
+        asked_at: Some(at(1_200)),
+        digest: MessageDigest {
+            configuration_version: 8,
+            configuration_age: Some(Duration::from_millis(300)),
+            listing_revision: 41,
+            listing_hash: u64::MAX,
+            listing_age: None,
+        },
+        rows: vec![own, row(2, 3)],
+        listing,
+    }
+}
+
+#[test]
+fn a_message_comes_back_as_it_was() {
+    let mut sent = listing(&["a", "b"]);
+    sent.endpoints[1].standing = EndpointStanding::Draining;
+    sent.endpoints[1].cold_remaining = Duration::from_millis(900);
+    sent.evacuated.insert(figramp::deployment::ZoneKey(2));
+    let bytes = encode_message(&message(Some(sent.clone()))).expect("encodes");
+    let received = decode_message(&bytes).expect("decodes");
+    assert_eq!(received.rows, message(None).rows);
+    assert_eq!(received.listing, Some(sent));
+    assert_eq!(received.asked_at, Some(at(1_200)));
+    assert_eq!(received.digest.listing_age, None);
+}
+
+#[test]
+fn an_age_does_not_shrink_on_its_way() {
+    let bytes = encode_message(&message(None)).expect("encodes");
+    let age = decode_message(&bytes)
+        .expect("decodes")
+        .digest
+        .configuration_age;
+    assert!(age >= Some(Duration::from_millis(300)));
+    assert!(age <= Some(Duration::from_millis(302)));
+}
+
+quickcheck! {
+    fn bytes_that_are_no_message_are_refused_or_read(bytes: Vec<u8>) -> bool {
+        decode_message(&bytes).map_or(true, |message| !message.rows.is_empty())
+    }
+
+    fn a_message_that_was_cut_is_refused(cut: usize) -> bool {
+        let bytes = encode_message(&message(Some(listing(&["a"])))).expect("encodes");
+        decode_message(&bytes[..cut % bytes.len()]).is_err()
+    }
+}
--- /dev/null
+++ b/tests/behaviour/placement/failures.rs
@@ -0,0 +1,110 @@
+//! Endpoints that fail get less, and are tried again.
+
+use std::time::Duration;
+
+use figramp::deployment::EndpointStanding;
+use figramp::placement::AttemptOutcome;
+use figramp::placement::NoPlacement;
+
+use super::support::answer;
+use super::support::choose;
+use super::support::query;
+use super::support::service;
+use super::support::table;
+use super::support::update;
+use crate::belief::support::at;
+use crate::belief::support::listing;
+
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_left_out_for_a_time() {
+    let mut table = table(at(0), &["a"]);
+    let placement = choose(&mut table, at(0)).expect("an endpoint");
+    table.on_sent(at(0), &placement);
+    table.on_outcome(at(10), &placement, AttemptOutcome::Unreachable);
+    table.on_done(&placement);
+    assert!(matches!(
+        choose(&mut table, at(200)),
+        Err(NoPlacement::NoneTrusted { .. })
+    ));
+    assert!(choose(&mut table, at(400)).is_ok());
+}
+
+#[test]
+fn the_pause_grows_and_is_bounded() {
+    let mut table = table(at(0), &["a"]);
+    let placement = choose(&mut table, at(0)).expect("an endpoint");
+    for _ in 0..10 {
+        table.on_late_outcome(at(0), &placement, AttemptOutcome::Unreachable);
+    }
+    assert!(choose(&mut table, at(2_300)).is_err());
+    assert!(choose(&mut table, at(2_500)).is_ok());
+}
+
+#[test]
+fn an_endpoint_that_fails_half_its_requests_is_used_less() {
+    let mut table = table(at(0), &["a", "b"]);
+    let failing = choose(&mut table, at(0)).expect("an endpoint").endpoint;
+    let mut failing_count = 0;
+    for ms in 0..400_u64 {
+        let placement = choose(&mut table, at(ms)).expect("an endpoint");
+        if placement.endpoint != failing {
+            answer(&mut table, at(ms), &placement, 30);
+            continue;
+        }
+        failing_count += 1;
+        table.on_sent(at(ms), &placement);
+        table.on_outcome(at(ms), &placement, AttemptOutcome::Failed);
+        table.on_done(&placement);
+    }
+    assert!(failing_count < 100, "{failing_count}");
+}
+
+#[test]
+fn a_draining_or_removed_endpoint_gets_nothing_new() {
+    let mut table = table(at(0), &["a"]);
+    let mut draining = listing(&["a"]);
+    draining.endpoints[0].standing = EndpointStanding::Draining;
+    update(&mut table, at(10), &draining);
+    assert_eq!(choose(&mut table, at(20)), Err(NoPlacement::NoneListed));
+    update(&mut table, at(30), &listing(&["b"]));
+    let placement = choose(&mut table, at(40)).expect("the other endpoint");
+    let chosen = table.get(placement.endpoint).expect("listed");
+    assert_eq!(chosen.record().instance.id.as_str(), "b");
+}
+
+#[test]
+fn an_instance_that_started_again_under_its_id_is_another_endpoint() {
+    let mut table = table(at(0), &["a"]);
+    let before = choose(&mut table, at(0)).expect("an endpoint").endpoint;
+    let mut restarted = listing(&["a"]);
+    restarted.endpoints[0].instance.started_unix_ms = 2;
+    update(&mut table, at(10), &restarted);
+    assert!(table.get(before).is_none());
+    assert_ne!(
+        choose(&mut table, at(20)).expect("an endpoint").endpoint,
+        before
+    );
+}
+
+#[test]
+fn an_address_that_another_instance_has_is_not_used_until_it_is_listed_again() {
+    let mut table = table(at(0), &["a"]);
+    let placement = choose(&mut table, at(0)).expect("an endpoint");
+    table.on_replaced(placement.endpoint);
+    assert!(choose(&mut table, at(10)).is_err());
+}
+
+#[test]
+fn endpoints_that_were_tried_are_left_out() {
+    let mut table = table(at(0), &["a", "b"]);
+    let service = service();
+    let first = choose(&mut table, at(0)).expect("an endpoint").endpoint;
+    let second = table
+        .choose(at(0), &query(&service, &[first]), 0.0, |_, _| true)
+        .expect("the other endpoint")
+        .endpoint;
+    assert_ne!(first, second);
+    let none = table.choose(at(0), &query(&service, &[first, second]), 0.0, |_, _| true);
+    let refused = none.expect_err("all were tried");
+    assert!(refused.retry_after() > Duration::ZERO);
+}
--- /dev/null
+++ b/tests/behaviour/placement/mod.rs
@@ -0,0 +1,9 @@
+//! Which endpoint and which region a request goes to.
+
+mod cold_endpoints;
+mod failures;
+mod overload;
+mod prompts;
+mod regions;
+mod support;
+mod waits;
--- /dev/null
+++ b/tests/behaviour/placement/prompts.rs
@@ -0,0 +1,108 @@
+//! Shared parts of prompts are kept at one endpoint that all VMs agree on.
+
+use std::collections::HashMap;
+
+use figramp::deployment::EndpointListing;
+use figramp::deployment::RegionKey;
+use figramp::deployment::ZoneKey;
+use figramp::placement::EndpointTable;
+use figramp::placement::PlacementQuery;
+use figramp::placement::PromptHome;
+
+use super::support::service;
+use super::support::table;
+use super::support::update;
+use crate::belief::support::at;
+use crate::belief::support::listing;
+
+const ALL: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// Lists endpoints of which every second one is of another region.
+fn two_regions() -> EndpointListing {
+    let mut listing = listing(&ALL);
+    for endpoint in listing.endpoints.iter_mut().skip(1).step_by(2) {
+        endpoint.zone = ZoneKey(1);
+    }
+    listing
+}
+
+fn region_table(region: u16) -> EndpointTable {
+    let mut table = EndpointTable::new(RegionKey(region));
+    update(&mut table, at(0), &two_regions());
+    table
+}
+
+#[test]
+fn vms_of_two_regions_agree_on_the_home_of_each_prompt() {
+    let tables = [region_table(0), region_table(1)];
+    for part in 0..200 {
+        let homes = tables
+            .each_ref()
+            .map(|table| table.prompt_home(at(10), &service(), part, |_| true));
+        let own = homes.iter().flatten().filter(|home| home.own().is_some());
+        assert_eq!(own.count(), 1, "{homes:?}");
+    }
+}
+
+#[test]
+fn a_region_that_cannot_be_reached_keeps_no_prompts() {
+    let table = region_table(0);
+    for part in 0..50 {
+        let home = table.prompt_home(at(10), &service(), part, |_| false);
+        assert!(matches!(home, Some(PromptHome::Own(_))));
+    }
+}
+
+#[test]
+fn prompts_are_spread_over_the_endpoints() {
+    let table = table(at(0), &ALL);
+    let mut counts = HashMap::new();
+    for part in 0..600 {
+        let home = table.prompt_home(at(10), &service(), part, |_| true);
+        *counts.entry(home.and_then(PromptHome::own)).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), ALL.len());
+    assert!(counts.values().all(|count| *count > 50), "{counts:?}");
+}
+
+#[test]
+fn a_lost_endpoint_moves_only_its_own_prompts() {
+    let mut table = table(at(0), &ALL);
+    let home = |table: &EndpointTable, part| {
+        table
+            .prompt_home(at(10), &service(), part, |_| true)
+            .and_then(PromptHome::own)
+    };
+    let before: Vec<_> = (0..200).map(|part| home(&table, part)).collect();
+    update(&mut table, at(5), &listing(&ALL[..5]));
+    for (part, old) in (0..).zip(before) {
+        let is_lost = old.is_some_and(|key| table.get(key).is_none());
+        assert!(is_lost || home(&table, part) == old);
+    }
+}
+
+#[test]
+fn the_home_of_a_prompt_is_left_when_it_is_loaded() {
+    let mut table = table(at(0), &ALL[..2]);
+    let home = table.prompt_home(at(0), &service(), 1, |_| true);
+    let service = service();
+    let query = PlacementQuery {
+        service: &service,
+        prompt_tokens: 17_000,
+        shared_tokens: 13_000,
+        cached_at: home.and_then(PromptHome::own),
+        rank: 1,
+        tried: &[],
+    };
+    let first = table
+        .choose(at(0), &query, 0.0, |_, _| true)
+        .expect("an endpoint");
+    assert_eq!(Some(first.endpoint), query.cached_at);
+    for _ in 0..8 {
+        table.on_sent(at(0), &first);
+    }
+    let next = table
+        .choose(at(0), &query, 0.0, |_, _| true)
+        .expect("an endpoint");
+    assert_ne!(next.endpoint, first.endpoint);
+}
--- /dev/null
+++ b/tests/behaviour/quota/mod.rs
@@ -0,0 +1,4 @@
+//! The rates of client accounts over all VMs.
+
+mod fleet_bound;
+mod peer_usage;
--- /dev/null
+++ b/tests/behaviour/quota/peer_usage.rs
@@ -0,0 +1,58 @@
+//! What other VMs admitted is charged once.
+
+use figramp::quota::AccountBucket;
+use quickcheck::quickcheck;
+
+use crate::belief::support::at;
+use crate::fleet::support::ip;
+
+const RATE_PER_S: f64 = 1_000.0;
+const BURST: f64 = 1_000.0;
+
+fn full_bucket() -> AccountBucket {
+    let mut bucket = AccountBucket::new(at(0));
+    bucket.fill(at(10_000), RATE_PER_S, BURST, 1.0);
+    bucket
+}
+
+#[test]
+fn a_new_bucket_holds_nothing() {
+    let mut bucket = AccountBucket::new(at(0));
+    assert!(!bucket.try_take(1));
+}
+
+#[test]
+fn usage_is_charged_by_its_growth() {
+    let mut bucket = full_bucket();
+    bucket.on_peer_usage(ip(2), 1, 5_000, BURST);
+    assert_eq!(bucket.balance(), 1_000.0);
+    bucket.on_peer_usage(ip(2), 1, 5_300, BURST);
+    assert_eq!(bucket.balance(), 700.0);
+}
+
+#[test]
+fn a_restarted_vm_counts_from_nothing() {
+    let mut bucket = full_bucket();
+    bucket.on_peer_usage(ip(2), 1, 5_000, BURST);
+    bucket.on_peer_usage(ip(2), 2, 200, BURST);
+    assert_eq!(bucket.balance(), 800.0);
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let mut bucket = full_bucket();
+    assert!(bucket.try_take(400));
+    bucket.give_back(400);
+    assert_eq!(bucket.balance(), 1_000.0);
+}
+
+quickcheck! {
+    fn a_vm_that_hears_half_of_the_fleet_fills_half_as_fast(seconds: u8) -> bool {
+        let mut whole = AccountBucket::new(at(0));
+        let mut half = AccountBucket::new(at(0));
+        let now = at(u64::from(seconds) * 1_000);
+        whole.fill(now, RATE_PER_S, BURST, 1.0);
+        half.fill(now, RATE_PER_S, BURST, 0.5);
+        half.balance() <= 0.5 * BURST && half.balance() <= whole.balance()
+    }
+}
--- a/tests/behaviour/retry/mod.rs
+++ b/tests/behaviour/retry/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of the `retry` behaviour.
 
+mod fleet_budget;
 mod retry_rules;
