--- a/src/belief/mod.rs
+++ b/src/belief/mod.rs
@@ -1,5 +1,6 @@
 //! What a VM believes of the deployment, and how old that is.
 
+#[allow(clippy::module_inception)]
 mod belief;
 mod belief_digest;
 mod configuration;
--- a/src/deployment/mod.rs
+++ b/src/deployment/mod.rs
@@ -2,6 +2,7 @@
 
 mod account_policy;
 mod client_limits;
+#[allow(clippy::module_inception)]
 mod deployment;
 mod endpoint_listing;
 mod endpoint_record;
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -76,7 +76,7 @@
             belief: RefCell::default(),
             read_plan: RefCell::default(),
             fleet: RefCell::new(FleetView::new(settings.topology.clone(), own)),
-            endpoints: RefCell::new(EndpointTable::new(settings.region)),
+            endpoints: RefCell::new(EndpointTable::new(settings.region, settings.zone)),
             quota: RefCell::new(QuotaLedger::new(settings.bounds.quota_overage)),
             retries: RefCell::default(),
             upstream: Upstream::default(),
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -89,7 +89,7 @@
                 sent_at: now,
                 asked_at,
                 digest: MessageDigest::new(&belief.digest(), now),
-                rows: GossipPlan::rows(now, &fleet, &mut *rng),
+                rows: GossipPlan::rows(now, &fleet, to, &mut *rng),
                 listing: has_listing.then(|| belief.listing().as_ref().clone()),
             }
         };
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -145,6 +145,19 @@
         vms.filter(move |vm| vm.is_alive(now)).map(|vm| &vm.row)
     }
 
+    /// Returns the rows of the other VMs of the own region, or of all other regions.
+    pub fn alive_in(&self, now: Monotonic, is_own_region: bool) -> impl Iterator<Item = &VmRow> {
+        let region = self.own_region();
+        self.alive(now)
+            .filter(move |row| (self.region(row) == region) == is_own_region)
+    }
+
+    /// Returns whether a VM is known to be of the own region.
+    pub fn is_near(&self, ip: Ipv4Addr) -> bool {
+        let vm = self.others.get(&ip);
+        vm.is_some_and(|vm| self.region(&vm.row) == self.own_region())
+    }
+
     /// Returns the addresses of the VMs that are known but silent.
     pub fn silent(&self, now: Monotonic) -> impl Iterator<Item = Ipv4Addr> + '_ {
         let vms = self.others.values();
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -6,16 +6,21 @@
 
 use rand::seq::IteratorRandom;
 use rand::Rng;
+use rand::RngExt;
 
 use super::FleetView;
 use super::VmRow;
 use crate::clock::Monotonic;
 
-/// The VMs asked at random in a round, besides the reader of the region.
+/// The VMs of the own region asked at random in a round, besides the reader of the region.
 const FANOUT: usize = 2;
 
-/// The rows handed on in a message: with three questions a round, all VMs of a fleet of 120 are
-/// heard of about once a second.
+/// The questions of all VMs of a region to other regions, in a round: bytes between regions are
+/// dear, and what one VM hears spreads in its region.
+const FAR_QUESTIONS: f64 = 6.0;
+
+/// The rows handed on in a message: with three questions a round, the VMs of a fleet of 120 are heard
+/// of about once a second.
 const ROWS_MAX: usize = 20;
 
 /// The pause between two questions to seeds and VMs that are silent.
@@ -51,21 +56,25 @@
         rng: &mut impl Rng,
     ) -> BTreeSet<Ipv4Addr> {
         let own = view.own().ip;
-        let alive: Vec<Ipv4Addr> = view.alive(now).map(|row| row.ip).collect();
-        let mut targets: BTreeSet<Ipv4Addr> = alive
+        let near: Vec<Ipv4Addr> = view.alive_in(now, true).map(|row| row.ip).collect();
+        let mut targets: BTreeSet<Ipv4Addr> = near
             .iter()
             .copied()
             .sample(rng, FANOUT)
             .into_iter()
             .collect();
+        let far_probability = FAR_QUESTIONS / (near.len() + 1) as f64;
+        if rng.random::<f64>() < far_probability {
+            targets.extend(view.alive_in(now, false).map(|row| row.ip).choose(rng));
+        }
         targets.insert(view.reader(now));
         let is_probe_due = self
             .probed_at
-            .is_none_or(|at| alive.is_empty() || now.since(at) >= PROBE_PERIOD);
+            .is_none_or(|at| view.alive_count(now) == 1 || now.since(at) >= PROBE_PERIOD);
         if is_probe_due {
             self.probed_at = Some(now);
-            let seeds = self.seeds.iter().filter(|seed| !alive.contains(seed));
-            targets.extend(seeds);
+            let alive: BTreeSet<Ipv4Addr> = view.alive(now).map(|row| row.ip).collect();
+            targets.extend(self.seeds.iter().filter(|seed| !alive.contains(seed)));
             targets.extend(view.silent(now).choose(rng));
         }
         targets.remove(&own);
@@ -73,9 +82,18 @@
     }
 
     /// Returns the rows for a message: the own one first, then others at random.
-    pub fn rows(now: Monotonic, view: &FleetView, rng: &mut impl Rng) -> Vec<VmRow> {
+    ///
+    /// A VM of another region is told of the own region first of all: nobody else is nearer to it.
+    pub fn rows(now: Monotonic, view: &FleetView, to: Ipv4Addr, rng: &mut impl Rng) -> Vec<VmRow> {
         let mut rows = vec![view.own().clone()];
-        rows.extend(view.alive(now).sample(rng, ROWS_MAX).into_iter().cloned());
+        let others = if view.is_near(to) {
+            view.alive(now).sample(rng, ROWS_MAX)
+        } else {
+            let mut others = view.alive_in(now, true).sample(rng, ROWS_MAX / 2);
+            others.extend(view.alive(now).sample(rng, ROWS_MAX / 2));
+            others
+        };
+        rows.extend(others.into_iter().cloned());
         rows
     }
 }
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -22,12 +22,17 @@
 use crate::deployment::InstanceId;
 use crate::deployment::RegionKey;
 use crate::deployment::Topology;
+use crate::deployment::ZoneKey;
 
 /// The time to prefill a prompt token that is not cached, in milliseconds.
 ///
 /// Engines of the sizes in docs/CAPACITY.md read some 50 tokens a millisecond.
 pub const PREFILL_MS_PER_TOKEN: f64 = 0.02;
 
+/// The handicap of an endpoint in another availability zone, in milliseconds: bytes between zones
+/// are priced, and the way is about a millisecond longer.
+const OTHER_ZONE_MS: f64 = 4.0;
+
 /// The time to come back when nothing is known of it: endpoints are replaced within seconds.
 const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(1_000);
 
@@ -90,6 +95,7 @@
 #[derive(Debug)]
 pub struct EndpointTable {
     region: RegionKey,
+    zone: ZoneKey,
     endpoints: SlotMap<EndpointKey, EndpointState>,
     by_instance: HashMap<InstanceId, EndpointKey>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
@@ -104,10 +110,11 @@
 }
 
 impl EndpointTable {
-    /// Creates the table of a region.
-    pub fn new(region: RegionKey) -> Self {
+    /// Creates the table of a VM that stands in a zone of a region.
+    pub fn new(region: RegionKey, zone: ZoneKey) -> Self {
         Self {
             region,
+            zone,
             endpoints: SlotMap::with_key(),
             by_instance: HashMap::new(),
             by_service: HashMap::new(),
@@ -262,7 +269,11 @@
                 }
             }
             let prefill_tokens = query.prefill_tokens(query.cached_at == Some(key));
-            let expected_ms = expected_ms(now, state, prefill_tokens, query.rank);
+            let way_ms = match state.record.zone == self.zone {
+                true => 0.0,
+                false => OTHER_ZONE_MS,
+            };
+            let expected_ms = expected_ms(now, state, prefill_tokens, query.rank) + way_ms;
             if best.is_none_or(|best| expected_ms < best.expected_ms) {
                 best = Some(Placement {
                     endpoint: key,
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -25,8 +25,8 @@
 const EVACUATION_PREFIX: &str = "op/evacuate/";
 const ENDPOINT_PREFIX: &str = "servers/";
 
-/// Every key that the system reads starts with one of these; one page call serves each.
-const READ_PREFIXES: [&str; 2] = ["op/", ENDPOINT_PREFIX];
+/// The prefix of all keys: one call reads configuration, evacuations and endpoints together.
+const READ_PREFIX: &str = "";
 
 /// The longest wait for a page: above 60 times the store's usual 4 ms, below the age at which
 /// a belief is refused.
@@ -79,9 +79,7 @@
             revision: u64::MAX,
             ..StoreContent::default()
         };
-        for prefix in READ_PREFIXES {
-            self.read_prefix(prefix, &mut content).await?;
-        }
+        self.read_prefix(READ_PREFIX, &mut content).await?;
         content
             .listing
             .endpoints
--- a/tests/behaviour/fleet/convergence.rs
+++ b/tests/behaviour/fleet/convergence.rs
@@ -56,18 +56,18 @@
         let vm = self.vms.get_mut(&asking).expect("a VM");
         vm.view.own_mut().beat += 1;
         let targets = vm.plan.targets(now, &vm.view, rng);
-        let question = GossipPlan::rows(now, &vm.view, rng);
         for target in targets
             .into_iter()
             .filter(|target| !is_cut(asking, *target))
         {
+            let question = GossipPlan::rows(now, &self.vms[&asking].view, target, rng);
             let Some(asked) = self.vms.get_mut(&target) else {
                 continue;
             };
             for row in &question {
                 asked.view.merge(now, row, row.ip == asking);
             }
-            let answer = GossipPlan::rows(now, &asked.view, rng);
+            let answer = GossipPlan::rows(now, &asked.view, asking, rng);
             let asking_vm = self.vms.get_mut(&asking).expect("a VM");
             for row in &answer {
                 asking_vm.view.merge(now, row, row.ip == target);
--- a/tests/behaviour/placement/prompts.rs
+++ b/tests/behaviour/placement/prompts.rs
@@ -27,7 +27,7 @@
 }
 
 fn region_table(region: u16) -> EndpointTable {
-    let mut table = EndpointTable::new(RegionKey(region));
+    let mut table = EndpointTable::new(RegionKey(region), ZoneKey(region));
     update(&mut table, at(0), &two_regions());
     table
 }
--- a/tests/behaviour/placement/support.rs
+++ b/tests/behaviour/placement/support.rs
@@ -6,6 +6,7 @@
 use figramp::clock::Monotonic;
 use figramp::deployment::EndpointListing;
 use figramp::deployment::RegionKey;
+use figramp::deployment::ZoneKey;
 use figramp::placement::AttemptOutcome;
 use figramp::placement::EndpointKey;
 use figramp::placement::EndpointTable;
@@ -18,7 +19,7 @@
 use crate::fleet::support::topology;
 
 pub(crate) fn table(now: Monotonic, ids: &[&str]) -> EndpointTable {
-    let mut table = EndpointTable::new(RegionKey(0));
+    let mut table = EndpointTable::new(RegionKey(0), ZoneKey(0));
     update(&mut table, now, &listing(ids));
     table
 }
--- a/tests/behaviour/quota/fleet_bound.rs
+++ b/tests/behaviour/quota/fleet_bound.rs
@@ -77,7 +77,7 @@
             }
         }
         self.admitted.push(admitted);
-        if self.now.as_ms() / 100 % 3 == 0 {
+        if (self.now.as_ms() / 100).is_multiple_of(3) {
             self.gossip(is_cut);
         }
     }
