--- a/src/cli/log_setup.rs
+++ b/src/cli/log_setup.rs
@@ -14,6 +14,7 @@
 use super::CliError;
 use crate::settings::LogFormat;
 use crate::settings::LogSettings;
+use crate::telemetry::BoundedLog;
 
 /// Starts the log of the process on standard error; it ends when the handle is dropped.
 pub(super) fn start(settings: LogSettings) -> Result<LoggerHandle, CliError> {
@@ -33,6 +34,20 @@
         .map_err(|error| CliError::Failed(format!("the log did not start: {error}")))
 }
 
+/// Starts the log of an entry VM; its lines wait in the returned log until they are written.
+pub(super) fn start_bounded() -> Result<(LoggerHandle, BoundedLog), CliError> {
+    let bounded = BoundedLog::new(write_json);
+    let mut specification = LogSpecification::builder();
+    specification
+        .default(log::LevelFilter::Warn)
+        .module("figramp", log::LevelFilter::Info);
+    let handle = Logger::with(specification.build())
+        .log_to_writer(Box::new(bounded.clone()))
+        .start()
+        .map_err(|error| CliError::Failed(format!("the log did not start: {error}")))?;
+    Ok((handle, bounded))
+}
+
 fn write_text(
     writer: &mut dyn std::io::Write,
     now: &mut DeferredNow,
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at an endpoint or at a VM of another region.
 
+use std::fmt;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -50,6 +51,25 @@
     Vm { ip: Ipv4Addr, attempts_max: u32 },
 }
 
+impl Target {
+    /// Returns the expected time to the first event, or zero where it is not known.
+    pub(super) fn expected_ms(&self) -> u64 {
+        match self {
+            Self::Endpoint { placement, .. } => placement.expected_ms as u64,
+            Self::Vm { .. } => 0,
+        }
+    }
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Endpoint { instance, .. } => write!(f, "endpoint {instance}"),
+            Self::Vm { ip, .. } => write!(f, "vm {ip}"),
+        }
+    }
+}
+
 /// The start of an answer.
 pub(super) struct Answer {
     pub(super) parts: Parts,
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -126,6 +126,7 @@
                 Ok(answer) => {
                     self.arrived_count += 1;
                     self.ran_count += 1;
+                    self.on_answer(now, &target, &answer);
                     return Ok(answer);
                 }
                 Err(AttemptError::NotRun {
@@ -150,7 +151,24 @@
         }
     }
 
+    fn on_answer(&self, sent_at: Monotonic, target: &Target, answer: &Answer) {
+        let latency = self.state.now().since(sent_at);
+        self.state.metrics.on_answer(latency);
+        log::info!(
+            request = &*self.request.head.request_id,
+            route = self.request.route.name.as_str(),
+            to = target.to_string().as_str(),
+            expected_ms = target.expected_ms(),
+            latency_ms = latency.as_millis() as u64,
+            status = answer.parts.status.as_u16(),
+            attempts = self.arrived_count,
+            configuration = self.state.belief.borrow().version();
+            "answered"
+        );
+    }
+
     fn on_failed(&self, error: &UpstreamError) {
+        self.state.metrics.on_failed_attempt();
         log::info!(
             request = &*self.request.head.request_id,
             attempts = self.ran_count,
--- a/src/edge/edge_listener.rs
+++ b/src/edge/edge_listener.rs
@@ -43,6 +43,8 @@
     Peers,
     /// Those who ask whether the VM takes clients.
     Readiness,
+    /// Those who read counters and histograms.
+    Metrics,
 }
 
 /// How far the VM is on its way to its stop.
@@ -87,7 +89,10 @@
             .saturating_sub(DESCRIPTORS_RESERVED)
             .max(1);
         let mut closing = stage.clone();
-        let is_until_end = matches!(self.role, EdgeRole::Readiness | EdgeRole::Peers);
+        let is_until_end = matches!(
+            self.role,
+            EdgeRole::Readiness | EdgeRole::Peers | EdgeRole::Metrics
+        );
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -44,6 +44,10 @@
 /// The time to come back to a VM whose memory for bodies is used up.
 const OVERLOADED_RETRY: Duration = Duration::from_millis(500);
 
+/// How much of a body that is too long is read, as a multiple of the limit: a connection that is
+/// closed with unread bytes is reset, and the client would not see its answer.
+const READ_ON_FACTOR: usize = 2;
+
 /// The timeout of a request that names none.
 const TIMEOUT_DEFAULT: Duration = Duration::from_secs(60);
 
@@ -120,6 +124,7 @@
 
 fn refuse(state: &EntryState, head: &RequestHead, refusal: Refusal) -> Response<EdgeBody> {
     let age = state.belief.borrow().configuration_age(state.now());
+    state.metrics.on_refusal(refusal.kind.as_str());
     log::info!(
         request = &*head.request_id,
         reason = refusal.kind.as_str(),
@@ -200,13 +205,18 @@
     permit: &mut BodyPermit,
 ) -> Result<Bytes, Refusal> {
     let mut whole = BytesMut::new();
+    let mut length = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::new(RefusalKind::Malformed))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if whole.len() + data.len() > max_bytes {
-            return Err(Refusal::new(RefusalKind::BodyTooLarge));
+        length += data.len();
+        if length > max_bytes.saturating_mul(READ_ON_FACTOR) {
+            break;
+        }
+        if length > max_bytes {
+            continue;
         }
         if !permit.try_extend(data.len()) {
             let kind = RefusalKind::Overloaded;
@@ -214,6 +224,9 @@
         }
         whole.extend_from_slice(&data);
     }
+    if length > max_bytes {
+        return Err(Refusal::new(RefusalKind::BodyTooLarge));
+    }
     Ok(whole.freeze())
 }
 
--- a/src/edge/services.rs
+++ b/src/edge/services.rs
@@ -32,6 +32,7 @@
     let mut response = match role {
         EdgeRole::Directory => directory::resolve(&state, request.uri()),
         EdgeRole::Readiness => readiness(&state, &request),
+        EdgeRole::Metrics => metrics(&state),
         EdgeRole::Peers => match Hop::decode(request.headers()) {
             Some(hop) => request_intake::serve(state, request, Some(hop)).await,
             None => configuration_fetch::answer(&state, request.uri()),
@@ -50,6 +51,18 @@
     Ok(response)
 }
 
+fn metrics(state: &EntryState) -> Response<EdgeBody> {
+    match state.metrics_text() {
+        Ok(text) => Response::new(whole(text)),
+        Err(error) => {
+            log::error!(error:% = error; "the metrics were not encoded");
+            let mut response = Response::new(whole(""));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
 fn readiness(state: &EntryState, request: &Request<Incoming>) -> Response<EdgeBody> {
     let is_ready =
         DirectoryQuery::is_readiness_check(request.uri()) && state.phase() == VmPhase::Ready;
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::gossip_task::GossipTask;
+use super::log_task;
 use super::stop::SignalRequest;
 use super::stop::Signals;
 use super::store_task;
@@ -24,6 +25,7 @@
 use crate::edge::EdgeStage;
 use crate::fleet::VmPhase;
 use crate::platform::load_settings;
+use crate::telemetry::BoundedLog;
 
 /// The time between leaving the directory and closing idle connections: clients ask the directory
 /// again within two seconds, and finish what they are about to send.
@@ -39,7 +41,7 @@
 /// # Errors
 ///
 /// Returns an [`EntryError`] if the settings cannot be used or a port cannot be served.
-pub fn run(settings_path: &Path) -> Result<(), EntryError> {
+pub fn run(settings_path: &Path, log: &BoundedLog) -> Result<(), EntryError> {
     let settings = load_settings(settings_path)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -47,6 +49,7 @@
     let clock = Rc::new(SuspendClock::new());
     let state = Rc::new(EntryState::new(settings, clock));
     let local = LocalSet::new();
+    local.spawn_local(log_task::run(log.clone()));
     local.block_on(&runtime, serve(state, settings_path))
 }
 
@@ -58,6 +61,7 @@
         (EdgeRole::Directory, listeners.directory),
         (EdgeRole::Peers, listeners.peers),
         (EdgeRole::Readiness, listeners.readiness),
+        (EdgeRole::Metrics, listeners.metrics),
         (EdgeRole::Clients, listeners.clients),
     ] {
         let listener = EdgeListener::bind(role, address)
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -23,7 +23,7 @@
     /// For the datagrams of other VMs; the same on all VMs.
     pub gossip_port: u16,
     /// For counters and histograms.
-    pub metrics_port: u16,
+    pub metrics: SocketAddr,
 }
 
 /// The bounds that the users set.
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,6 +29,8 @@
 use crate::placement::EndpointTable;
 use crate::quota::QuotaLedger;
 use crate::retry::FleetRetryBudget;
+use crate::telemetry::EntryGauges;
+use crate::telemetry::EntryMetrics;
 
 /// What the tasks of an entry VM read and write; it belongs to one thread.
 pub struct EntryState {
@@ -53,6 +56,8 @@
     pub memory: MemoryBudget,
     /// The requests that are being served.
     pub running_count: Rc<Cell<u32>>,
+    /// The counters and histograms.
+    pub metrics: EntryMetrics,
     /// Wakes the task that reads the store.
     pub read_now: Notify,
     /// Random numbers.
@@ -82,6 +87,7 @@
             upstream: Upstream::default(),
             memory: MemoryBudget::new(settings.memory_max_bytes),
             running_count: Rc::default(),
+            metrics: EntryMetrics::new(),
             read_now: Notify::new(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             clock,
@@ -149,6 +155,24 @@
         self.quota.borrow_mut().on_view(heard_count, known_count);
     }
 
+    /// Returns the counters, histograms and the present state in the text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the library cannot encode them.
+    pub fn metrics_text(&self) -> Result<String, fmt::Error> {
+        let now = self.now();
+        let belief = self.belief.borrow();
+        let age = belief.configuration_age(now);
+        self.metrics.encode(EntryGauges {
+            configuration_version: belief.version(),
+            configuration_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
+            alive_vms: self.fleet.borrow().alive_count(now) as u64,
+            running_requests: u64::from(self.running_count.get()),
+            opened_connections: self.upstream.opened_count(),
+        })
+    }
+
     /// Takes one repeated send to a service; returns whether the budget allows it.
     pub fn try_take_repeat(&self, now: Monotonic, service: &Name) -> bool {
         let known_vms = self.fleet.borrow().known_count();
--- a/src/platform/settings_wire.rs
+++ b/src/platform/settings_wire.rs
@@ -13,6 +13,9 @@
 use crate::entry::EntryListeners;
 use crate::entry::EntrySettings;
 
+/// The port of `metrics` in deploy/system.toml; the settings name none.
+const METRICS_PORT: u16 = 9_464;
+
 #[derive(Debug, Deserialize)]
 pub(super) struct SettingsWire {
     node: String,
@@ -105,7 +108,7 @@
                 peers: wire.listen.control,
                 directory: wire.listen.directory,
                 gossip_port: wire.port_range.0,
-                metrics_port: wire.port_range.1,
+                metrics: SocketAddr::from((wire.ip, METRICS_PORT)),
             },
             seeds: wire.seeds,
             store: wire.platform.address,
--- /dev/null
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -0,0 +1,229 @@
+//! Stands in for an endpoint that registers in the platform's store.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::http_listener;
+use super::EndpointFaults;
+
+/// The events of a whole stream.
+const EVENT_COUNT: u64 = 6;
+
+/// Paths that hold this are answered by a stream.
+const STREAM_PATH: &str = "stream";
+
+type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error> + Send>>;
+
+#[derive(Debug, Default)]
+struct EndpointState {
+    faults: EndpointFaults,
+    runs: HashMap<String, u32>,
+    last_headers: HeaderMap,
+}
+
+/// An endpoint that counts how often it ran each request.
+#[derive(Debug)]
+pub struct EndpointServer {
+    id: String,
+    zone: String,
+    service: String,
+    address: SocketAddr,
+    state: Arc<Mutex<EndpointState>>,
+    task: JoinHandle<()>,
+}
+
+impl EndpointServer {
+    /// Starts an endpoint of a service in a zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn launch(
+        address: SocketAddr,
+        id: &str,
+        service: &str,
+        zone: &str,
+    ) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(EndpointState::default()));
+        let (served, own_id) = (Arc::clone(&state), id.to_owned());
+        let (address, task) = http_listener::serve(address, move |request| {
+            answer(Arc::clone(&served), own_id.clone(), request)
+        })
+        .await?;
+        Ok(Self {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            service: service.to_owned(),
+            address,
+            state,
+            task,
+        })
+    }
+
+    /// Returns the key under which the endpoint registers.
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    /// Returns the record that it registers.
+    pub fn record(&self, state: &str) -> String {
+        json!({
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1_000,
+        })
+        .to_string()
+    }
+
+    /// Makes the endpoint misbehave.
+    pub fn set_faults(&self, faults: EndpointFaults) {
+        self.state.lock().faults = faults;
+    }
+
+    /// Returns how often a request ran.
+    pub fn run_count(&self, request_id: &str) -> u32 {
+        let state = self.state.lock();
+        state.runs.get(request_id).copied().unwrap_or(0)
+    }
+
+    /// Returns how often any request ran.
+    pub fn total_run_count(&self) -> u32 {
+        self.state.lock().runs.values().sum()
+    }
+
+    /// Returns a header of the last request that came.
+    pub fn last_header(&self, name: &str) -> Option<String> {
+        let state = self.state.lock();
+        let value = state.last_headers.get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    }
+}
+
+impl Drop for EndpointServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<EndpointState>>,
+    own_id: String,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let (parts, body) = request.into_parts();
+    if body.collect().await.is_err() {
+        return Ok(empty(StatusCode::BAD_REQUEST));
+    }
+    let header = |name: &str| {
+        let value = parts.headers.get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let expected = header("expect-instance");
+    if expected.is_some_and(|expected| expected != own_id) {
+        return Ok(empty(StatusCode::MISDIRECTED_REQUEST));
+    }
+    let request_id = header("request-id").unwrap_or_default();
+    let faults = {
+        let mut state = state.lock();
+        state.last_headers.clone_from(&parts.headers);
+        if state.faults.is_full {
+            let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+            let headers = response.headers_mut();
+            headers.insert("not-executed", HeaderValue::from_static("1"));
+            return Ok(response);
+        }
+        *state.runs.entry(request_id.clone()).or_insert(0) += 1;
+        state.faults.clone()
+    };
+    let first_event = header("last-event-id")
+        .and_then(|last| last.parse::<u64>().ok())
+        .map_or(1, |last| last + 1);
+    let is_stream = parts.uri.path().contains(STREAM_PATH);
+    let body = match is_stream {
+        true => event_stream(first_event, &faults),
+        false => plain_body(&faults),
+    };
+    let mut response = Response::new(body);
+    let shown_id = match faults.crosses_answers {
+        true => "another".to_owned(),
+        false => request_id,
+    };
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&shown_id) {
+        headers.insert("request-id", value);
+    }
+    headers.insert("server-stamp", HeaderValue::from_static("stamp"));
+    headers.insert("server-load", HeaderValue::from_static("1,0,8"));
+    Ok(response)
+}
+
+fn plain_body(faults: &EndpointFaults) -> AnswerBody {
+    let (pause, loses_answers) = (faults.pause, faults.loses_answers);
+    let frames = stream::once(async move {
+        sleep(pause).await;
+        match loses_answers {
+            true => Err(broken()),
+            false => Ok(Frame::data(Bytes::from_static(b"done"))),
+        }
+    });
+    Box::pin(StreamBody::new(frames))
+}
+
+fn event_stream(first_event: u64, faults: &EndpointFaults) -> AnswerBody {
+    let (pause, cut) = (faults.pause, faults.cuts_in_event);
+    let frames = stream::unfold(Some(first_event), move |next| async move {
+        let id = next.filter(|id| *id <= EVENT_COUNT)?;
+        sleep(pause.max(Duration::from_millis(1))).await;
+        if cut.is_some_and(|cut| id > cut) {
+            return Some((Err(broken()), None));
+        }
+        let event = format!("id: {id}\ndata: part {id}\n\n");
+        let length = match cut == Some(id) {
+            true => event.len() / 2,
+            false => event.len(),
+        };
+        let bytes = Bytes::from(event).slice(..length);
+        Some((Ok(Frame::data(bytes)), Some(id + 1)))
+    });
+    Box::pin(StreamBody::new(frames))
+}
+
+fn broken() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionReset, "broken on purpose")
+}
+
+fn empty(status: StatusCode) -> Response<AnswerBody> {
+    let body = Full::<Bytes>::default().map_err(|never| -> io::Error { match never {} });
+    let mut response = Response::new(Box::pin(body) as AnswerBody);
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/stand_in/deployment/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the users' platform: its store, and the endpoints that register there.
+
+mod endpoint_faults;
+mod endpoint_server;
+mod http_listener;
+mod store_server;
+
+pub use endpoint_faults::EndpointFaults;
+pub use endpoint_server::EndpointServer;
+pub use store_server::StoreFault;
+pub use store_server::StoreServer;
--- /dev/null
+++ b/src/stand_in/deployment/store_server.rs
@@ -0,0 +1,148 @@
+//! Stands in for the platform's store.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::task::JoinHandle;
+
+use super::http_listener;
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It answers.
+    #[default]
+    None,
+    /// It answers that nothing was done.
+    Busy,
+    /// It does not answer.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    items: BTreeMap<String, Vec<u8>>,
+    revision: u64,
+    fault: StoreFault,
+    call_count: u64,
+}
+
+/// A store that can be read by pages.
+#[derive(Debug)]
+pub struct StoreServer {
+    address: SocketAddr,
+    state: Arc<Mutex<StoreState>>,
+    task: JoinHandle<()>,
+}
+
+impl StoreServer {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn launch(address: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(StoreState::default()));
+        let served = Arc::clone(&state);
+        let (address, task) = http_listener::serve(address, move |request| {
+            let state = Arc::clone(&served);
+            async move {
+                let fault = {
+                    let mut state = state.lock();
+                    state.call_count += 1;
+                    state.fault
+                };
+                if fault == StoreFault::Silent {
+                    std::future::pending::<()>().await;
+                }
+                let query = request.uri().query().unwrap_or_default();
+                Ok::<_, Infallible>(match fault {
+                    StoreFault::None => page(&state.lock(), query),
+                    _ => empty(StatusCode::SERVICE_UNAVAILABLE),
+                })
+            }
+        })
+        .await?;
+        Ok(Self {
+            address,
+            state,
+            task,
+        })
+    }
+
+    /// Returns the address.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) {
+        let mut state = self.state.lock();
+        state.revision += 1;
+        state.items.insert(key.to_owned(), value.into());
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock();
+        state.revision += 1;
+        state.items.remove(key);
+    }
+
+    /// Makes the store misbehave.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state.lock().fault = fault;
+    }
+
+    /// Returns the calls so far.
+    pub fn call_count(&self) -> u64 {
+        self.state.lock().call_count
+    }
+}
+
+impl Drop for StoreServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn page(state: &StoreState, query: &str) -> Response<Full<Bytes>> {
+    let value = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs
+            .filter(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+            .next()
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let (prefix, after) = (value("prefix"), value("after"));
+    let items = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
+        .map(|(key, value)| json!({"key": key, "value": STANDARD.encode(value), "lease": 0}));
+    let page = json!({
+        "items": items.collect::<Vec<_>>(),
+        "truncated": false,
+        "storeRevision": state.revision,
+    });
+    Response::new(Full::from(page.to_string()))
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform, model engines and plain services.
 
+pub mod deployment;
 pub mod engine;
 pub mod platform;
 pub mod service;
--- /dev/null
+++ b/src/telemetry/entry_metrics.rs
@@ -0,0 +1,137 @@
+//! Counters and latency histograms of an entry VM.
+
+use std::fmt;
+use std::time::Duration;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+const PREFIX: &str = "figramp_entry";
+
+/// Upper bounds around the latency targets of short calls (0.3 s) and of streams (1.2 s).
+const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.5, 6.0];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
+/// What a scrape shows of the present state.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EntryGauges {
+    /// The version of the configuration in force.
+    pub configuration_version: u64,
+    /// The age of its confirmation, in milliseconds.
+    pub configuration_age_ms: u64,
+    /// The VMs that are heard, itself included.
+    pub alive_vms: u64,
+    /// The requests that are being served.
+    pub running_requests: u64,
+    /// The connections opened to endpoints and other VMs.
+    pub opened_connections: u64,
+}
+
+/// Counters and latency histograms of an entry VM.
+pub struct EntryMetrics {
+    registry: Registry,
+    answers: Counter,
+    refusals: Family<ReasonLabel, Counter>,
+    failed_attempts: Counter,
+    first_event: Histogram,
+    configuration_version: Gauge,
+    configuration_age_ms: Gauge,
+    alive_vms: Gauge,
+    running_requests: Gauge,
+    opened_connections: Gauge,
+}
+
+impl EntryMetrics {
+    /// Creates the metrics with their registry.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            answers: Counter::default(),
+            refusals: Family::default(),
+            failed_attempts: Counter::default(),
+            first_event: Histogram::new(LATENCY_BUCKETS_S),
+            configuration_version: Gauge::default(),
+            configuration_age_ms: Gauge::default(),
+            alive_vms: Gauge::default(),
+            running_requests: Gauge::default(),
+            opened_connections: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answers", "Answers of endpoints", self.answers.clone());
+        let refusals = self.refusals.clone();
+        registry.register("refusals", "Answers of the gateway itself", refusals);
+        let failed = self.failed_attempts.clone();
+        registry.register("failed_attempts", "Attempts without an answer", failed);
+        let first_event = self.first_event.clone();
+        registry.register(
+            "first_event_s",
+            "Arrival to head of the answer",
+            first_event,
+        );
+        let version = self.configuration_version.clone();
+        registry.register("configuration_version", "Configuration in force", version);
+        let age = self.configuration_age_ms.clone();
+        registry.register("configuration_age_ms", "Age of its confirmation", age);
+        registry.register("alive_vms", "VMs that are heard", self.alive_vms.clone());
+        let running = self.running_requests.clone();
+        registry.register("running_requests", "Requests being served", running);
+        let opened = self.opened_connections.clone();
+        registry.register("opened_connections", "Connections opened", opened);
+    }
+
+    /// Counts an answer whose head came `latency` after the request.
+    pub fn on_answer(&self, latency: Duration) {
+        self.answers.inc();
+        self.first_event.observe(latency.as_secs_f64());
+    }
+
+    /// Counts an attempt that gave no answer.
+    pub fn on_failed_attempt(&self) {
+        self.failed_attempts.inc();
+    }
+
+    /// Counts an answer that the gateway gave itself.
+    pub fn on_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Encodes the metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the library cannot encode them.
+    pub fn encode(&self, gauges: EntryGauges) -> Result<String, fmt::Error> {
+        let signed = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        self.configuration_version
+            .set(signed(gauges.configuration_version));
+        self.configuration_age_ms
+            .set(signed(gauges.configuration_age_ms));
+        self.alive_vms.set(signed(gauges.alive_vms));
+        self.running_requests.set(signed(gauges.running_requests));
+        self.opened_connections
+            .set(signed(gauges.opened_connections));
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/tests/behaviour/entry/mod.rs
@@ -0,0 +1,8 @@
+//! Whole daemons on loopback, against stand-ins of the platform.
+
+mod endpoint_faults;
+mod keys;
+mod requests;
+mod stopping;
+mod support;
+mod two_regions;
--- /dev/null
+++ b/tests/behaviour/entry/stopping.rs
@@ -0,0 +1,47 @@
+//! A stop cuts nothing.
+
+use std::time::Duration;
+
+use figramp::stand_in::deployment::EndpointFaults;
+
+use super::support::new_ip;
+use super::support::whole_stream;
+use super::support::EntryVm;
+use super::support::Site;
+use super::support::EAST;
+
+#[tokio::test]
+async fn running_answers_end_whole_and_the_process_exits_with_success() {
+    let site = Site::launch(EAST).await;
+    for endpoint in &site.engines {
+        endpoint.set_faults(EndpointFaults {
+            pause: Duration::from_millis(400),
+            ..EndpointFaults::default()
+        });
+    }
+    let mut vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    let running = vm.post("/stream/x", "r1").send().await.expect("a head");
+    vm.signal("-TERM");
+    vm.wait_until(false).await;
+    let late = vm.post("/read/x", "r2").send().await.expect("still served");
+    assert_eq!(late.status(), 200);
+    assert_eq!(late.headers()["connection"], "close");
+    assert_eq!(running.text().await.expect("a body"), whole_stream());
+    assert_eq!(vm.wait_for_exit(), Some(0));
+}
+
+#[tokio::test]
+async fn a_reload_cuts_nothing() {
+    let site = Site::launch(EAST).await;
+    for endpoint in &site.engines {
+        endpoint.set_faults(EndpointFaults {
+            pause: Duration::from_millis(100),
+            ..EndpointFaults::default()
+        });
+    }
+    let vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    let running = vm.post("/stream/x", "r1").send().await.expect("a head");
+    vm.signal("-HUP");
+    assert_eq!(running.text().await.expect("a body"), whole_stream());
+    assert!(vm.is_ready().await);
+}
--- /dev/null
+++ b/tests/behaviour/entry/support.rs
@@ -0,0 +1,230 @@
+//! Daemons as processes, each at a loopback address of its own.
+
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use figramp::stand_in::deployment::EndpointServer;
+use figramp::stand_in::deployment::StoreServer;
+use reqwest::RequestBuilder;
+use serde_json::json;
+use serde_json::Value;
+
+pub(crate) const KEY: &str = "key-of-the-nursery";
+pub(crate) const ACCOUNT: &str = "nursery";
+pub(crate) const EAST: &str = "east-a";
+pub(crate) const WEST: &str = "west-a";
+
+const CLIENT_PORT: u16 = 8221;
+const READY_PORT: u16 = 8224;
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
+
+/// Returns a loopback address that no other daemon of this run has.
+pub(crate) fn new_ip() -> Ipv4Addr {
+    let process = std::process::id();
+    let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 128, process as u8, number)
+}
+
+pub(crate) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// The configuration of two services: `plain` with a safe and an unsafe route, `engine` with a
+/// resumable stream and one that is not.
+pub(crate) fn configuration(version: u64, api_keys: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool, attempts: u32| {
+        json!({
+            "name": name, "host": "test.example", "prefix": format!("/{name}/"),
+            "routeType": kind, "timeoutMs": 4000, "targetLatencyMs": 1000, "gapTargetMs": 300,
+            "priority": 1, "service": service, "maxAttempts": attempts, "public": false,
+            "resumable": resumable, "homeRegions": [],
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("read", "safe", "plain", false, 2),
+            route("book", "unsafe", "plain", false, 1),
+            route("stream", "streaming", "engine", true, 2),
+            route("tip-stream", "streaming", "engine", false, 1),
+        ],
+        "services": [
+            {"name": "plain", "maxConnections": 100, "coldStartS": 0, "coldPerS": 0},
+            {"name": "engine", "maxConnections": 100, "coldStartS": 3, "coldPerS": 6.8,
+             "engine": {"slots": 8}},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": 15000},
+        "tenants": [{"name": ACCOUNT, "apiKeys": api_keys, "unit": "tokens", "plainTokens": 200,
+                     "ratePerS": 0, "burst": 0, "homeRegions": []}],
+    })
+}
+
+fn settings(ip: Ipv4Addr, zone: &str, store: SocketAddr, seeds: &[Ipv4Addr]) -> Value {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:8229")).collect();
+    json!({
+        "node": format!("vm-{ip}"), "ip": ip, "zone": zone,
+        "zones": {EAST: "east", WEST: "west"},
+        "listen": {"front": format!("{ip}:{CLIENT_PORT}"), "ready": format!("{ip}:{READY_PORT}"),
+                   "control": format!("{ip}:8229"), "directory": format!("{ip}:8220")},
+        "portRange": [7600, 7615], "seeds": seeds,
+        "limits": {"memoryMb": 182, "maxFds": 2870}, "heartbeatMs": 1200,
+        "bounds": {"revokeMs": 5000, "graceS": 8, "ttl_max_s": 5, "coldOverage": 1.5,
+                   "coldSlack": 3, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
+                   "budgetSlack": 113},
+        "platform": {"address": store},
+        "a field of later days": {},
+    })
+}
+
+/// A daemon; it is killed when dropped.
+pub(crate) struct EntryVm {
+    pub(crate) ip: Ipv4Addr,
+    child: Child,
+    settings: PathBuf,
+    pub(crate) http: reqwest::Client,
+}
+
+impl EntryVm {
+    /// Starts a daemon without waiting for it.
+    pub(crate) fn start(ip: Ipv4Addr, zone: &str, store: SocketAddr, seeds: &[Ipv4Addr]) -> Self {
+        let path = std::env::temp_dir().join(format!("figramp-{}-{ip}.json", std::process::id()));
+        let mut file = std::fs::File::create(&path).expect("a settings file");
+        file.write_all(settings(ip, zone, store, seeds).to_string().as_bytes())
+            .expect("the settings are written");
+        let child = Command::new(env!("CARGO_BIN_EXE_figramp"))
+            .arg("entry")
+            .env("FIGRAMP_CONFIG", &path)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        Self {
+            ip,
+            child,
+            settings: path,
+            http: reqwest::Client::new(),
+        }
+    }
+
+    /// Starts a daemon and waits until it takes clients.
+    pub(crate) async fn launch(
+        ip: Ipv4Addr,
+        zone: &str,
+        store: &StoreServer,
+        seeds: &[Ipv4Addr],
+    ) -> Self {
+        let vm = Self::start(ip, zone, store.address(), seeds);
+        vm.wait_until(true).await;
+        vm
+    }
+
+    /// Waits until the daemon says that it is ready, or that it is not.
+    pub(crate) async fn wait_until(&self, is_ready: bool) {
+        let wait = async {
+            while self.is_ready().await != is_ready {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(START_TIMEOUT, wait)
+            .await
+            .expect("the daemon changes its state in time");
+    }
+
+    pub(crate) async fn is_ready(&self) -> bool {
+        let url = format!("http://{}:{READY_PORT}/ready", self.ip);
+        let response = self.http.get(url).send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    }
+
+    /// Builds a request with a key.
+    pub(crate) fn post(&self, path: &str, request_id: &str) -> RequestBuilder {
+        let url = format!("http://{}:{CLIENT_PORT}{path}", self.ip);
+        self.http
+            .post(url)
+            .header("Host", "test.example")
+            .header("Request-Id", request_id)
+            .header("Timeout-Ms", "3500")
+            .header("Authorization", format!("Bearer {KEY}"))
+            .body("ask")
+    }
+
+    /// Sends a signal to the process that this test started.
+    pub(crate) fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([name, &self.child.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub(crate) fn wait_for_exit(&mut self) -> Option<i32> {
+        self.child.wait().expect("the process ends").code()
+    }
+}
+
+impl Drop for EntryVm {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// A store with a configuration, and two endpoints of each service in a zone.
+pub(crate) struct Site {
+    pub(crate) store: StoreServer,
+    pub(crate) plain: [EndpointServer; 2],
+    pub(crate) engines: [EndpointServer; 2],
+}
+
+impl Site {
+    pub(crate) async fn launch(zone: &str) -> Self {
+        let store = StoreServer::launch(any_port()).await.expect("a store");
+        store.put("op/config", configuration(1, &[KEY]).to_string());
+        store.put("servers/i-broken", "no record at all");
+        let site = Self {
+            plain: [
+                endpoint("p1", "plain", zone).await,
+                endpoint("p2", "plain", zone).await,
+            ],
+            engines: [
+                endpoint("e1", "engine", zone).await,
+                endpoint("e2", "engine", zone).await,
+            ],
+            store,
+        };
+        for endpoint in site.plain.iter().chain(&site.engines) {
+            site.store.put(&endpoint.key(), endpoint.record("ready"));
+        }
+        site
+    }
+
+    pub(crate) fn runs(&self, request_id: &str) -> u32 {
+        let endpoints = self.plain.iter().chain(&self.engines);
+        endpoints
+            .map(|endpoint| endpoint.run_count(request_id))
+            .sum()
+    }
+}
+
+async fn endpoint(id: &str, service: &str, zone: &str) -> EndpointServer {
+    EndpointServer::launch(any_port(), id, service, zone)
+        .await
+        .expect("an endpoint")
+}
+
+/// Returns the text of a whole stream.
+pub(crate) fn whole_stream() -> String {
+    (1..=6)
+        .map(|id| format!("id: {id}\ndata: part {id}\n\n"))
+        .collect()
+}
--- /dev/null
+++ b/tests/behaviour/entry/two_regions.rs
@@ -0,0 +1,54 @@
+//! Requests for endpoints of another region cross once, by a VM there.
+
+use super::support::new_ip;
+use super::support::whole_stream;
+use super::support::EntryVm;
+use super::support::Site;
+use super::support::EAST;
+use super::support::WEST;
+use std::time::Duration;
+
+#[tokio::test]
+async fn a_region_without_endpoints_is_served_by_way_of_another() {
+    let site = Site::launch(WEST).await;
+    let (east, west) = (new_ip(), new_ip());
+    let _far = EntryVm::launch(west, WEST, &site.store, &[east]).await;
+    let near = EntryVm::launch(east, EAST, &site.store, &[west]).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let response = near
+        .post("/stream/x", "r1")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(response.headers()["server-stamp"], "stamp");
+    assert!(!response.headers().contains_key("figramp-attempts"));
+    assert_eq!(response.text().await.expect("a body"), whole_stream());
+    let response = near.post("/book/x", "r2").send().await.expect("an answer");
+    assert_eq!(response.status(), 200);
+    assert_eq!(site.runs("r2"), 1);
+}
+
+#[tokio::test]
+async fn without_a_vm_there_the_request_is_refused_at_once_as_not_run() {
+    let site = Site::launch(WEST).await;
+    let near = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    let started = std::time::Instant::now();
+    let response = near.post("/book/x", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+    assert!(started.elapsed() < Duration::from_millis(500));
+    assert_eq!(site.runs("r1"), 0);
+}
+
+#[tokio::test]
+async fn a_client_cannot_pretend_to_be_a_vm() {
+    let site = Site::launch(WEST).await;
+    let (east, west) = (new_ip(), new_ip());
+    let _far = EntryVm::launch(west, WEST, &site.store, &[east]).await;
+    let near = EntryVm::launch(east, EAST, &site.store, &[west]).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let request = near.post("/book/x", "r1").header("figramp-attempts", "9");
+    let response = request.send().await.expect("an answer");
+    assert_eq!(response.status(), 200);
+    assert!(!response.headers().contains_key("figramp-not-run"));
+}
--- a/tests/behaviour/main.rs
+++ b/tests/behaviour/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod edge;
 mod endpoint;
+mod entry;
 mod fleet;
 mod idempotency;
 mod limits;
