--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -257,7 +257,7 @@
         placement: &Placement,
         target_ms: f64,
     ) -> Result<(), Refusal> {
-        if self.ran_count > 0 || !self.request.service.is_engine {
+        if self.ran_count > 0 {
             return Ok(());
         }
         let query = OverloadQuery {
--- a/src/fleet/vm_row.rs
+++ b/src/fleet/vm_row.rs
@@ -32,7 +32,7 @@
 pub struct AccountUsage {
     /// The client account.
     pub account: NameHash,
-    /// All units since the start of the incarnation; it only grows.
+    /// All units since the start of the incarnation, less those of requests that did not run.
     pub units: u64,
 }
 
--- a/src/quota/account_bucket.rs
+++ b/src/quota/account_bucket.rs
@@ -41,7 +41,7 @@
         self.balance
     }
 
-    /// Returns all units that this VM admitted.
+    /// Returns the units of all requests that this VM admitted and that were not given back.
     pub const fn own_units(&self) -> u64 {
         self.own_units
     }
@@ -66,8 +66,8 @@
 
     /// Gives back the units of a request that did not run.
     pub fn give_back(&mut self, units: u64) {
-        // The counter only grows; peers see the units as used, which errs on the safe side.
         self.balance += units as f64;
+        self.own_units = self.own_units.saturating_sub(units);
     }
 
     /// Returns how long it takes until the bucket holds units again.
@@ -82,10 +82,11 @@
         let usage = SeenUsage { incarnation, units };
         let added = match self.seen.insert(vm, usage) {
             // What it used before it was first heard was not charged to this bucket's fill.
-            None => 0,
-            Some(seen) if seen.incarnation == incarnation => units.saturating_sub(seen.units),
-            Some(_) => units,
+            None => 0.0,
+            // Less than before if requests did not run.
+            Some(seen) if seen.incarnation == incarnation => units as f64 - seen.units as f64,
+            Some(_) => units as f64,
         };
-        self.balance = (self.balance - added as f64).max(-burst);
+        self.balance = (self.balance - added).clamp(-burst, burst);
     }
 }
--- a/tests/behaviour/quota/peer_usage.rs
+++ b/tests/behaviour/quota/peer_usage.rs
@@ -46,6 +46,19 @@
     assert_eq!(bucket.balance(), 1_000.0);
 }
 
+#[test]
+fn what_did_not_run_elsewhere_is_given_back_here_too() {
+    let mut other = full_bucket();
+    let mut bucket = full_bucket();
+    bucket.on_peer_usage(ip(2), 1, other.own_units(), BURST);
+    assert!(other.try_take(600));
+    bucket.on_peer_usage(ip(2), 1, other.own_units(), BURST);
+    assert_eq!(bucket.balance(), 400.0);
+    other.give_back(600);
+    bucket.on_peer_usage(ip(2), 1, other.own_units(), BURST);
+    assert_eq!(bucket.balance(), 1_000.0);
+}
+
 quickcheck! {
     fn a_vm_that_hears_half_of_the_fleet_fills_half_as_fast(seconds: u8) -> bool {
         let mut whole = AccountBucket::new(at(0));
