--- a/src/placement/overload.rs
+++ b/src/placement/overload.rs
@@ -6,7 +6,7 @@
 const TARGET_PART: f64 = 0.9;
 
 /// The part of the time left within which a late answer must begin to be worth its work.
-const TIME_LEFT_PART: f64 = 0.3;
+const TIME_LEFT_PART: f64 = 0.15;
 
 /// The shortest time after which a refused client should come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(300);
