--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -25,7 +25,7 @@
 use crate::entry::EntryState;
 use crate::fleet::NameHash;
 use crate::placement::choose_region;
-use crate::placement::is_refused;
+use crate::placement::refused_for;
 use crate::placement::AttemptOutcome;
 use crate::placement::EndpointKey;
 use crate::placement::NoPlacement;
@@ -242,7 +242,7 @@
         let draw = self.state.rng.borrow_mut().random();
         match (choose_region(own_ms, others, target_ms, draw), own) {
             (RegionChoice::Own, Ok(placement)) => {
-                self.check_overload(now, &placement, target_ms)?;
+                self.check_overload(&placement, target_ms)?;
                 Ok(self.endpoint(placement, home))
             }
             (RegionChoice::Other(region), _) => self.vm_of(now, region),
@@ -251,22 +251,16 @@
         }
     }
 
-    fn check_overload(
-        &self,
-        now: Monotonic,
-        placement: &Placement,
-        target_ms: f64,
-    ) -> Result<(), Refusal> {
+    fn check_overload(&self, placement: &Placement, target_ms: f64) -> Result<(), Refusal> {
         if self.ran_count > 0 {
             return Ok(());
         }
         let query = OverloadQuery {
             expected_ms: placement.expected_ms,
             target_ms,
-            time_left_ms: milliseconds(self.request.time_left(now)),
             is_busy: placement.is_busy,
         };
-        match is_refused(&query) {
+        match refused_for(&query) {
             None => Ok(()),
             Some(retry_after) => Err(self.refusal(RefusalKind::Overloaded, retry_after)),
         }
@@ -305,6 +299,17 @@
         self.refusal(RefusalKind::NoEndpoint, reason.retry_after())
     }
 
+    fn query(&self, home: Option<PromptHome>) -> PlacementQuery<'_> {
+        PlacementQuery {
+            service: &self.request.service.name,
+            prompt_tokens: self.request.head.prompt_tokens,
+            shared_tokens: self.request.head.shared_tokens,
+            cached_at: home.and_then(PromptHome::own),
+            rank: self.request.priority(),
+            tried: &self.tried,
+        }
+    }
+
     fn own_placement(
         &self,
         now: Monotonic,
@@ -313,15 +318,7 @@
         if !self.request.allows(self.state.settings.region) {
             return Err(NoPlacement::NoneListed);
         }
-        let head = &self.request.head;
-        let query = PlacementQuery {
-            service: &self.request.service.name,
-            prompt_tokens: head.prompt_tokens,
-            shared_tokens: head.shared_tokens,
-            cached_at: home.and_then(PromptHome::own),
-            rank: self.request.priority(),
-            tried: &self.tried,
-        };
+        let query = self.query(home);
         let fleet = self.state.fleet.borrow();
         let cold_rate_per_s = self.request.service.cold_rate_per_s;
         let mut endpoints = self.state.endpoints.borrow_mut();
@@ -367,7 +364,7 @@
             let (_, round_trip_ms) = fleet.gateway_to(now, region, &mut *rng)?;
             let wait_ms = fleet.wait_in(now, region, service);
             let has_prompt = home == Some(PromptHome::Other(region));
-            let prefill_tokens = self.prefill_tokens(has_prompt);
+            let prefill_tokens = self.query(home).prefill_tokens(has_prompt);
             Some(RegionOption {
                 region,
                 expected_ms: round_trip_ms.unwrap_or(ROUND_TRIP_UNKNOWN_MS)
@@ -379,14 +376,6 @@
         options.collect()
     }
 
-    fn prefill_tokens(&self, is_cached: bool) -> u64 {
-        let head = &self.request.head;
-        match is_cached {
-            true => head.prompt_tokens.saturating_sub(head.shared_tokens),
-            false => head.prompt_tokens,
-        }
-    }
-
     fn vm_of(&self, now: Monotonic, region: RegionKey) -> Result<Target, Refusal> {
         let fleet = self.state.fleet.borrow();
         let mut rng = self.state.rng.borrow_mut();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -23,7 +23,7 @@
 pub use endpoint_table::NoPlacement;
 pub use endpoint_table::Placement;
 pub use endpoint_table::PREFILL_MS_PER_TOKEN;
-pub use overload::is_refused;
+pub use overload::refused_for;
 pub use overload::OverloadQuery;
 pub use placement_query::PlacementQuery;
 pub use prompt_home::PromptHome;
--- a/src/placement/overload.rs
+++ b/src/placement/overload.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-/// The part of the target latency up to which a request is taken without condition.
-const TARGET_PART: f64 = 0.9;
-
-/// The part of the time left within which a late answer must begin to be worth its work.
-const TIME_LEFT_PART: f64 = 0.15;
+/// The part of the target latency up to which a request is taken; the rest allows for what other
+/// VMs send at the same time.
+const TARGET_PART: f64 = 0.7;
 
 /// The shortest time after which a refused client should come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(300);
@@ -18,8 +16,6 @@
     pub expected_ms: f64,
     /// The time within which the first event is on time, in milliseconds.
     pub target_ms: f64,
-    /// The time that the client still waits, in milliseconds.
-    pub time_left_ms: f64,
     /// Whether requests wait at the endpoint, or more than half of its places are taken.
     pub is_busy: bool,
 }
@@ -27,12 +23,10 @@
 /// Returns when a client should come back, if its request should be refused now.
 ///
 /// It answers loads above what the endpoints can serve for seconds: without a bound on the wait
-/// all answers are late, and the work on those that miss their deadline is lost. A request that
-/// would be late is taken only while there is time enough for it anyhow.
-pub fn is_refused(query: &OverloadQuery) -> Option<Duration> {
+/// all answers are late, and the work on those that miss their deadline is lost.
+pub fn refused_for(query: &OverloadQuery) -> Option<Duration> {
     let is_on_time = query.expected_ms <= query.target_ms * TARGET_PART;
-    let is_late_in_time = query.expected_ms <= query.time_left_ms * TIME_LEFT_PART;
-    if !query.is_busy || is_on_time || is_late_in_time {
+    if !query.is_busy || is_on_time {
         return None;
     }
     let excess_ms = query.expected_ms - query.target_ms * TARGET_PART;
