--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -19,6 +19,7 @@
 mod running_request;
 mod served_request;
 mod services;
+mod target_choice;
 mod upstream;
 mod upstream_error;
 
--- /dev/null
+++ b/src/edge/target_choice.rs
@@ -0,0 +1,193 @@
+//! Where the next attempt of a request goes.
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::attempt::Target;
+use super::attempts::Attempts;
+use super::Refusal;
+use super::RefusalKind;
+use crate::clock::Monotonic;
+use crate::deployment::RegionKey;
+use crate::fleet::NameHash;
+use crate::placement::choose_region;
+use crate::placement::refused_for;
+use crate::placement::NoPlacement;
+use crate::placement::OverloadQuery;
+use crate::placement::Placement;
+use crate::placement::PlacementQuery;
+use crate::placement::PromptHome;
+use crate::placement::RegionChoice;
+use crate::placement::RegionOption;
+use crate::placement::PREFILL_MS_PER_TOKEN;
+
+/// The way to another region and back that is assumed before it was measured.
+const ROUND_TRIP_UNKNOWN_MS: f64 = 150.0;
+
+/// The wait in another region that is assumed where its VMs tell none.
+const WAIT_UNKNOWN_MS: f64 = 60.0;
+
+impl Attempts {
+    /// Chooses where the next attempt goes.
+    pub(super) fn choose(&self, now: Monotonic) -> Result<Target, Refusal> {
+        let home = self.prompt_home(now);
+        let own = self.own_placement(now, home);
+        let own_ms = own.as_ref().ok().map(|placement| placement.expected_ms);
+        let target_ms = milliseconds(self.request.route.target_latency);
+        let others = self.other_regions(now, home);
+        let draw = self.state.rng.borrow_mut().random();
+        match (choose_region(own_ms, others, target_ms, draw), own) {
+            (RegionChoice::Own, Ok(placement)) => {
+                self.check_overload(&placement, target_ms)?;
+                Ok(self.endpoint(placement, home))
+            }
+            (RegionChoice::Other(region), _) => self.vm_of(now, region),
+            (_, Err(reason)) => Err(self.none(reason)),
+            (RegionChoice::None, Ok(_)) => Err(self.none(NoPlacement::NoneListed)),
+        }
+    }
+
+    fn check_overload(&self, placement: &Placement, target_ms: f64) -> Result<(), Refusal> {
+        if self.ran_count > 0 {
+            return Ok(());
+        }
+        let query = OverloadQuery {
+            expected_ms: placement.expected_ms,
+            target_ms,
+            is_busy: placement.is_busy,
+        };
+        match refused_for(&query) {
+            None => Ok(()),
+            Some(retry_after) => Err(self.refusal(RefusalKind::Overloaded, retry_after)),
+        }
+    }
+
+    /// Returns the endpoint that keeps the shared part of the prompt.
+    ///
+    /// Parts that take longer to prefill than to reach are kept once for all regions, others once
+    /// in each region.
+    fn prompt_home(&self, now: Monotonic) -> Option<PromptHome> {
+        let part_hash = self.request.head.first_part_hash?;
+        let prefill_ms = self.request.head.shared_tokens as f64 * PREFILL_MS_PER_TOKEN;
+        let is_shared_widely = prefill_ms > ROUND_TRIP_UNKNOWN_MS;
+        let endpoints = self.state.endpoints.borrow();
+        let fleet = self.state.fleet.borrow();
+        endpoints.prompt_home(now, &self.request.service.name, part_hash, |region| {
+            is_shared_widely
+                && self.request.allows(region)
+                && !fleet.ready_in(now, region).is_empty()
+        })
+    }
+
+    fn none(&self, reason: NoPlacement) -> Refusal {
+        if self.ran_count > 0 {
+            return Refusal::new(RefusalKind::Failed);
+        }
+        log::info!(
+            request = &*self.request.head.request_id,
+            service = self.request.service.name.as_str(),
+            route = self.request.route.name.as_str(),
+            reason:? = reason,
+            tried = self.tried.len(),
+            tried_regions = self.tried_regions.len();
+            "no endpoint"
+        );
+        self.refusal(RefusalKind::NoEndpoint, reason.retry_after())
+    }
+
+    fn query(&self, home: Option<PromptHome>) -> PlacementQuery<'_> {
+        PlacementQuery {
+            service: &self.request.service.name,
+            prompt_tokens: self.request.head.prompt_tokens,
+            shared_tokens: self.request.head.shared_tokens,
+            cached_at: home.and_then(PromptHome::own),
+            rank: self.request.priority(),
+            tried: &self.tried,
+        }
+    }
+
+    fn own_placement(
+        &self,
+        now: Monotonic,
+        home: Option<PromptHome>,
+    ) -> Result<Placement, NoPlacement> {
+        if !self.request.allows(self.state.settings.region) {
+            return Err(NoPlacement::NoneListed);
+        }
+        let query = self.query(home);
+        let fleet = self.state.fleet.borrow();
+        let cold_rate_per_s = self.request.service.cold_rate_per_s;
+        let mut endpoints = self.state.endpoints.borrow_mut();
+        endpoints.choose(now, &query, cold_rate_per_s, |duty, count| {
+            fleet.has_duty(now, duty, count)
+        })
+    }
+
+    fn endpoint(&self, placement: Placement, home: Option<PromptHome>) -> Target {
+        let endpoints = self.state.endpoints.borrow();
+        let record = endpoints
+            .get(placement.endpoint)
+            .map(|state| state.record())
+            .expect("the endpoint was just chosen");
+        Target::Endpoint {
+            placement,
+            address: record.address,
+            instance: record.instance.id.clone(),
+            copy_prompt_from: home
+                .and_then(PromptHome::own)
+                .filter(|key| *key != placement.endpoint && self.request.head.shared_tokens > 0)
+                .and_then(|key| endpoints.get(key))
+                .map(|state| state.record().address),
+        }
+    }
+
+    fn other_regions(&self, now: Monotonic, home: Option<PromptHome>) -> Vec<RegionOption> {
+        if self.request.hop.is_some() {
+            return Vec::new();
+        }
+        let topology = &self.state.settings.topology;
+        let endpoints = self.state.endpoints.borrow();
+        let others = topology.regions().filter(|region| {
+            *region != self.state.settings.region
+                && self.request.allows(*region)
+                && !self.tried_regions.contains(region)
+                && endpoints.serves_elsewhere(&self.request.service.name, *region)
+        });
+        let fleet = self.state.fleet.borrow();
+        let mut rng = self.state.rng.borrow_mut();
+        let service = NameHash::from(&self.request.service.name);
+        let options = others.filter_map(|region| {
+            let (_, round_trip_ms) = fleet.gateway_to(now, region, &mut *rng)?;
+            let wait_ms = fleet.wait_in(now, region, service);
+            let has_prompt = home == Some(PromptHome::Other(region));
+            let prefill_tokens = self.query(home).prefill_tokens(has_prompt);
+            Some(RegionOption {
+                region,
+                expected_ms: round_trip_ms.unwrap_or(ROUND_TRIP_UNKNOWN_MS)
+                    + wait_ms.map_or(WAIT_UNKNOWN_MS, f64::from)
+                    + prefill_tokens as f64 * PREFILL_MS_PER_TOKEN,
+                has_prompt,
+            })
+        });
+        options.collect()
+    }
+
+    fn vm_of(&self, now: Monotonic, region: RegionKey) -> Result<Target, Refusal> {
+        let fleet = self.state.fleet.borrow();
+        let mut rng = self.state.rng.borrow_mut();
+        let (ip, _) = fleet
+            .gateway_to(now, region, &mut *rng)
+            .ok_or_else(|| self.none(NoPlacement::NoneListed))?;
+        // One attempt is kept for the case that the VM is lost on the way.
+        let left = self.request.attempts_max().saturating_sub(self.ran_count);
+        Ok(Target::Vm {
+            ip,
+            attempts_max: left.saturating_sub(1).max(1),
+        })
+    }
+}
+
+fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -11,6 +11,7 @@
 use super::ColdLimits;
 use super::EndpointKey;
 use super::EndpointState;
+use super::NoPlacement;
 use super::PlacementQuery;
 use super::PromptHome;
 use crate::catalog::Name;
@@ -33,9 +34,6 @@
 /// are priced, and the way is about a millisecond longer.
 const OTHER_ZONE_MS: f64 = 4.0;
 
-/// The time to come back when nothing is known of it: endpoints are replaced within seconds.
-const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(1_000);
-
 /// A chosen endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Placement {
@@ -60,33 +58,6 @@
     }
 }
 
-/// Why no endpoint was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoPlacement {
-    /// No endpoint of the service takes requests here.
-    NoneListed,
-    /// All endpoints failed lately or have been tried.
-    NoneTrusted {
-        /// When one is tried again.
-        retry_after: Duration,
-    },
-    /// The endpoints that are left are cold and have their share of requests.
-    AllCold {
-        /// When the next request may be sent.
-        retry_after: Duration,
-    },
-}
-
-impl NoPlacement {
-    /// Returns when a request may find an endpoint.
-    pub const fn retry_after(self) -> Duration {
-        match self {
-            Self::NoneListed => RETRY_AFTER_UNKNOWN,
-            Self::NoneTrusted { retry_after } | Self::AllCold { retry_after } => retry_after,
-        }
-    }
-}
-
 /// The endpoints of the own region.
 ///
 /// It answers loads in which prompts share long parts: requests with the same first part go to
@@ -256,7 +227,7 @@
             }
             if query.tried.contains(&key) || state.trust.is_paused(now) {
                 reason = NoPlacement::NoneTrusted {
-                    retry_after: RETRY_AFTER_UNKNOWN,
+                    retry_after: NoPlacement::RETRY_AFTER_UNKNOWN,
                 };
                 continue;
             }
