--- a/src/clock/suspend_clock.rs
+++ b/src/clock/suspend_clock.rs
@@ -1,7 +1,6 @@
 //! A clock that also counts the time in which the machine was suspended.
 
 use std::time::Duration;
-use std::time::SystemTime;
 
 use rustix::time::clock_gettime;
 use rustix::time::ClockId;
@@ -37,12 +36,7 @@
     }
 
     fn wall_time(&self) -> WallTime {
-        let elapsed = SystemTime::now()
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .unwrap_or_default();
-        WallTime {
-            unix_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
-        }
+        WallTime::of_system()
     }
 }
 
--- a/src/clock/system_clock.rs
+++ b/src/clock/system_clock.rs
@@ -1,7 +1,6 @@
 //! The clock of the operating system.
 
 use std::time::Instant;
-use std::time::SystemTime;
 
 use super::Clock;
 use super::Monotonic;
@@ -34,11 +33,6 @@
     }
 
     fn wall_time(&self) -> WallTime {
-        let elapsed = SystemTime::now()
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .unwrap_or_default();
-        WallTime {
-            unix_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
-        }
+        WallTime::of_system()
     }
 }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -129,7 +129,10 @@
         };
         loop {
             let Ok(frame) = timeout(silence_max, answer.body.frame()).await else {
-                return Err(UpstreamError::Silent(silence_max));
+                return Err(match silence_max < time_left {
+                    true => UpstreamError::Silent(silence_max),
+                    false => UpstreamError::DeadlinePassed,
+                });
             };
             match frame {
                 None => return Ok(Piece::End),
--- a/tests/behaviour/entry/support.rs
+++ b/tests/behaviour/entry/support.rs
@@ -50,9 +50,12 @@
             "resumable": resumable, "homeRegions": [],
         })
     };
+    let mut homed = route("homed", "safe", "plain", false, 2);
+    homed["homeRegions"] = json!(["west"]);
     json!({
         "version": version,
         "routes": [
+            homed,
             route("read", "safe", "plain", false, 2),
             route("book", "unsafe", "plain", false, 1),
             route("stream", "streaming", "engine", true, 2),
--- a/tests/behaviour/entry/two_regions.rs
+++ b/tests/behaviour/entry/two_regions.rs
@@ -1,12 +1,13 @@
 //! Requests for endpoints of another region cross once, by a VM there.
 
+use std::time::Duration;
+
 use super::support::new_ip;
 use super::support::whole_stream;
 use super::support::EntryVm;
 use super::support::Site;
 use super::support::EAST;
 use super::support::WEST;
-use std::time::Duration;
 
 #[tokio::test]
 async fn a_region_without_endpoints_is_served_by_way_of_another() {
@@ -52,3 +53,29 @@
     assert_eq!(response.status(), 200);
     assert!(!response.headers().contains_key("figramp-not-run"));
 }
+
+#[tokio::test]
+async fn a_request_bound_to_a_region_runs_nowhere_else() {
+    let site = Site::launch(EAST).await;
+    let (east, west) = (new_ip(), new_ip());
+    let _far = EntryVm::launch(west, WEST, &site.store, &[east]).await;
+    let near = EntryVm::launch(east, EAST, &site.store, &[west]).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let response = near.post("/homed/x", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 503);
+    assert_eq!(site.runs("r1"), 0);
+    let response = near.post("/read/x", "r2").send().await.expect("an answer");
+    assert_eq!(response.status(), 200);
+}
+
+#[tokio::test]
+async fn a_request_bound_to_another_region_is_served_there() {
+    let site = Site::launch(WEST).await;
+    let (east, west) = (new_ip(), new_ip());
+    let _far = EntryVm::launch(west, WEST, &site.store, &[east]).await;
+    let near = EntryVm::launch(east, EAST, &site.store, &[west]).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let response = near.post("/homed/x", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 200);
+    assert_eq!(site.runs("r1"), 1);
+}
