Tell the end of the shortest pause, use a refusing endpoint when no other is left

Cause: where all endpoints were left out, requests were told a constant second, though pauses of 60 to 2,400 ms were known; and an only endpoint that had refused one request got none for 60 ms, also where no other region could serve. Fields without a reader are gone. Ruled out: taking a refusing endpoint before another region, which would send to a full one.

Tests: placement::failures, three new; their query fields are new, so they were not run on the code before.

--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -43,6 +43,7 @@
                 Ok(self.endpoint(placement, home))
             }
             (RegionChoice::Other(region), _) => self.vm_of(now, region),
+            (_, Err(NoPlacement::NoneTrusted { .. })) => self.refusing_endpoint(now, home),
             (_, Err(reason)) => Err(self.none(reason)),
             (RegionChoice::None, Ok(_)) => Err(self.none(NoPlacement::NoneListed)),
         }
@@ -96,7 +97,25 @@
         self.refusal(RefusalKind::NoEndpoint, reason.retry_after())
     }
 
-    fn query(&self, home: Option<PromptHome>) -> PlacementQuery<'_> {
+    /// Chooses an endpoint that refused a moment ago, where no other is left in any region.
+    fn refusing_endpoint(
+        &self,
+        now: Monotonic,
+        home: Option<PromptHome>,
+    ) -> Result<Target, Refusal> {
+        let query = PlacementQuery {
+            accepts_refusing: true,
+            ..self.query(now, home)
+        };
+        match self.place(now, &query) {
+            Ok(placement) => Ok(self.endpoint(placement, home)),
+            Err(reason) => Err(self.none(reason)),
+        }
+    }
+
+    fn query(&self, now: Monotonic, home: Option<PromptHome>) -> PlacementQuery<'_> {
+        let near_count = self.state.fleet.borrow().alive_in(now, true).count() + 1;
+        let near_count = u32::try_from(near_count).unwrap_or(u32::MAX);
         PlacementQuery {
             service: &self.request.service.name,
             prompt_tokens: self.request.head.prompt_tokens,
@@ -104,6 +123,8 @@
             cached_at: home.and_then(PromptHome::own),
             rank: self.request.priority(),
             tried: &self.tried,
+            own_requests_max: (self.request.service.connections_max / near_count).max(1),
+            accepts_refusing: false,
         }
     }
 
@@ -115,11 +136,14 @@
         if !self.request.allows(self.state.settings.region) {
             return Err(NoPlacement::NoneListed);
         }
-        let query = self.query(home);
+        self.place(now, &self.query(now, home))
+    }
+
+    fn place(&self, now: Monotonic, query: &PlacementQuery<'_>) -> Result<Placement, NoPlacement> {
         let fleet = self.state.fleet.borrow();
         let cold_rate_per_s = self.request.service.cold_rate_per_s;
         let mut endpoints = self.state.endpoints.borrow_mut();
-        endpoints.choose(now, &query, cold_rate_per_s, |duty, count| {
+        endpoints.choose(now, query, cold_rate_per_s, |duty, count| {
             fleet.has_duty(now, duty, count)
         })
     }
@@ -157,11 +181,12 @@
         let fleet = self.state.fleet.borrow();
         let mut rng = self.state.rng.borrow_mut();
         let service = NameHash::from(&self.request.service.name);
+        let query = self.query(now, home);
         let options = others.filter_map(|region| {
             let (_, round_trip_ms) = fleet.gateway_to(now, region, &mut *rng)?;
             let wait_ms = fleet.wait_in(now, region, service);
             let has_prompt = home == Some(PromptHome::Other(region));
-            let prefill_tokens = self.query(home).prefill_tokens(has_prompt);
+            let prefill_tokens = query.prefill_tokens(has_prompt);
             Some(RegionOption {
                 region,
                 expected_ms: round_trip_ms.unwrap_or(ROUND_TRIP_UNKNOWN_MS)
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -35,18 +35,12 @@
     pub shutdown_grace: Duration,
     /// The longest time for which clients keep an answer of the directory.
     pub directory_ttl_max: Duration,
-    /// The factor on the tolerated rate of a cold endpoint.
-    pub cold_overage: f64,
-    /// The requests above that rate.
-    pub cold_slack: f64,
     /// The repeats allowed, as a part of the requests of a service.
     pub retry_ratio: f64,
     /// The window in which repeats are counted.
     pub retry_window: Duration,
     /// The repeats allowed beyond the ratio, over all VMs.
     pub retry_slack: f64,
-    /// The window in which the use of an account is counted.
-    pub quota_window: Duration,
     /// The tolerated part above an account's rate.
     pub quota_overage: f64,
 }
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -1,9 +1,15 @@
 //! What a VM knows of one instance of an endpoint.
 
+use std::time::Duration;
+
 use super::load_estimate::LoadEstimate;
 use super::trust::Trust;
 use super::wait_estimate::WaitEstimate;
 use super::ColdGate;
+use super::EndpointKey;
+use super::NoPlacement;
+use super::PlacementQuery;
+use super::PREFILL_MS_PER_TOKEN;
 use crate::clock::Monotonic;
 use crate::deployment::EndpointRecord;
 use crate::deployment::EndpointStanding;
@@ -59,4 +65,28 @@
     pub fn is_busy(&self, now: Monotonic) -> bool {
         self.load.total_requests(now) * 2 > self.record.slots
     }
+
+    /// Returns for how long the endpoint is no choice for a request, if it is none.
+    pub(super) fn left_out_for(
+        &self,
+        now: Monotonic,
+        key: EndpointKey,
+        query: &PlacementQuery<'_>,
+    ) -> Option<Duration> {
+        let is_full = self.own_requests() >= query.own_requests_max;
+        if is_full || query.tried.contains(&key) {
+            return Some(NoPlacement::RETRY_AFTER_UNKNOWN);
+        }
+        self.trust.pause(now, query.accepts_refusing)
+    }
+
+    /// Returns the expected time to the first event of a request, in milliseconds.
+    pub(super) fn expected_ms(&self, now: Monotonic, prefill_tokens: u64, rank: u8) -> f64 {
+        let ahead_tokens = self.load.own_prefill_tokens() + prefill_tokens;
+        let prefill_ms = ahead_tokens as f64 * PREFILL_MS_PER_TOKEN;
+        let slots = f64::from(self.record.slots.max(1));
+        let occupancy = f64::from(self.load.total_requests(now)) / slots;
+        (self.waits.wait_ms(now, rank) * (1.0 + occupancy) + prefill_ms)
+            * self.trust.attempts_per_success()
+    }
 }
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -183,8 +183,8 @@
     /// Returns the shortest wait for a small request of a service, in milliseconds.
     pub fn shortest_wait_ms(&self, now: Monotonic, service: &Name) -> Option<f64> {
         self.of_service(service)
-            .filter(|(_, state)| state.takes_requests() && !state.trust.is_paused(now))
-            .map(|(_, state)| expected_ms(now, state, 0, MIDDLE_RANK))
+            .filter(|(_, state)| state.takes_requests() && state.trust.pause(now, false).is_none())
+            .map(|(_, state)| state.expected_ms(now, 0, MIDDLE_RANK))
             .min_by(f64::total_cmp)
     }
 
@@ -225,17 +225,15 @@
             if !state.takes_requests() {
                 continue;
             }
-            if query.tried.contains(&key) || state.trust.is_paused(now) {
-                reason = NoPlacement::NoneTrusted {
-                    retry_after: NoPlacement::RETRY_AFTER_UNKNOWN,
-                };
+            if let Some(retry_after) = state.left_out_for(now, key, query) {
+                reason = reason.sooner(NoPlacement::NoneTrusted { retry_after });
                 continue;
             }
             if state.is_cold(now) && cold_rate_per_s > 0.0 {
                 let retry_after = state.cold_gate.opens_in(now, cold_limits);
                 let is_mine = has_cold_duty(duty_hash(&state.record.instance), SENDERS);
                 if !is_mine || !state.cold_gate.is_open(now, cold_limits) {
-                    reason = NoPlacement::AllCold { retry_after };
+                    reason = reason.sooner(NoPlacement::AllCold { retry_after });
                     continue;
                 }
             }
@@ -244,7 +242,7 @@
                 true => 0.0,
                 false => OTHER_ZONE_MS,
             };
-            let expected_ms = expected_ms(now, state, prefill_tokens, query.rank) + way_ms;
+            let expected_ms = state.expected_ms(now, prefill_tokens, query.rank) + way_ms;
             if best.is_none_or(|best| expected_ms < best.expected_ms) {
                 best = Some(Placement {
                     endpoint: key,
@@ -367,15 +365,6 @@
 /// The rank whose wait is told to other regions.
 const MIDDLE_RANK: u8 = 1;
 
-fn expected_ms(now: Monotonic, state: &EndpointState, prefill_tokens: u64, rank: u8) -> f64 {
-    let ahead_tokens = state.load.own_prefill_tokens() + prefill_tokens;
-    let prefill_ms = ahead_tokens as f64 * PREFILL_MS_PER_TOKEN;
-    let slots = f64::from(state.record.slots.max(1));
-    let occupancy = f64::from(state.load.total_requests(now)) / slots;
-    (state.waits.wait_ms(now, rank) * (1.0 + occupancy) + prefill_ms)
-        * state.trust.attempts_per_success()
-}
-
 fn cold_start(deployment: Option<&Deployment>, service: &Name) -> Duration {
     let services = deployment.into_iter().flat_map(Deployment::services);
     services
--- a/src/placement/no_placement.rs
+++ b/src/placement/no_placement.rs
@@ -23,6 +23,16 @@
     /// The time to come back when nothing is known of it: endpoints are replaced within seconds.
     pub(super) const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(1_000);
 
+    /// Returns the reason of which a request learns: the one that passes first.
+    pub(super) fn sooner(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::NoneListed, _) => other,
+            (_, Self::NoneListed) => self,
+            _ if other.retry_after() < self.retry_after() => other,
+            _ => self,
+        }
+    }
+
     /// Returns when a request may find an endpoint.
     pub const fn retry_after(self) -> Duration {
         match self {
--- a/src/placement/placement_query.rs
+++ b/src/placement/placement_query.rs
@@ -18,6 +18,10 @@
     pub rank: u8,
     /// The endpoints that the request was sent to already.
     pub tried: &'a [EndpointKey],
+    /// The requests that this VM may have at one endpoint: its share of the connections.
+    pub own_requests_max: u32,
+    /// Whether an endpoint that refused a moment ago is better than none.
+    pub accepts_refusing: bool,
 }
 
 impl PlacementQuery<'_> {
--- a/src/placement/trust.rs
+++ b/src/placement/trust.rs
@@ -31,6 +31,7 @@
     failure_rate: Smoothed,
     unreachable_count: u32,
     paused_until: Option<Monotonic>,
+    refusing_until: Option<Monotonic>,
 }
 
 impl Trust {
@@ -39,10 +40,11 @@
             AttemptOutcome::Answered { .. } => {
                 self.unreachable_count = 0;
                 self.paused_until = None;
+                self.refusing_until = None;
                 self.failure_rate.add(0.0, ATTEMPT_WEIGHT);
             }
             AttemptOutcome::Refused => {
-                self.paused_until = self.paused_until.max(Some(now + REFUSAL_PAUSE));
+                self.refusing_until = Some(now + REFUSAL_PAUSE);
             }
             AttemptOutcome::Failed => self.failure_rate.add(1.0, ATTEMPT_WEIGHT),
             AttemptOutcome::Unreachable => {
@@ -55,8 +57,13 @@
         }
     }
 
-    pub(super) fn is_paused(&self, now: Monotonic) -> bool {
-        self.paused_until.is_some_and(|until| now < until)
+    /// Returns how long the endpoint is left out; with `accepts_refusing` not for a refusal.
+    pub(super) fn pause(&self, now: Monotonic, accepts_refusing: bool) -> Option<Duration> {
+        let refusing_until = self.refusing_until.filter(|_| !accepts_refusing);
+        self.paused_until
+            .max(refusing_until)
+            .filter(|until| now < *until)
+            .map(|until| until.since(now))
     }
 
     /// Returns the number of attempts that a success is expected to take.
--- a/src/platform/settings_wire.rs
+++ b/src/platform/settings_wire.rs
@@ -58,18 +58,12 @@
     grace_s: f64,
     #[serde(rename = "ttl_max_s")]
     ttl_max_s: f64,
-    #[serde(rename = "coldOverage")]
-    cold_overage: f64,
-    #[serde(rename = "coldSlack")]
-    cold_slack: f64,
     #[serde(rename = "retryBudgetRatio")]
     retry_budget_ratio: f64,
     #[serde(rename = "budgetWindowS")]
     budget_window_s: f64,
     #[serde(rename = "budgetSlack")]
     budget_slack: f64,
-    #[serde(rename = "quotaWindowS", default)]
-    quota_window_s: f64,
     #[serde(rename = "quotaOverage", default)]
     quota_overage: f64,
 }
@@ -127,12 +121,9 @@
             key_withdrawal: seconds(wire.revoke_ms / 1_000.0),
             shutdown_grace: seconds(wire.grace_s),
             directory_ttl_max: seconds(wire.ttl_max_s),
-            cold_overage: wire.cold_overage,
-            cold_slack: wire.cold_slack,
             retry_ratio: wire.retry_budget_ratio,
             retry_window: seconds(wire.budget_window_s),
             retry_slack: wire.budget_slack,
-            quota_window: seconds(wire.quota_window_s),
             quota_overage: wire.quota_overage,
         }
     }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -50,7 +50,6 @@
     address: SocketAddr,
     topology: Topology,
     connection: Option<SendRequest<Empty<Bytes>>>,
-    call_count: u64,
 }
 
 impl StoreClient {
@@ -60,15 +59,9 @@
             address,
             topology,
             connection: None,
-            call_count: 0,
         }
     }
 
-    /// Returns the number of calls so far.
-    pub const fn call_count(&self) -> u64 {
-        self.call_count
-    }
-
     /// Reads everything the system needs; the answers are linearizable.
     ///
     /// # Errors
@@ -130,7 +123,6 @@
             "" => format!("/kv-range?prefix={prefix}"),
             after => format!("/kv-range?prefix={prefix}&after={after}"),
         };
-        self.call_count += 1;
         let limit = Duration::from_millis(CALL_TIMEOUT_MS);
         let result = match timeout(limit, self.get(&query)).await {
             Ok(result) => result,
--- a/tests/behaviour/placement/failures.rs
+++ b/tests/behaviour/placement/failures.rs
@@ -5,6 +5,7 @@
 use figramp::deployment::EndpointStanding;
 use figramp::placement::AttemptOutcome;
 use figramp::placement::NoPlacement;
+use figramp::placement::PlacementQuery;
 
 use super::support::answer;
 use super::support::choose;
@@ -29,6 +30,59 @@
     assert!(choose(&mut table, at(400)).is_ok());
 }
 
+#[test]
+fn the_time_to_come_back_is_the_end_of_the_shortest_pause() {
+    let mut table = table(at(0), &["a", "b"]);
+    let first = choose(&mut table, at(0)).expect("an endpoint");
+    table.on_late_outcome(at(0), &first, AttemptOutcome::Unreachable);
+    let second = choose(&mut table, at(100)).expect("the other endpoint");
+    table.on_late_outcome(at(100), &second, AttemptOutcome::Unreachable);
+    table.on_late_outcome(at(100), &second, AttemptOutcome::Unreachable);
+    let refused = choose(&mut table, at(200)).expect_err("both are paused");
+    assert_eq!(refused.retry_after(), Duration::from_millis(100));
+}
+
+#[test]
+fn an_endpoint_that_refused_is_used_when_nothing_else_is_left() {
+    let mut table = table(at(0), &["a"]);
+    let refusing = choose(&mut table, at(0)).expect("an endpoint");
+    table.on_late_outcome(at(0), &refusing, AttemptOutcome::Refused);
+    assert!(choose(&mut table, at(10)).is_err());
+    let service = service();
+    let last = PlacementQuery {
+        accepts_refusing: true,
+        ..query(&service, &[])
+    };
+    let chosen = table.choose(at(10), &last, 0.0, |_, _| true);
+    assert_eq!(
+        chosen.expect("it may have room").endpoint,
+        refusing.endpoint
+    );
+    let tried = [refusing.endpoint];
+    let again = PlacementQuery {
+        tried: &tried,
+        ..last
+    };
+    assert!(table.choose(at(10), &again, 0.0, |_, _| true).is_err());
+}
+
+#[test]
+fn an_endpoint_gets_no_more_than_its_share_of_connections() {
+    let mut table = table(at(0), &["a"]);
+    let service = service();
+    let limited = PlacementQuery {
+        own_requests_max: 2,
+        ..query(&service, &[])
+    };
+    for _ in 0..2 {
+        let placement = table.choose(at(0), &limited, 0.0, |_, _| true);
+        table.on_sent(at(0), &placement.expect("a connection is left"));
+    }
+    let refused = table.choose(at(0), &limited, 0.0, |_, _| true);
+    let refused = refused.expect_err("all connections are taken");
+    assert!(refused.retry_after() > Duration::ZERO);
+}
+
 #[test]
 fn the_pause_grows_and_is_bounded() {
     let mut table = table(at(0), &["a"]);
--- a/tests/behaviour/placement/prompts.rs
+++ b/tests/behaviour/placement/prompts.rs
@@ -93,6 +93,8 @@
         cached_at: home.and_then(PromptHome::own),
         rank: 1,
         tried: &[],
+        own_requests_max: u32::MAX,
+        accepts_refusing: false,
     };
     let first = table
         .choose(at(0), &query, 0.0, |_, _| true)
--- a/tests/behaviour/placement/support.rs
+++ b/tests/behaviour/placement/support.rs
@@ -40,6 +40,8 @@
         cached_at: None,
         rank: 0,
         tried,
+        own_requests_max: u32::MAX,
+        accepts_refusing: false,
     }
 }
 
