Test that work ends with its client, and stops during a crossing

Ruled out: that only the drop of a connection's task ends the work: hyper closes the connection with its sender too, so that change alone fails no test.

--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -41,6 +41,8 @@
 struct EndpointState {
     faults: EndpointFaults,
     runs: HashMap<String, u32>,
+    /// Each answer that is being made holds a clone.
+    running: Arc<()>,
     last_headers: HeaderMap,
 }
 
@@ -120,6 +122,11 @@
         self.state.lock().runs.values().sum()
     }
 
+    /// Returns how many requests run now.
+    pub fn running_count(&self) -> usize {
+        Arc::strong_count(&self.state.lock().running) - 1
+    }
+
     /// Returns a header of the last request that came.
     pub fn last_header(&self, name: &str) -> Option<String> {
         let state = self.state.lock();
@@ -152,7 +159,7 @@
         return Ok(empty(StatusCode::MISDIRECTED_REQUEST));
     }
     let request_id = header("request-id").unwrap_or_default();
-    let faults = {
+    let (faults, running) = {
         let mut state = state.lock();
         state.last_headers.clone_from(&parts.headers);
         if state.faults.is_full {
@@ -162,15 +169,15 @@
             return Ok(response);
         }
         *state.runs.entry(request_id.clone()).or_insert(0) += 1;
-        state.faults.clone()
+        (state.faults.clone(), Arc::clone(&state.running))
     };
     let first_event = header("last-event-id")
         .and_then(|last| last.parse::<u64>().ok())
         .map_or(1, |last| last + 1);
     let is_stream = parts.uri.path().contains(STREAM_PATH);
     let body = match is_stream {
-        true => event_stream(first_event, &faults),
-        false => plain_body(&faults),
+        true => event_stream(first_event, &faults, running),
+        false => plain_body(&faults, running),
     };
     let mut response = Response::new(body);
     let shown_id = match faults.crosses_answers {
@@ -186,10 +193,11 @@
     Ok(response)
 }
 
-fn plain_body(faults: &EndpointFaults) -> AnswerBody {
+fn plain_body(faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
     let (pause, loses_answers) = (faults.pause, faults.loses_answers);
     let frames = stream::once(async move {
         sleep(pause).await;
+        drop(running);
         match loses_answers {
             true => Err(broken()),
             false => Ok(Frame::data(Bytes::from_static(b"done"))),
@@ -198,22 +206,25 @@
     Box::pin(StreamBody::new(frames))
 }
 
-fn event_stream(first_event: u64, faults: &EndpointFaults) -> AnswerBody {
+fn event_stream(first_event: u64, faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
     let (pause, cut) = (faults.pause, faults.cuts_in_event);
-    let frames = stream::unfold(Some(first_event), move |next| async move {
-        let id = next.filter(|id| *id <= EVENT_COUNT)?;
-        sleep(pause.max(Duration::from_millis(1))).await;
-        if cut.is_some_and(|cut| id > cut) {
-            return Some((Err(broken()), None));
-        }
-        let event = format!("id: {id}\ndata: part {id}\n\n");
-        let length = match cut == Some(id) {
-            true => event.len() / 2,
-            false => event.len(),
-        };
-        let bytes = Bytes::from(event).slice(..length);
-        Some((Ok(Frame::data(bytes)), Some(id + 1)))
-    });
+    let frames = stream::unfold(
+        (Some(first_event), running),
+        move |(next, running)| async move {
+            let id = next.filter(|id| *id <= EVENT_COUNT)?;
+            sleep(pause.max(Duration::from_millis(1))).await;
+            if cut.is_some_and(|cut| id > cut) {
+                return Some((Err(broken()), (None, running)));
+            }
+            let event = format!("id: {id}\ndata: part {id}\n\n");
+            let length = match cut == Some(id) {
+                true => event.len() / 2,
+                false => event.len(),
+            };
+            let bytes = Bytes::from(event).slice(..length);
+            Some((Ok(Frame::data(bytes)), (Some(id + 1), running)))
+        },
+    );
     Box::pin(StreamBody::new(frames))
 }
 
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Whole daemons on loopback, against stand-ins of the platform.
 
+mod clients_that_leave;
 mod endpoint_faults;
 mod keys;
 mod requests;
--- a/tests/behaviour/entry/stopping.rs
+++ b/tests/behaviour/entry/stopping.rs
@@ -9,6 +9,7 @@
 use super::support::EntryVm;
 use super::support::Site;
 use super::support::EAST;
+use super::support::WEST;
 
 #[tokio::test]
 async fn running_answers_end_whole_and_the_process_exits_with_success() {
@@ -30,6 +31,38 @@
     assert_eq!(vm.wait_for_exit(), Some(0));
 }
 
+/// Streams by way of another region while one of the two VMs stops.
+async fn stop_in_a_crossing(stops_near: bool) {
+    let site = Site::launch(WEST).await;
+    for endpoint in &site.engines {
+        endpoint.set_faults(EndpointFaults {
+            pause: Duration::from_millis(400),
+            ..EndpointFaults::default()
+        });
+    }
+    let (east, west) = (new_ip(), new_ip());
+    let far = EntryVm::launch(west, WEST, &site.store, &[east]).await;
+    let near = EntryVm::launch(east, EAST, &site.store, &[west]).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let request = near.post("/tip-stream/x", "r1");
+    let running = request.send().await.expect("a head");
+    let mut stopped = if stops_near { near } else { far };
+    stopped.signal("-TERM");
+    assert_eq!(running.text().await.expect("a body"), whole_stream());
+    assert_eq!(site.runs("r1"), 1);
+    assert_eq!(stopped.wait_for_exit(), Some(0));
+}
+
+#[tokio::test]
+async fn a_stop_of_the_vm_that_took_the_request_cuts_no_crossing() {
+    stop_in_a_crossing(true).await;
+}
+
+#[tokio::test]
+async fn a_stop_of_the_vm_in_the_other_region_cuts_no_crossing() {
+    stop_in_a_crossing(false).await;
+}
+
 #[tokio::test]
 async fn a_reload_cuts_nothing() {
     let site = Site::launch(EAST).await;
