Bound what a row tells of accounts; fetch a listing that fits no datagram

Cause: a row named all accounts in use and an answer carried the whole listing: at 650 accounts or 2,900 endpoints a datagram passed what UDP carries, was not sent, and gossip fell silent (found in docs/CAPACITY.md and by reading, at sizes that no site has). Ruled out: counting an account on its first mention, which would charge its whole past to a VM that has just started.

Tests: quota::many_accounts, entry::large_listings (seen failing while the fetched listing was not taken).

--- a/src/edge/services.rs
+++ b/src/edge/services.rs
@@ -10,11 +10,11 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 
-use super::configuration_fetch;
 use super::directory;
 use super::edge_body::whole;
 use super::hop;
 use super::hop::Hop;
+use super::peer_fetch;
 use super::request_intake;
 use super::EdgeBody;
 use super::EdgeRole;
@@ -35,7 +35,7 @@
         EdgeRole::Metrics => metrics(&state),
         EdgeRole::Peers => match Hop::decode(request.headers()) {
             Some(hop) => request_intake::serve(state, request, Some(hop)).await,
-            None => configuration_fetch::answer(&state, request.uri()),
+            None => peer_fetch::answer(&state, request.uri()),
         },
         EdgeRole::Clients => {
             hop::strip(request.headers_mut());
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -147,7 +147,7 @@
         let row = fleet.own_mut();
         row.beat += 1;
         row.waits = waits.collect();
-        row.usage = self.quota.borrow().usage();
+        row.usage = self.quota.borrow_mut().next_usage();
         row.reads_store = self.read_plan.borrow().is_store_reachable();
         fleet.forget_departed(now);
         let heard_count = fleet.alive_count(now);
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -1,5 +1,6 @@
 //! Exchanges datagrams with other VMs.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -13,14 +14,17 @@
 use super::EntryState;
 use crate::belief::BeliefDigest;
 use crate::clock::Monotonic;
+use crate::deployment::EndpointListing;
 use crate::edge::fetch_configuration;
+use crate::edge::fetch_listing;
 use crate::fleet::decode_message;
 use crate::fleet::encode_message;
 use crate::fleet::FleetMessage;
+use crate::fleet::FleetWireError;
 use crate::fleet::GossipPlan;
 use crate::fleet::MessageDigest;
 
-/// The longest datagram that is accepted.
+/// The longest datagram: what UDP over IPv4 carries.
 const DATAGRAM_MAX_BYTES: usize = 65_507;
 
 /// Asks other VMs in rounds and answers their questions, for ever.
@@ -29,6 +33,7 @@
     socket: UdpSocket,
     plan: GossipPlan,
     asked: HashMap<Ipv4Addr, Monotonic>,
+    is_fetching_listing: Rc<Cell<bool>>,
 }
 
 impl GossipTask {
@@ -44,6 +49,7 @@
             socket,
             plan,
             asked: HashMap::new(),
+            is_fetching_listing: Rc::default(),
         }
     }
 
@@ -94,7 +100,7 @@
                 listing: has_listing.then(|| belief.listing().as_ref().clone()),
             }
         };
-        let bytes = match encode_message(&message) {
+        let bytes = match encode_datagram(message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(error:% = error; "a datagram could not be written");
@@ -166,22 +172,37 @@
             .on_round_trip(from, now.since(asked_at));
         let digest = message.digest.received(Some(asked_at));
         let news = self.state.belief.borrow_mut().compare(&digest);
-        if let (Some(listing), Some(confirmed_at)) = (message.listing, digest.listing_confirmed_at)
-        {
-            let revision = digest.listing_revision;
-            let is_changed =
-                self.state
-                    .belief
-                    .borrow_mut()
-                    .take_peer_listing(confirmed_at, revision, listing);
-            if is_changed {
-                log::info!(from:% = from, revision = revision; "the listing of a peer differs");
-                self.state.on_belief_changed(now);
-            }
+        let has_listing = message.listing.is_some();
+        if let Some(listing) = message.listing {
+            put_listing(&self.state, from, &digest, listing);
         }
         if news.has_newer_configuration {
             self.fetch_configuration_confirmed(from, digest);
         }
+        if news.has_newer_listing && !has_listing {
+            self.fetch_listing(from);
+        }
+    }
+
+    /// Fetches a listing that did not fit into a datagram; one at a time.
+    fn fetch_listing(&self, from: Ipv4Addr) {
+        if self.is_fetching_listing.replace(true) {
+            return;
+        }
+        let state = Rc::clone(&self.state);
+        let is_fetching = Rc::clone(&self.is_fetching_listing);
+        tokio::task::spawn_local(async move {
+            let asked_at = state.now();
+            let address = state.peer_address(from);
+            match fetch_listing(&state, address).await {
+                Ok(bytes) => take_listing(&state, from, asked_at, &bytes),
+                Err(error) => {
+                    log::warn!(from:% = from, error:% = error; "no listing from a peer");
+                    state.read_now.notify_one();
+                }
+            }
+            is_fetching.set(false);
+        });
     }
 
     fn fetch_configuration(&self, from: Ipv4Addr) {
@@ -208,3 +229,44 @@
         });
     }
 }
+
+/// Encodes a message; a listing that does not fit is left out, and the other VM fetches it.
+fn encode_datagram(mut message: FleetMessage) -> Result<Vec<u8>, FleetWireError> {
+    let bytes = encode_message(&message)?;
+    if bytes.len() <= DATAGRAM_MAX_BYTES {
+        return Ok(bytes);
+    }
+    message.listing = None;
+    encode_message(&message)
+}
+
+fn take_listing(state: &EntryState, from: Ipv4Addr, asked_at: Monotonic, bytes: &[u8]) {
+    match decode_message(bytes) {
+        Ok(message) => {
+            let digest = message.digest.received(Some(asked_at));
+            if let Some(listing) = message.listing {
+                put_listing(state, from, &digest, listing);
+            }
+        }
+        Err(error) => log::warn!(from:% = from, error:% = error; "a listing was dropped"),
+    }
+}
+
+fn put_listing(
+    state: &EntryState,
+    from: Ipv4Addr,
+    digest: &BeliefDigest,
+    listing: EndpointListing,
+) {
+    let Some(confirmed_at) = digest.listing_confirmed_at else {
+        return;
+    };
+    let revision = digest.listing_revision;
+    let mut belief = state.belief.borrow_mut();
+    let is_changed = belief.take_peer_listing(confirmed_at, revision, listing);
+    drop(belief);
+    if is_changed {
+        log::info!(from:% = from, revision = revision; "the listing of a peer differs");
+        state.on_belief_changed(state.now());
+    }
+}
--- a/src/quota/account_bucket.rs
+++ b/src/quota/account_bucket.rs
@@ -22,6 +22,8 @@
     balance: f64,
     filled_at: Monotonic,
     own_units: u64,
+    told_units: u64,
+    told_in_round: u64,
     seen: HashMap<Ipv4Addr, SeenUsage>,
 }
 
@@ -32,6 +34,8 @@
             balance: 0.0,
             filled_at: now,
             own_units: 0,
+            told_units: 0,
+            told_in_round: 0,
             seen: HashMap::new(),
         }
     }
@@ -46,6 +50,22 @@
         self.own_units
     }
 
+    /// Returns whether other VMs were not told yet of all that this VM admitted.
+    pub const fn has_news(&self) -> bool {
+        self.own_units != self.told_units
+    }
+
+    /// Returns the round in which other VMs were last told of the account.
+    pub const fn told_in_round(&self) -> u64 {
+        self.told_in_round
+    }
+
+    /// Notes that other VMs are told of the account.
+    pub const fn on_told(&mut self, round: u64) {
+        self.told_units = self.own_units;
+        self.told_in_round = round;
+    }
+
     /// Fills the bucket; `share` is the part of the fleet that the VM hears, itself included.
     pub fn fill(&mut self, now: Monotonic, rate_per_s: f64, burst: f64, share: f64) {
         let elapsed_s = now.since(self.filled_at).as_secs_f64();
--- a/src/quota/quota_ledger.rs
+++ b/src/quota/quota_ledger.rs
@@ -15,6 +15,10 @@
 /// callers little.
 const OVERAGE_USED: f64 = 0.3;
 
+/// The accounts that a row tells of: a VM serves fewer in a round, and a datagram holds some twenty
+/// rows.
+const USAGE_MAX_ACCOUNTS: usize = 32;
+
 /// A request beyond its account's rate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuotaRefusal {
@@ -33,6 +37,7 @@
     overage: f64,
     buckets: HashMap<NameHash, AccountBucket>,
     heard_share: f64,
+    round: u64,
 }
 
 impl QuotaLedger {
@@ -42,6 +47,7 @@
             overage,
             buckets: HashMap::new(),
             heard_share: 1.0,
+            round: 0,
         }
     }
 
@@ -111,17 +117,28 @@
         }
     }
 
-    /// Returns what this VM admitted of each account.
-    pub fn usage(&self) -> Vec<AccountUsage> {
-        let used = self
-            .buckets
-            .iter()
-            .filter(|(_, bucket)| bucket.own_units() > 0);
-        used.map(|(account, bucket)| AccountUsage {
-            account: *account,
-            units: bucket.own_units(),
-        })
-        .collect()
+    /// Returns what this VM admitted, for the next round of gossip.
+    ///
+    /// It answers fleets with many accounts: those with news come first, then those that other VMs
+    /// were told of longest ago. Counts only grow within an incarnation, so a row may leave some out.
+    pub fn next_usage(&mut self) -> Vec<AccountUsage> {
+        self.round += 1;
+        let buckets = self.buckets.iter_mut();
+        let mut used: Vec<(&NameHash, &mut AccountBucket)> = buckets
+            .filter(|(_, bucket)| bucket.own_units() > 0 || bucket.has_news())
+            .collect();
+        used.sort_by_key(|(account, bucket)| {
+            (!bucket.has_news(), bucket.told_in_round(), **account)
+        });
+        used.truncate(USAGE_MAX_ACCOUNTS);
+        let told = used.into_iter().map(|(account, bucket)| {
+            bucket.on_told(self.round);
+            AccountUsage {
+                account: *account,
+                units: bucket.own_units(),
+            }
+        });
+        told.collect()
     }
 
     fn bucket(&mut self, now: Monotonic, account: &AccountPolicy) -> &mut AccountBucket {
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -92,9 +92,19 @@
 
     /// Returns the record that it registers.
     pub fn record(&self, state: &str) -> String {
+        self.record_at(self.address, state)
+    }
+
+    /// Returns the address that it is bound to.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the record that names another address, such as that of a proxy.
+    pub fn record_at(&self, address: SocketAddr, state: &str) -> String {
         json!({
             "service": self.service,
-            "address": self.address,
+            "address": address,
             "zone": self.zone,
             "version": "v1",
             "slots": 8,
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -3,7 +3,8 @@
 mod clients_that_leave;
 mod endpoint_faults;
 mod keys;
+mod large_listings;
 mod requests;
 mod stopping;
-mod support;
+pub(crate) mod support;
 mod two_regions;
--- a/tests/behaviour/entry/support.rs
+++ b/tests/behaviour/entry/support.rs
@@ -90,6 +90,19 @@
     })
 }
 
+/// Returns where the daemon's log goes: nowhere, unless a directory for logs is named.
+fn log_file(ip: Ipv4Addr) -> Stdio {
+    let Ok(directory) = std::env::var("FIGRAMP_TEST_LOGS") else {
+        return Stdio::null();
+    };
+    let path = PathBuf::from(directory).join(format!("{ip}.log"));
+    let file = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(path);
+    file.expect("a log file").into()
+}
+
 /// A daemon; it is killed when dropped.
 pub(crate) struct EntryVm {
     pub(crate) ip: Ipv4Addr,
@@ -108,7 +121,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_figramp"))
             .arg("entry")
             .env("FIGRAMP_CONFIG", &path)
-            .stdout(Stdio::null())
+            .stdout(log_file(ip))
             .spawn()
             .expect("the daemon starts");
         Self {
--- a/tests/behaviour/quota/fleet_bound.rs
+++ b/tests/behaviour/quota/fleet_bound.rs
@@ -95,10 +95,10 @@
         }
     }
 
-    fn row(&self, vm: usize) -> VmRow {
+    fn row(&mut self, vm: usize) -> VmRow {
         VmRow {
             incarnation: self.incarnations[vm],
-            usage: self.ledgers[vm].usage(),
+            usage: self.ledgers[vm].next_usage(),
             ..row(u8::try_from(vm).expect("a small fleet") + 1, 1)
         }
     }
--- /dev/null
+++ b/tests/behaviour/quota/many_accounts.rs
@@ -0,0 +1,97 @@
+//! What a VM tells of its accounts stays bounded, and reaches other VMs.
+
+use std::collections::BTreeSet;
+
+use figramp::catalog::Name;
+use figramp::clock::Monotonic;
+use figramp::deployment::AccountPolicy;
+use figramp::fleet::encode_message;
+use figramp::fleet::AccountUsage;
+use figramp::fleet::FleetMessage;
+use figramp::fleet::MessageDigest;
+use figramp::fleet::NameHash;
+use figramp::fleet::VmRow;
+use figramp::quota::QuotaLedger;
+
+use crate::belief::support::at;
+use crate::fleet::support::row;
+
+/// The accounts of the users' first letter.
+const ACCOUNT_COUNT: usize = 650;
+
+/// What UDP over IPv4 carries.
+const DATAGRAM_MAX_BYTES: usize = 65_507;
+
+/// The rows of a datagram.
+const ROW_COUNT: u8 = 21;
+
+fn account(number: usize) -> AccountPolicy {
+    AccountPolicy {
+        name: Name::new(format!("account-{number}")).expect("a name"),
+        priority: None,
+        rate_per_s: Some(1_000.0),
+        burst: 1_000.0,
+        is_counted_in_tokens: true,
+        undeclared_tokens: 200,
+        home_regions: Vec::new(),
+    }
+}
+
+fn take(ledger: &mut QuotaLedger, now: Monotonic, number: usize) {
+    let account = account(number);
+    ledger
+        .try_take(now, &account, 100)
+        .expect("inside the rate");
+}
+
+/// Returns a ledger with something used of every account.
+fn used_ledger() -> QuotaLedger {
+    let mut ledger = QuotaLedger::new(0.25);
+    for number in 0..ACCOUNT_COUNT {
+        let _ = ledger.try_take(at(0), &account(number), 0);
+        take(&mut ledger, at(1_000), number);
+    }
+    ledger
+}
+
+#[test]
+fn a_datagram_with_many_accounts_fits() {
+    let usage: Vec<AccountUsage> = used_ledger().next_usage();
+    let rows = (1..=ROW_COUNT).map(|number| VmRow {
+        usage: usage.clone(),
+        ..row(number, 1)
+    });
+    let message = FleetMessage {
+        sent_at: at(0),
+        asked_at: None,
+        digest: MessageDigest::default(),
+        rows: rows.collect(),
+        listing: None,
+    };
+    let bytes = encode_message(&message).expect("it can be written");
+    assert!(bytes.len() < DATAGRAM_MAX_BYTES, "{} bytes", bytes.len());
+}
+
+#[test]
+fn every_account_is_told_in_turn() {
+    let mut ledger = used_ledger();
+    let rounds = ACCOUNT_COUNT.div_ceil(ledger.next_usage().len());
+    let mut ledger = used_ledger();
+    let told: BTreeSet<NameHash> = (0..rounds)
+        .flat_map(|_| ledger.next_usage())
+        .map(|usage| usage.account)
+        .collect();
+    assert_eq!(told.len(), ACCOUNT_COUNT);
+}
+
+#[test]
+fn an_account_with_news_is_told_first() {
+    let mut ledger = used_ledger();
+    for _ in 0..ACCOUNT_COUNT {
+        ledger.next_usage();
+    }
+    let named = NameHash::from(&account(7).name);
+    take(&mut ledger, at(1_500), 7);
+    let first = ledger.next_usage()[0];
+    assert_eq!((first.account, first.units), (named, 200));
+}
--- a/tests/behaviour/quota/mod.rs
+++ b/tests/behaviour/quota/mod.rs
@@ -1,4 +1,5 @@
 //! The rates of client accounts over all VMs.
 
 mod fleet_bound;
+mod many_accounts;
 mod peer_usage;
