Wait for signals before anything else at a start

A SIGHUP 25 ms after its start came before signals were waited for, whose default ends the process; tried by hand, reloads up to 20 ms after the start (debug) and 8 ms (release) ended it.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -42,19 +42,27 @@
 ///
 /// Returns an [`EntryError`] if the settings cannot be used or a port cannot be served.
 pub fn run(settings_path: &Path, log: &BoundedLog) -> Result<(), EntryError> {
-    let settings = load_settings(settings_path)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    // First of all: a SIGHUP that nobody waits for ends the process.
+    let signals = {
+        let _entered = runtime.enter();
+        Signals::new()?
+    };
+    let settings = load_settings(settings_path)?;
     let clock = Rc::new(SuspendClock::new());
     let state = Rc::new(EntryState::new(settings, clock));
     let local = LocalSet::new();
     local.spawn_local(log_task::run(log.clone()));
-    local.block_on(&runtime, serve(state, settings_path))
+    local.block_on(&runtime, serve(state, signals, settings_path))
 }
 
-async fn serve(state: Rc<EntryState>, settings_path: &Path) -> Result<(), EntryError> {
-    let mut signals = Signals::new()?;
+async fn serve(
+    state: Rc<EntryState>,
+    mut signals: Signals,
+    settings_path: &Path,
+) -> Result<(), EntryError> {
     let (stage, stage_seen) = watch::channel(EdgeStage::Serving);
     let listeners = state.settings.listeners;
     for (role, address) in [
--- a/tests/behaviour/entry/stopping.rs
+++ b/tests/behaviour/entry/stopping.rs
@@ -8,6 +8,7 @@
 use super::support::whole_stream;
 use super::support::EntryVm;
 use super::support::Site;
+use super::support::StartingVm;
 use super::support::EAST;
 use super::support::WEST;
 
@@ -63,6 +64,14 @@
     stop_in_a_crossing(false).await;
 }
 
+#[tokio::test]
+async fn a_reload_in_the_middle_of_the_start_ends_nothing() {
+    let site = Site::launch(EAST).await;
+    let starting = StartingVm::start(new_ip(), EAST, site.store.address());
+    starting.vm().signal("-HUP");
+    starting.go_on().wait_until(true).await;
+}
+
 #[tokio::test]
 async fn a_reload_cuts_nothing() {
     let site = Site::launch(EAST).await;
--- a/tests/behaviour/entry/support.rs
+++ b/tests/behaviour/entry/support.rs
@@ -111,6 +111,44 @@
     pub(crate) http: reqwest::Client,
 }
 
+/// A daemon that waits for its settings in a pipe.
+pub(crate) struct StartingVm {
+    vm: EntryVm,
+    pipe: std::fs::File,
+    settings: String,
+}
+
+impl StartingVm {
+    /// Starts a daemon and returns once it reads its settings.
+    pub(crate) fn start(ip: Ipv4Addr, zone: &str, store: SocketAddr) -> Self {
+        let path = std::env::temp_dir().join(format!("figramp-{}-{ip}.pipe", std::process::id()));
+        let made = Command::new("mkfifo").arg(&path).status();
+        assert!(made.expect("mkfifo runs").success());
+        let vm = EntryVm::spawn(ip, path.clone());
+        // Opening a pipe for writing waits for its reader.
+        let pipe = std::fs::File::options().write(true).open(&path);
+        Self {
+            vm,
+            pipe: pipe.expect("the daemon reads the pipe"),
+            settings: settings(ip, zone, store, &[]).to_string(),
+        }
+    }
+
+    pub(crate) fn vm(&self) -> &EntryVm {
+        &self.vm
+    }
+
+    /// Hands the settings to the daemon, and leaves them in a file where it reads them again.
+    pub(crate) fn go_on(mut self) -> EntryVm {
+        let path = &self.vm.settings;
+        std::fs::remove_file(path).expect("the pipe is removed");
+        std::fs::write(path, &self.settings).expect("the settings are written");
+        let written = self.pipe.write_all(self.settings.as_bytes());
+        written.expect("the daemon reads the pipe");
+        self.vm
+    }
+}
+
 impl EntryVm {
     /// Starts a daemon without waiting for it.
     pub(crate) fn start(ip: Ipv4Addr, zone: &str, store: SocketAddr, seeds: &[Ipv4Addr]) -> Self {
@@ -118,6 +156,10 @@
         let mut file = std::fs::File::create(&path).expect("a settings file");
         file.write_all(settings(ip, zone, store, seeds).to_string().as_bytes())
             .expect("the settings are written");
+        Self::spawn(ip, path)
+    }
+
+    fn spawn(ip: Ipv4Addr, path: PathBuf) -> Self {
         let child = Command::new(env!("CARGO_BIN_EXE_figramp"))
             .arg("entry")
             .env("FIGRAMP_CONFIG", &path)
--- a/tests/behaviour/soak/world.rs
+++ b/tests/behaviour/soak/world.rs
@@ -34,6 +34,7 @@
     /// The process; `None` while it is down. Faults of one VM follow one another.
     pub(super) process: AsyncMutex<Option<EntryVm>>,
     pub(super) start_count: Mutex<u32>,
+    pub(super) started_at: Mutex<Instant>,
 }
 
 pub(super) struct EndpointSlot {
@@ -81,6 +82,7 @@
                 store_link: LoopbackProxy::launch(store.address()).await,
                 process: AsyncMutex::new(None),
                 start_count: Mutex::new(0),
+                started_at: Mutex::new(Instant::now()),
             });
         }
         let world = Arc::new(Self {
@@ -148,6 +150,7 @@
         // The old process ends before the new one binds its ports.
         drop(process.take());
         *slot.start_count.lock() += 1;
+        *slot.started_at.lock() = Instant::now();
         let store = slot.store_link.address();
         *process = Some(EntryVm::start(slot.ip, slot.zone, store, &seeds));
     }
