Follow a store that is restored from a backup, by era and revision

Cause: listings were ordered by revision alone. After a restoration all VMs would have kept the old list of endpoints until the counter had passed the old one, and two contents could stand under one revision. Change: the version of a listing is (era, revision), in the store client, the belief, the digest and gossip (a new field; old builds send zero). A read whose pages are of two eras fails. The body of a page is bounded by 8 MiB.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -20,6 +20,8 @@
   listingRevision @2 :UInt64;
   listingHash @3 :UInt64;
   listingAgeMs @4 :UInt32;
+  # The era of the store in which the revision was assigned; zero if it reports none.
+  listingEra @5 :UInt64;
 }
 
 struct VmRow {
--- a/src/belief/belief_digest.rs
+++ b/src/belief/belief_digest.rs
@@ -1,6 +1,7 @@
 //! The digest that VMs exchange to compare their configuration and listing.
 
 use crate::clock::Monotonic;
+use crate::deployment::ListingVersion;
 
 /// Versions, hashes and confirmation times of a [`Belief`](super::Belief).
 ///
@@ -11,8 +12,8 @@
     pub configuration_version: u64,
     /// When the read that returned this version as the newest was sent.
     pub configuration_confirmed_at: Option<Monotonic>,
-    /// The revision of the store at which the listing was read.
-    pub listing_revision: u64,
+    /// The version of the listing.
+    pub listing_version: ListingVersion,
     /// The hash of the listing's content.
     pub listing_hash: u64,
     /// When the read that returned this listing was sent.
--- a/src/belief/lapsed_records.rs
+++ b/src/belief/lapsed_records.rs
@@ -28,22 +28,23 @@
 }
 
 impl LapsedRecords {
-    /// Adds to `new` the ready endpoints of `old` whose records may only have lapsed.
-    pub(super) fn restore(
-        &mut self,
-        now: Monotonic,
-        old: &EndpointListing,
-        new: &mut EndpointListing,
-        previous_read_at: Option<Monotonic>,
-    ) {
-        let had_gap = previous_read_at.is_some_and(|at| now.since(at) > READ_GAP_MAX);
-        if had_gap {
-            for record in old.endpoints.iter().filter(|record| is_ready(record)) {
-                self.records
-                    .entry(record.instance.clone())
-                    .or_insert_with(|| (record.clone(), now + REGISTRATION_TIMEOUT));
-            }
+    /// Returns whether records may have lapsed since the previous read of the store.
+    pub(super) fn may_have_lapsed(now: Monotonic, previous_read_at: Option<Monotonic>) -> bool {
+        previous_read_at.is_some_and(|at| now.since(at) > READ_GAP_MAX)
+    }
+
+    /// Holds the ready endpoints of a listing, as their records may lapse in the next one.
+    pub(super) fn hold_ready(&mut self, now: Monotonic, listing: &EndpointListing) {
+        for record in listing.endpoints.iter().filter(|record| is_ready(record)) {
+            self.records
+                .entry(record.instance.clone())
+                .or_insert_with(|| (record.clone(), now + REGISTRATION_TIMEOUT));
         }
+    }
+
+    /// Adds the endpoints that are held to a listing, unless it contains them or others at their
+    /// addresses.
+    pub(super) fn restore(&mut self, now: Monotonic, new: &mut EndpointListing) {
         self.records.retain(|instance, (record, expires_at)| {
             let is_replaced = new.endpoints.iter().any(|endpoint| {
                 endpoint.instance.id == instance.id || endpoint.address == record.address
--- a/src/belief/mod.rs
+++ b/src/belief/mod.rs
@@ -7,6 +7,7 @@
 mod lapsed_records;
 mod peer_updates;
 mod read_plan;
+mod restored_store;
 
 pub use belief::Belief;
 pub use belief_digest::BeliefDigest;
--- a/src/belief/peer_updates.rs
+++ b/src/belief/peer_updates.rs
@@ -5,6 +5,6 @@
 pub struct PeerUpdates {
     /// The peer has a higher version of the configuration.
     pub has_newer_configuration: bool,
-    /// The peer has a listing of a higher revision with other content.
+    /// The peer has a listing of a higher version with other content.
     pub has_newer_listing: bool,
 }
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -152,7 +152,7 @@
 
     fn reply(&self, now: Monotonic, from: Ipv4Addr, request: &FleetMessage) {
         let digest = self.state.belief.borrow().digest();
-        let has_listing = digest.listing_revision > request.digest.listing_revision
+        let has_listing = digest.listing_version > request.digest.listing_version
             && digest.listing_hash != request.digest.listing_hash;
         self.send(from, now, Some(request.sent_at), has_listing);
         if request.digest.configuration_version > digest.configuration_version {
@@ -179,7 +179,7 @@
             .borrow_mut()
             .on_round_trip(from, now.since(request_sent_at));
         let digest = message.digest.received(Some(request_sent_at));
-        let updates = self.state.belief.borrow_mut().compare(&digest);
+        let updates = self.state.belief.borrow_mut().compare(now, &digest);
         let has_listing = message.listing.is_some();
         if let Some(listing) = message.listing {
             apply_listing(&self.state, from, &digest, listing);
@@ -224,7 +224,7 @@
             match fetch_configuration(&state, address).await {
                 Ok(encoded) => {
                     let is_newer = apply_configuration(&state, encoded, None);
-                    let _ = state.belief.borrow_mut().compare(&digest);
+                    let _ = state.belief.borrow_mut().compare(state.now(), &digest);
                     if is_newer {
                         state.on_belief_changed(state.now());
                     }
@@ -274,12 +274,18 @@
     let Some(confirmed_at) = digest.listing_confirmed_at else {
         return;
     };
-    let revision = digest.listing_revision;
+    let version = digest.listing_version;
+    let now = state.now();
     let mut belief = state.belief.borrow_mut();
-    let is_changed = belief.apply_peer_listing(confirmed_at, revision, listing);
+    let is_changed = belief.apply_peer_listing(now, confirmed_at, version, listing);
     drop(belief);
     if is_changed {
-        log::info!(from:% = from, revision = revision; "applied a peer's listing");
-        state.on_belief_changed(state.now());
+        log::info!(
+            from:% = from,
+            era = version.era,
+            revision = version.revision;
+            "applied a peer's listing"
+        );
+        state.on_belief_changed(now);
     }
 }
--- a/src/entry/store_task.rs
+++ b/src/entry/store_task.rs
@@ -9,6 +9,7 @@
 use super::EntryState;
 use crate::belief::Configuration;
 use crate::clock::Monotonic;
+use crate::deployment::ListingVersion;
 use crate::platform::decode_configuration;
 use crate::platform::StoreClient;
 use crate::platform::StoreContent;
@@ -59,18 +60,20 @@
 
 fn apply_content(state: &EntryState, sent_at: Monotonic, content: StoreContent) {
     let now = state.now();
+    let version = observe_version(state, now, &content);
     let mut is_changed = false;
     if let Some(encoded) = content.configuration {
         is_changed |= apply_configuration(state, encoded, Some(sent_at));
     }
-    let (revision, listing) = (content.revision, content.listing);
+    let listing = content.listing;
     is_changed |= state
         .belief
         .borrow_mut()
-        .apply_store_listing(now, sent_at, revision, listing);
+        .apply_store_listing(now, sent_at, version, listing);
     if is_changed {
         log::info!(
-            revision = revision,
+            era = version.era,
+            revision = version.revision,
             unreadable = content.unreadable_count;
             "applied the store's listing"
         );
@@ -78,6 +81,23 @@
     }
 }
 
+/// Returns the version of what the store returned, and records a new era of the store.
+fn observe_version(state: &EntryState, now: Monotonic, content: &StoreContent) -> ListingVersion {
+    let mut belief = state.belief.borrow_mut();
+    let held = belief.listing_version();
+    let version = belief.store_version(content.era, content.revision);
+    if belief.on_era(now, version.era) {
+        log::warn!(
+            era = version.era,
+            revision = version.revision,
+            era_before = held.era,
+            revision_before = held.revision;
+            "the store was restored from a backup; keeping what it may have lost"
+        );
+    }
+    version
+}
+
 /// Applies a published configuration; returns whether it is newer than the current one.
 pub(super) fn apply_configuration(
     state: &EntryState,
--- a/src/fleet/fleet_message.rs
+++ b/src/fleet/fleet_message.rs
@@ -6,6 +6,7 @@
 use crate::belief::BeliefDigest;
 use crate::clock::Monotonic;
 use crate::deployment::EndpointListing;
+use crate::deployment::ListingVersion;
 
 /// A [`BeliefDigest`] with ages instead of times, as the clocks of two VMs differ.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -14,8 +15,8 @@
     pub configuration_version: u64,
     /// The time from its confirmation to the sending; `None` if it was never confirmed.
     pub configuration_age: Option<Duration>,
-    /// The revision of the listing.
-    pub listing_revision: u64,
+    /// The version of the listing.
+    pub listing_version: ListingVersion,
     /// The hash of its content.
     pub listing_hash: u64,
     /// The time from its confirmation to the sending; `None` if it was never confirmed.
@@ -28,7 +29,7 @@
         Self {
             configuration_version: digest.configuration_version,
             configuration_age: digest.configuration_confirmed_at.map(|at| now.since(at)),
-            listing_revision: digest.listing_revision,
+            listing_version: digest.listing_version,
             listing_hash: digest.listing_hash,
             listing_age: digest.listing_confirmed_at.map(|at| now.since(at)),
         }
@@ -48,7 +49,7 @@
         BeliefDigest {
             configuration_version: self.configuration_version,
             configuration_confirmed_at: before(self.configuration_age),
-            listing_revision: self.listing_revision,
+            listing_version: self.listing_version,
             listing_hash: self.listing_hash,
             listing_confirmed_at: before(self.listing_age),
         }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -22,6 +22,7 @@
 use crate::deployment::EndpointPhase;
 use crate::deployment::EndpointRecord;
 use crate::deployment::InstanceId;
+use crate::deployment::ListingVersion;
 use crate::deployment::ZoneKey;
 use crate::peer::generated::fleet_capnp as schema;
 
@@ -58,7 +59,8 @@
 fn encode_digest(mut to: schema::belief_digest::Builder<'_>, digest: &MessageDigest) {
     to.set_configuration_version(digest.configuration_version);
     to.set_configuration_age_ms(encode_age(digest.configuration_age));
-    to.set_listing_revision(digest.listing_revision);
+    to.set_listing_revision(digest.listing_version.revision);
+    to.set_listing_era(digest.listing_version.era);
     to.set_listing_hash(digest.listing_hash);
     to.set_listing_age_ms(encode_age(digest.listing_age));
 }
@@ -156,7 +158,10 @@
     MessageDigest {
         configuration_version: from.get_configuration_version(),
         configuration_age: decode_age(from.get_configuration_age_ms()),
-        listing_revision: from.get_listing_revision(),
+        listing_version: ListingVersion {
+            era: from.get_listing_era(),
+            revision: from.get_listing_revision(),
+        },
         listing_hash: from.get_listing_hash(),
         listing_age: decode_age(from.get_listing_age_ms()),
     }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -7,9 +7,13 @@
 use base64::Engine;
 use bytes::Bytes;
 use http::header;
+use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
+use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Empty;
+use http_body_util::Limited;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -28,13 +32,28 @@
 /// The prefix of all keys, so that one read returns configuration, evacuations and endpoints.
 const READ_PREFIX: &str = "";
 
+/// The number of times that the store was restored from a backup.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
+/// The longest body of a page: several times the length at which the store truncates one.
+const PAGE_MAX_BYTES: usize = 8 * 1024 * 1024;
+
 /// The timeout of one page: more than 60 times the store's usual 4 ms, and less than the age at
 /// which a belief is rejected as stale.
 const CALL_TIMEOUT_MS: u64 = 900;
 
+/// A page of the store, with the era that its answer reported.
+struct Page {
+    era: Option<u64>,
+    wire: PageWire,
+}
+
 /// Everything that the store holds for the system.
 #[derive(Debug, Default)]
 pub struct StoreContent {
+    /// The era of the store, which rises when it is restored from a backup; `None` if the store
+    /// reports no readable one.
+    pub era: Option<u64>,
     /// The lowest store revision of the pages read.
     pub revision: u64,
     /// The encoded configuration; `None` if the store holds none.
@@ -66,7 +85,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`StoreError`] if a page is refused, times out, is lost or cannot be parsed.
+    /// Returns a [`StoreError`] if a page is refused, times out, is lost or cannot be parsed, or if
+    /// the pages are of two eras.
     pub async fn read(&mut self) -> Result<StoreContent, StoreError> {
         let mut content = StoreContent {
             revision: u64::MAX,
@@ -87,7 +107,11 @@
     ) -> Result<(), StoreError> {
         let mut after = String::new();
         loop {
-            let page = self.read_page(prefix, &after).await?;
+            let Page { era, wire: page } = self.read_page(prefix, &after).await?;
+            if !after.is_empty() && era != content.era {
+                return Err(StoreError::EraChanged);
+            }
+            content.era = era;
             content.revision = content.revision.min(page.store_revision);
             let Some(last) = page.items.last() else {
                 return Ok(());
@@ -118,7 +142,7 @@
         }
     }
 
-    async fn read_page(&mut self, prefix: &str, after: &str) -> Result<PageWire, StoreError> {
+    async fn read_page(&mut self, prefix: &str, after: &str) -> Result<Page, StoreError> {
         let query = match after {
             "" => format!("/kv-range?prefix={prefix}"),
             after => format!("/kv-range?prefix={prefix}&after={after}"),
@@ -134,26 +158,29 @@
             // A connection on which an answer was lost cannot be reused.
             self.connection = None;
         }
-        let body = result?;
-        Ok(serde_json::from_slice(&body)?)
+        let answer = result?;
+        Ok(Page {
+            era: era(answer.headers()),
+            wire: serde_json::from_slice(answer.body())?,
+        })
     }
 
-    async fn get(&mut self, path_and_query: &str) -> Result<Bytes, StoreError> {
+    async fn get(&mut self, path_and_query: &str) -> Result<Response<Bytes>, StoreError> {
         let address = self.address;
         let connection = self.ready_connection().await?;
         let request = Request::get(path_and_query)
             .header(header::HOST, address.to_string())
             .body(Empty::new())
             .expect("keys of the store form a valid path");
-        let answer = connection.send_request(request).await?;
-        let status = answer.status();
-        let body = answer.into_body().collect().await?.to_bytes();
-        if !status.is_success() {
+        let (parts, body) = connection.send_request(request).await?.into_parts();
+        let body = Limited::new(body, PAGE_MAX_BYTES).collect().await;
+        let body = body.map_err(StoreError::Body)?.to_bytes();
+        if !parts.status.is_success() {
             return Err(StoreError::Refused {
-                status: status.as_u16(),
+                status: parts.status.as_u16(),
             });
         }
-        Ok(body)
+        Ok(Response::from_parts(parts, body))
     }
 
     async fn ready_connection(&mut self) -> Result<&mut SendRequest<Empty<Bytes>>, StoreError> {
@@ -184,3 +211,7 @@
         Ok(sender)
     }
 }
+
+fn era(headers: &HeaderMap) -> Option<u64> {
+    headers.get(ERA)?.to_str().ok()?.trim().parse().ok()
+}
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -7,5 +7,6 @@
 
 pub use endpoint_faults::EndpointFaults;
 pub use endpoint_server::EndpointServer;
+pub use store_server::StoreBackup;
 pub use store_server::StoreFault;
 pub use store_server::StoreServer;
--- a/src/stand_in/deployment/store_server.rs
+++ b/src/stand_in/deployment/store_server.rs
@@ -9,6 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
@@ -34,10 +35,18 @@
 struct StoreState {
     items: BTreeMap<String, Vec<u8>>,
     revision: u64,
+    era: u64,
     fault: StoreFault,
     call_count: u64,
 }
 
+/// The content of a store at some time, which it can be restored from.
+#[derive(Clone, Debug)]
+pub struct StoreBackup {
+    items: BTreeMap<String, Vec<u8>>,
+    revision: u64,
+}
+
 /// A store whose items are listed by prefix; each listing fits one page.
 #[derive(Debug)]
 pub struct StoreServer {
@@ -100,6 +109,23 @@
         state.items.remove(key);
     }
 
+    /// Returns a backup of the current content.
+    pub fn backup(&self) -> StoreBackup {
+        let state = self.state.lock();
+        StoreBackup {
+            items: state.items.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Replaces the content and the revision by those of a backup, in a new era.
+    pub fn restore(&self, backup: &StoreBackup) {
+        let mut state = self.state.lock();
+        state.items.clone_from(&backup.items);
+        state.revision = backup.revision;
+        state.era += 1;
+    }
+
     /// Replaces the simulated fault.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state.lock().fault = fault;
@@ -138,7 +164,10 @@
         "truncated": false,
         "storeRevision": state.revision,
     });
-    Response::new(Full::from(page.to_string()))
+    let mut response = Response::new(Full::from(page.to_string()));
+    let era = HeaderValue::from(state.era);
+    response.headers_mut().insert("store-era", era);
+    response
 }
 
 fn empty(status: StatusCode) -> Response<Full<Bytes>> {
--- a/tests/behaviour/belief/mod.rs
+++ b/tests/behaviour/belief/mod.rs
@@ -3,5 +3,6 @@
 mod lapsed_records;
 mod peers;
 mod read_plan;
+mod restored_store;
 pub(crate) mod support;
 mod versions;
--- a/tests/behaviour/belief/peers.rs
+++ b/tests/behaviour/belief/peers.rs
@@ -8,11 +8,12 @@
 use super::support::at;
 use super::support::configuration;
 use super::support::listing;
+use super::support::revision;
 
-fn belief_with(version: u64, revision: u64) -> Belief {
+fn belief_with(version: u64, number: u64) -> Belief {
     let mut belief = Belief::default();
     belief.apply_configuration(configuration(version), Some(at(0)));
-    belief.apply_store_listing(at(0), at(0), revision, listing(&["a"]));
+    belief.apply_store_listing(at(0), at(0), revision(number), listing(&["a"]));
     belief
 }
 
@@ -22,7 +23,7 @@
     peer.apply_configuration(configuration(7), Some(at(900)));
     let digest = MessageDigest::new(&peer.digest(), at(1_000));
     let mut belief = belief_with(7, 20);
-    let updates = belief.compare(&digest.received(Some(at(950))));
+    let updates = belief.compare(at(1_000), &digest.received(Some(at(950))));
     assert!(!updates.has_newer_configuration);
     assert_eq!(
         belief.configuration_age(at(1_000)),
@@ -37,7 +38,7 @@
     let digest = MessageDigest::new(&peer.digest(), at(1_000));
     let mut belief = belief_with(7, 20);
     // Requested at 1 s; the VM was suspended and reads the reply at 9 s.
-    belief.compare(&digest.received(Some(at(1_000))));
+    belief.compare(at(9_000), &digest.received(Some(at(1_000))));
     assert_eq!(
         belief.configuration_age(at(9_000)),
         Some(Duration::from_millis(8_000))
@@ -50,7 +51,7 @@
     peer.apply_configuration(configuration(7), Some(at(1_000)));
     let digest = MessageDigest::new(&peer.digest(), at(1_000));
     let mut belief = belief_with(7, 20);
-    belief.compare(&digest.received(None));
+    belief.compare(at(1_000), &digest.received(None));
     assert_eq!(
         belief.configuration_age(at(1_000)),
         Some(Duration::from_millis(1_000))
@@ -63,7 +64,7 @@
     peer.apply_configuration(configuration(8), Some(at(1_000)));
     let digest = MessageDigest::new(&peer.digest(), at(1_000));
     let mut belief = belief_with(7, 20);
-    let updates = belief.compare(&digest.received(Some(at(1_000))));
+    let updates = belief.compare(at(1_000), &digest.received(Some(at(1_000))));
     assert!(updates.has_newer_configuration);
     assert_eq!(
         belief.configuration_age(at(1_000)),
@@ -74,8 +75,8 @@
 #[test]
 fn an_older_listing_of_a_peer_changes_nothing() {
     let mut belief = belief_with(7, 20);
-    assert!(!belief.apply_peer_listing(at(10), 19, listing(&["b"])));
+    assert!(!belief.apply_peer_listing(at(10), at(10), revision(19), listing(&["b"])));
     assert_eq!(belief.listing().endpoints.len(), 1);
     assert_eq!(belief.listing().endpoints[0].instance.id.as_str(), "a");
-    assert!(belief.apply_peer_listing(at(10), 21, listing(&["b"])));
+    assert!(belief.apply_peer_listing(at(10), at(10), revision(21), listing(&["b"])));
 }
--- a/tests/behaviour/belief/support.rs
+++ b/tests/behaviour/belief/support.rs
@@ -14,6 +14,7 @@
 use figramp::deployment::EndpointPhase;
 use figramp::deployment::EndpointRecord;
 use figramp::deployment::InstanceId;
+use figramp::deployment::ListingVersion;
 use figramp::deployment::ZoneKey;
 
 pub(crate) fn at(ms: u64) -> Monotonic {
@@ -62,3 +63,8 @@
         ..EndpointListing::default()
     }
 }
+
+/// Returns a version of the first era.
+pub(crate) fn revision(revision: u64) -> ListingVersion {
+    ListingVersion { era: 0, revision }
+}
--- a/tests/behaviour/belief/versions.rs
+++ b/tests/behaviour/belief/versions.rs
@@ -41,7 +41,12 @@
 #[test]
 fn without_a_configuration_the_belief_is_not_complete() {
     let mut belief = Belief::default();
-    belief.apply_store_listing(at(10), at(5), 3, super::support::listing(&["a"]));
+    belief.apply_store_listing(
+        at(10),
+        at(5),
+        super::support::revision(3),
+        super::support::listing(&["a"]),
+    );
     assert!(!belief.is_complete());
     belief.apply_configuration(configuration(1), Some(at(5)));
     assert!(belief.is_complete());
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -5,6 +5,7 @@
 mod keys;
 mod large_listings;
 mod requests;
+mod restored_store;
 mod stopping;
 pub(crate) mod support;
 mod two_regions;
--- a/tests/behaviour/fleet/wire.rs
+++ b/tests/behaviour/fleet/wire.rs
@@ -4,6 +4,7 @@
 
 use figramp::deployment::EndpointListing;
 use figramp::deployment::EndpointPhase;
+use figramp::deployment::ListingVersion;
 use figramp::fleet::decode_message;
 use figramp::fleet::encode_message;
 use figramp::fleet::AccountUsage;
@@ -33,7 +34,10 @@
         digest: MessageDigest {
             configuration_version: 8,
             configuration_age: Some(Duration::from_millis(300)),
-            listing_revision: 41,
+            listing_version: ListingVersion {
+                era: 3,
+                revision: 41,
+            },
             listing_hash: u64::MAX,
             listing_age: None,
         },
@@ -54,6 +58,10 @@
     assert_eq!(received.listing, Some(sent));
     assert_eq!(received.request_sent_at, Some(at(1_200)));
     assert_eq!(received.digest.listing_age, None);
+    assert_eq!(
+        received.digest.listing_version,
+        message(None).digest.listing_version
+    );
 }
 
 #[test]
