Honour what endpoints announce in their answers: a stop, and a time without requests

Cause: Server-Leaving was not read at all, so an endpoint that leaves got requests until the store's listing said so, or as long as the store was away. Retry-After of a refusal was told to the client, and the endpoint was tried again after 60 ms, or at once when no other was left. Change: both are kept for the instance, beside the listing, so that neither a listing nor a restored store ends them; another instance under the same id starts without them. A leaving endpoint takes no requests and owns no prefix; a paused one takes none until the latest end it asked for. With all endpoints paused a request is refused at once as not run. Dates, negative and unreadable values of Retry-After pause nothing. Not exchanged between VMs: each learns it with its first answer, while the endpoint still serves.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -118,7 +117,7 @@
         body,
         running,
     };
-    check_head(state, request, sent_at, answer).await
+    check_head(state, request, target, sent_at, answer).await
 }
 
 async fn connect(
@@ -182,6 +181,7 @@
 async fn check_head(
     state: &EntryState,
     request: &ClientRequest,
+    target: &Target,
     sent_at: Monotonic,
     mut answer: Answer,
 ) -> Result<Answer, AttemptError> {
@@ -202,8 +202,11 @@
             endpoints.on_replaced(placement.endpoint);
         }
     }
+    if !head.is_other_instance {
+        record_notices(state, now, target, &head);
+    }
     if head.is_not_executed || forward_headers::is_not_run(&answer.parts.headers) {
-        return Err(on_refused(answer).await);
+        return Err(on_refused(answer, head.retry_after).await);
     }
     let is_success = answer.parts.status.is_success();
     let is_for_request = head.request_id.as_deref() == Some(&*request.head.request_id);
@@ -223,13 +226,33 @@
     Ok(answer)
 }
 
-async fn on_refused(mut answer: Answer) -> AttemptError {
-    let retry_after = answer
-        .parts
-        .headers
-        .get(header::RETRY_AFTER)
-        .and_then(|value| value.to_str().ok()?.parse::<f64>().ok())
-        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+/// Records what an endpoint asks of this VM in the head of an answer.
+fn record_notices(state: &EntryState, now: Monotonic, target: &Target, head: &AnswerHead) {
+    let Target::Endpoint {
+        placement,
+        instance,
+        ..
+    } = target
+    else {
+        return;
+    };
+    let mut endpoints = state.endpoints.borrow_mut();
+    if head.is_leaving && endpoints.on_leaving(now, placement.endpoint) {
+        log::info!(endpoint = instance.as_str(); "the endpoint is leaving; it gets no more requests");
+    }
+    let Some(pause) = head.retry_after else {
+        return;
+    };
+    if endpoints.on_pause(now, placement.endpoint, pause) {
+        log::info!(
+            endpoint = instance.as_str(),
+            pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+            "the endpoint wants no requests for a time"
+        );
+    }
+}
+
+async fn on_refused(mut answer: Answer, retry_after: Option<Duration>) -> AttemptError {
     answer.running.record_outcome(AttemptOutcome::Refused);
     let rest = timeout(REFUSAL_BODY_TIMEOUT, answer.body.collect()).await;
     if matches!(rest, Ok(Ok(_))) {
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::endpoint_health::EndpointHealth;
+use super::endpoint_notice::EndpointNotice;
 use super::load_estimate::LoadEstimate;
 use super::wait_estimate::WaitEstimate;
 use super::ColdRateLimiter;
@@ -25,10 +26,11 @@
     pub(super) load: LoadEstimate,
     pub(super) health: EndpointHealth,
     pub(super) waits: WaitEstimate,
+    pub(super) notice: EndpointNotice,
 }
 
 impl EndpointState {
-    pub(super) fn new(now: Monotonic, record: EndpointRecord) -> Self {
+    pub(super) fn new(now: Monotonic, record: EndpointRecord, notice: EndpointNotice) -> Self {
         Self {
             cold_until: now + record.cold_remaining,
             record,
@@ -38,6 +40,7 @@
             load: LoadEstimate::default(),
             health: EndpointHealth::default(),
             waits: WaitEstimate::default(),
+            notice,
         }
     }
 
@@ -48,7 +51,10 @@
 
     /// Returns whether new requests may go to the endpoint.
     pub fn takes_requests(&self) -> bool {
-        self.is_listed && !self.is_evacuated && self.record.phase == EndpointPhase::Ready
+        self.is_listed
+            && !self.is_evacuated
+            && !self.notice.is_leaving()
+            && self.record.phase == EndpointPhase::Ready
     }
 
     /// Returns whether the endpoint is still warming up.
@@ -77,7 +83,14 @@
         if is_full || query.tried.contains(&key) {
             return Some(NoPlacement::RETRY_AFTER_UNKNOWN);
         }
-        self.health.backoff(now, query.accepts_refusing)
+        self.backoff(now, query.accepts_refusing)
+    }
+
+    /// Returns the longer of the pause that the endpoint asked for and the remaining backoff;
+    /// `accepts_refusing` leaves out the backoff after a refusal.
+    pub(super) fn backoff(&self, now: Monotonic, accepts_refusing: bool) -> Option<Duration> {
+        let pause = self.notice.pause(now);
+        self.health.backoff(now, accepts_refusing).max(pause)
     }
 
     /// Returns the expected time to the first event of a request, in milliseconds.
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -7,6 +7,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::cold_rate_limiter::COLD_SENDERS;
+use super::endpoint_notice::EndpointNotice;
+use super::endpoint_notice::EndpointNotices;
 use super::endpoint_sample::draw_sample;
 use super::AttemptOutcome;
 use super::ColdLimits;
@@ -73,6 +75,7 @@
     by_instance: HashMap<InstanceId, EndpointKey>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
     remote: HashMap<Name, Vec<RemoteEndpoint>>,
+    notices: EndpointNotices,
 }
 
 /// An endpoint of another region that accepts requests.
@@ -92,6 +95,7 @@
             by_instance: HashMap::new(),
             by_service: HashMap::new(),
             remote: HashMap::new(),
+            notices: EndpointNotices::default(),
         }
     }
 
@@ -128,6 +132,7 @@
                     .push(RemoteEndpoint { instance, region });
             }
         }
+        self.notices.remove_expired(now);
         self.remove_unlisted()
     }
 
@@ -141,9 +146,10 @@
         let key = match self.by_instance.get(&record.instance) {
             Some(key) => *key,
             None => {
+                let notice = self.notices.get(&record.instance);
                 let key = self
                     .endpoints
-                    .insert(EndpointState::new(now, record.clone()));
+                    .insert(EndpointState::new(now, record.clone(), notice));
                 self.by_instance.insert(record.instance.clone(), key);
                 let service = self.by_service.entry(record.service.clone());
                 service.or_default().push(key);
@@ -191,9 +197,7 @@
     /// Returns `None` if no endpoint of the service accepts requests here.
     pub fn shortest_wait_ms(&self, now: Monotonic, service: &Name) -> Option<f64> {
         self.of_service(service)
-            .filter(|(_, state)| {
-                state.takes_requests() && state.health.backoff(now, false).is_none()
-            })
+            .filter(|(_, state)| state.takes_requests() && state.backoff(now, false).is_none())
             .map(|(_, state)| state.expected_ms(now, 0, MIDDLE_PRIORITY))
             .min_by(f64::total_cmp)
     }
@@ -390,6 +394,34 @@
         }
     }
 
+    /// Records that an endpoint announced in an answer that it is about to stop; returns whether
+    /// that is new.
+    ///
+    /// It gets no further requests, also if it is listed again; only another instance does.
+    pub fn on_leaving(&mut self, now: Monotonic, key: EndpointKey) -> bool {
+        self.on_notice(key, |notices, instance| notices.on_leaving(now, instance))
+    }
+
+    /// Records that an endpoint wants no request of this VM for the `pause`; returns whether that
+    /// extends an earlier notice.
+    pub fn on_pause(&mut self, now: Monotonic, key: EndpointKey, pause: Duration) -> bool {
+        self.on_notice(key, |notices, instance| {
+            notices.on_pause(now, instance, pause)
+        })
+    }
+
+    fn on_notice(
+        &mut self,
+        key: EndpointKey,
+        record_notice: impl FnOnce(&mut EndpointNotices, &InstanceId) -> EndpointNotice,
+    ) -> bool {
+        let Some(state) = self.endpoints.get_mut(key) else {
+            return false;
+        };
+        let notice = record_notice(&mut self.notices, &state.record.instance);
+        std::mem::replace(&mut state.notice, notice) != notice
+    }
+
     /// Records that another instance answered at the address of an endpoint.
     ///
     /// The endpoint gets no requests until a listing contains it again.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod cold_rate_limiter;
 mod endpoint_health;
 mod endpoint_key;
+mod endpoint_notice;
 mod endpoint_sample;
 mod endpoint_state;
 mod endpoint_table;
--- a/src/platform/answer_head.rs
+++ b/src/platform/answer_head.rs
@@ -13,6 +13,7 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 const LOAD: HeaderName = HeaderName::from_static("server-load");
 const COLD_MS: HeaderName = HeaderName::from_static("cold-ms");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// The fields that the gateway reads from the head of an endpoint's answer.
@@ -34,6 +35,10 @@
     pub cold_remaining: Option<Duration>,
     /// The time after which the endpoint closes an idle connection.
     pub keep_alive: Option<Duration>,
+    /// Whether the endpoint reports that it is about to stop.
+    pub is_leaving: bool,
+    /// How long the endpoint wants no further requests of this VM; only with a refusal.
+    pub retry_after: Option<Duration>,
     /// Whether the endpoint closes the connection after the answer.
     pub is_closing: bool,
 }
@@ -55,6 +60,11 @@
                 .and_then(|value| value.trim().parse::<f64>().ok())
                 .and_then(|value| Duration::try_from_secs_f64(value / 1_000.0).ok()),
             keep_alive: text(&KEEP_ALIVE).and_then(parse_keep_alive),
+            is_leaving: text(&LEAVING).is_some_and(|value| value.trim() == "1"),
+            retry_after: Some(parts.status)
+                .filter(|status| *status == StatusCode::SERVICE_UNAVAILABLE)
+                .and_then(|_| text(&header::RETRY_AFTER))
+                .and_then(parse_retry_after),
             is_closing: text(&header::CONNECTION)
                 .is_some_and(|value| value.to_ascii_lowercase().contains("close")),
         }
@@ -73,6 +83,13 @@
     Some((running, waiting))
 }
 
+/// Parses a number of seconds. A date cannot be compared to the clock of the endpoint and counts as
+/// absent, as does a negative or unreadable value.
+fn parse_retry_after(value: &str) -> Option<Duration> {
+    let seconds = value.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 fn parse_keep_alive(value: &str) -> Option<Duration> {
     let timeout = value
         .split(',')
--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -2,11 +2,17 @@
 
 use std::time::Duration;
 
+use http::HeaderValue;
+
 /// The faults that an endpoint stand-in simulates; the default simulates none.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EndpointFaults {
     /// Refuses requests with a header that says they did not run.
     pub is_full: bool,
+    /// The value of `Retry-After` in refusals; `None` sends no such header.
+    pub retry_after: Option<HeaderValue>,
+    /// Announces in all answers that it is about to stop.
+    pub is_leaving: bool,
     /// Runs requests, but resets the connection instead of sending the body of a plain answer.
     pub loses_answers: bool,
     /// Sends answers with the identifier of another request.
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -41,6 +41,7 @@
 struct EndpointState {
     faults: EndpointFaults,
     runs: HashMap<String, u32>,
+    arrival_count: u32,
     /// Each answer in progress holds a clone, so that the strong count gives their number.
     running: Arc<()>,
     last_headers: HeaderMap,
@@ -132,6 +133,11 @@
         self.state.lock().runs.values().sum()
     }
 
+    /// Returns the number of requests received, including those that were refused.
+    pub fn arrival_count(&self) -> u32 {
+        self.state.lock().arrival_count
+    }
+
     /// Returns the number of answers in progress.
     pub fn running_count(&self) -> usize {
         Arc::strong_count(&self.state.lock().running) - 1
@@ -172,11 +178,9 @@
     let (faults, running) = {
         let mut state = state.lock();
         state.last_headers.clone_from(&parts.headers);
+        state.arrival_count += 1;
         if state.faults.is_full {
-            let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
-            let headers = response.headers_mut();
-            headers.insert("not-executed", HeaderValue::from_static("1"));
-            return Ok(response);
+            return Ok(refusal(&state.faults));
         }
         *state.runs.entry(request_id.clone()).or_insert(0) += 1;
         (state.faults.clone(), Arc::clone(&state.running))
@@ -200,9 +204,27 @@
     }
     headers.insert("server-stamp", HeaderValue::from_static("stamp"));
     headers.insert("server-load", HeaderValue::from_static("1,0,8"));
+    announce_leaving(&faults, headers);
     Ok(response)
 }
 
+fn refusal(faults: &EndpointFaults) -> Response<AnswerBody> {
+    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = response.headers_mut();
+    headers.insert("not-executed", HeaderValue::from_static("1"));
+    if let Some(value) = &faults.retry_after {
+        headers.insert("retry-after", value.clone());
+    }
+    announce_leaving(faults, headers);
+    response
+}
+
+fn announce_leaving(faults: &EndpointFaults, headers: &mut HeaderMap) {
+    if faults.is_leaving {
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
+    }
+}
+
 fn plain_body(faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
     let (pause, loses_answers) = (faults.pause, faults.loses_answers);
     let frames = stream::once(async move {
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod disconnects;
 mod endpoint_faults;
+mod endpoint_notices;
 mod keys;
 mod large_listings;
 mod requests;
--- a/tests/behaviour/placement/mod.rs
+++ b/tests/behaviour/placement/mod.rs
@@ -3,6 +3,7 @@
 mod cold_endpoints;
 mod failures;
 mod many_vms;
+mod notices;
 mod overload;
 mod prompts;
 mod regions;
