Place prompts by the shared part that most of the prefix lies in

Cause: the owner of a prefix was chosen by the hash of its first part. Where a few first parts are shared by all requests (4 of 2,520 tokens, then 322 of 3,780), a few endpoints got everything and the rest was prefilled whole elsewhere, so queues of seconds stood beside idle endpoints. Change: the key is the first part up to which four fifths of the prefix lie. A long part with a short one behind it keeps its owner; two parts of the same order are spread by the second. The decision moved from the decoder of the platform's headers to placement. The test in virtual time has a 99th percentile of 452 ms against 1,029 by the first part (bound 1,000).

--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -69,8 +69,8 @@
     /// A prefix that takes longer to prefill than a round trip to another region is cached once for
     /// all regions, a shorter one once in each region.
     fn prefix_owner(&self, now: Monotonic) -> Option<PrefixOwner> {
-        let prefix_hash = self.request.head.prefix_hash?;
-        let prefill_ms = self.request.head.prefix_tokens as f64 * PREFILL_MS_PER_TOKEN;
+        let prefix_hash = self.request.head.prefix.affinity_key()?;
+        let prefill_ms = self.request.head.prefix.tokens() as f64 * PREFILL_MS_PER_TOKEN;
         let is_shared_across_regions = prefill_ms > ROUND_TRIP_UNKNOWN_MS;
         let endpoints = self.state.endpoints.borrow();
         let fleet = self.state.fleet.borrow();
@@ -119,7 +119,7 @@
         PlacementQuery {
             service: &self.request.service.name,
             prompt_tokens: self.request.head.prompt_tokens,
-            prefix_tokens: self.request.head.prefix_tokens,
+            prefix_tokens: self.request.head.prefix.tokens(),
             prefix_endpoint: prefix_owner.and_then(PrefixOwner::local),
             priority: self.request.priority(),
             tried: &self.tried,
@@ -161,7 +161,7 @@
             instance: record.instance.id.clone(),
             copy_prefix_from: prefix_owner
                 .and_then(PrefixOwner::local)
-                .filter(|key| *key != placement.endpoint && self.request.head.prefix_tokens > 0)
+                .filter(|key| *key != placement.endpoint && self.request.head.prefix.tokens() > 0)
                 .and_then(|key| endpoints.get(key))
                 .map(|state| state.record().address),
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,6 +14,7 @@
 mod overload;
 mod placement_query;
 mod prefix_owner;
+mod prompt_prefix;
 mod region_choice;
 mod wait_estimate;
 
@@ -31,6 +32,8 @@
 pub use overload::OverloadQuery;
 pub use placement_query::PlacementQuery;
 pub use prefix_owner::PrefixOwner;
+pub use prompt_prefix::PromptPart;
+pub use prompt_prefix::PromptPrefix;
 pub use region_choice::choose_region;
 pub use region_choice::RegionChoice;
 pub use region_choice::RegionOption;
--- a/src/platform/request_head.rs
+++ b/src/platform/request_head.rs
@@ -10,6 +10,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::catalog::Name;
+use crate::placement::PromptPart;
+use crate::placement::PromptPrefix;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
 const TIMEOUT_MS: HeaderName = HeaderName::from_static("timeout-ms");
@@ -64,10 +66,9 @@
     pub tokens: Option<u64>,
     /// Prompt tokens; zero if the client declared none.
     pub prompt_tokens: u64,
-    /// The hash of the first part of the prompt.
-    pub prefix_hash: Option<u64>,
-    /// The tokens of all parts of the prompt but the last one.
-    pub prefix_tokens: u64,
+    /// The parts of the prompt that other requests share: all but the last one, or that one without
+    /// tokens if it is the only one.
+    pub prefix: PromptPrefix,
     /// The last event of an earlier answer that the client received.
     pub last_event_id: Option<u64>,
 }
@@ -88,12 +89,7 @@
                 .map(|key| key.trim().into()),
             tokens: counts.map(|(prompt, answer)| prompt.saturating_add(answer)),
             prompt_tokens: counts.map_or(0, |(prompt, _)| prompt),
-            prefix_hash: parts
-                .split(',')
-                .next()
-                .filter(|part| !part.is_empty())
-                .map(|part| xxh3_64(part.split(':').next().unwrap_or(part).as_bytes())),
-            prefix_tokens: parse_prefix_tokens(parts),
+            prefix: parse_prefix(parts),
             last_event_id: text(&LAST_EVENT_ID).and_then(|value| value.trim().parse().ok()),
         }
     }
@@ -122,14 +118,23 @@
     Some((prompt.trim().parse().ok()?, answer.trim().parse().ok()?))
 }
 
-fn parse_prefix_tokens(parts: &str) -> u64 {
-    let Some((prefix, _)) = parts.rsplit_once(',') else {
-        return 0;
-    };
-    let tokens = prefix
-        .split(',')
-        .filter_map(|part| part.rsplit_once(':')?.1.trim().parse::<u64>().ok());
-    tokens.sum()
+fn parse_prefix(parts: &str) -> PromptPrefix {
+    match parts.rsplit_once(',') {
+        Some((shared, _)) => PromptPrefix::new(shared.split(',').map(parse_part).collect()),
+        None if parts.is_empty() => PromptPrefix::default(),
+        None => PromptPrefix::new(vec![PromptPart {
+            tokens: 0,
+            ..parse_part(parts)
+        }]),
+    }
+}
+
+fn parse_part(part: &str) -> PromptPart {
+    let (id, tokens) = part.rsplit_once(':').unwrap_or((part, ""));
+    PromptPart {
+        hash: xxh3_64(id.trim().as_bytes()),
+        tokens: tokens.trim().parse().unwrap_or(0),
+    }
 }
 
 /// The headers that the gateway adds to a request to an endpoint.
--- a/tests/behaviour/placement/mod.rs
+++ b/tests/behaviour/placement/mod.rs
@@ -7,5 +7,6 @@
 mod overload;
 mod prompts;
 mod regions;
+mod shared_prefixes;
 mod support;
 mod waits;
