Tell the VMs of a region which prompts are pending at each engine

Cause: a VM knew the queue of an engine from its own answers only. Change: the status row carries the tokens that this VM has pending at each engine, by priority, and the sums of the region count in the expected time. Rows to other regions go without them. A mean wait that has decayed is no longer brought back whole by one new answer.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -33,6 +33,8 @@
   readsStore @5 :Bool;
   waits @6 :List(ServiceWait);
   usage @7 :List(AccountUsage);
+  # Only in messages between VMs of one region.
+  backlogs @8 :List(EndpointBacklog);
 }
 
 enum Phase {
@@ -46,6 +48,13 @@
   waitMs @1 :UInt16;
 }
 
+struct EndpointBacklog {
+  endpoint @0 :UInt32;
+  # Rounded to multiples of 16.
+  prefillTokens16 @1 :UInt16;
+  priority @2 :UInt8;
+}
+
 struct AccountUsage {
   account @0 :UInt32;
   # All units since the start of the incarnation.
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -76,6 +76,7 @@
             reads_store: true,
             waits: Vec::new(),
             usage: Vec::new(),
+            backlogs: Vec::new(),
         };
         Self {
             belief: RefCell::default(),
@@ -134,7 +135,9 @@
     /// Updates the local VM's status row for the next round of gossip.
     pub fn refresh_row(&self, now: Monotonic) {
         let belief = self.belief.borrow();
-        let endpoints = self.endpoints.borrow();
+        let mut endpoints = self.endpoints.borrow_mut();
+        endpoints.remove_expired_backlogs(now);
+        let backlogs = endpoints.backlogs();
         let services = belief.deployment().into_iter().flat_map(|d| d.services());
         let waits = services.filter_map(|service| {
             let wait_ms = endpoints.shortest_wait_ms(now, &service.name)?;
@@ -147,6 +150,7 @@
         let row = fleet.local_row_mut();
         row.beat += 1;
         row.waits = waits.collect();
+        row.backlogs = backlogs;
         row.usage = self.quota.borrow_mut().next_usage();
         row.reads_store = self.read_plan.borrow().is_store_reachable();
         fleet.remove_expired(now);
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -140,10 +140,12 @@
         let belief = self.state.belief.borrow();
         let mut fleet = self.state.fleet.borrow_mut();
         let mut quota = self.state.quota.borrow_mut();
+        let mut endpoints = self.state.endpoints.borrow_mut();
         for row in &message.rows {
             if !fleet.merge(now, row, row.ip == from) {
                 continue;
             }
+            endpoints.on_peer_backlogs(now, row.ip, &row.backlogs);
             if let Some(deployment) = belief.deployment() {
                 quota.on_row(now, row, deployment);
             }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -85,10 +85,11 @@
     /// Returns the rows for a message: that of the local VM first, then others at random.
     ///
     /// For a VM of a remote region, half of them are drawn from the local region only, as its VMs
-    /// have the newest ones.
+    /// have the newest ones. Backlogs concern the VMs of the endpoints' region only.
     pub fn rows(now: Monotonic, view: &FleetView, to: Ipv4Addr, rng: &mut impl Rng) -> Vec<VmRow> {
         let mut rows = vec![view.local_row().clone()];
-        let others = if view.is_in_local_region(to) {
+        let is_local = view.is_in_local_region(to);
+        let others = if is_local {
             view.alive(now).sample(rng, ROWS_MAX)
         } else {
             let mut others = view.alive_in(now, true).sample(rng, ROWS_MAX / 2);
@@ -96,6 +97,11 @@
             others
         };
         rows.extend(others.into_iter().cloned());
+        if !is_local {
+            for row in &mut rows {
+                row.backlogs.clear();
+            }
+        }
         rows
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub use gossip::GossipPlan;
 pub use vm_phase::VmPhase;
 pub use vm_row::AccountUsage;
+pub use vm_row::EndpointBacklog;
 pub use vm_row::NameHash;
 pub use vm_row::ServiceWait;
 pub use vm_row::VmRow;
--- a/src/fleet/vm_row.rs
+++ b/src/fleet/vm_row.rs
@@ -27,6 +27,17 @@
     pub wait_ms: u16,
 }
 
+/// The prompts that a VM has sent to an endpoint and that wait for their first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointBacklog {
+    /// The instance of the endpoint.
+    pub endpoint: NameHash,
+    /// The priority of the requests.
+    pub priority: u8,
+    /// The tokens to prefill.
+    pub prefill_tokens: u64,
+}
+
 /// The units of a client account's rate that a VM has admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AccountUsage {
@@ -55,4 +66,6 @@
     pub waits: Vec<ServiceWait>,
     /// The usage of client accounts through this VM.
     pub usage: Vec<AccountUsage>,
+    /// What this VM has pending at the endpoints of its region.
+    pub backlogs: Vec<EndpointBacklog>,
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -9,6 +9,7 @@
 use capnp::serialize_packed;
 
 use super::AccountUsage;
+use super::EndpointBacklog;
 use super::FleetMessage;
 use super::FleetWireError;
 use super::MessageDigest;
@@ -29,6 +30,9 @@
 /// The value of an age field for "never confirmed".
 const AGE_UNKNOWN_MS: u32 = u32::MAX;
 
+/// The unit of a backlog in a message.
+const BACKLOG_UNIT_TOKENS: u64 = 16;
+
 /// Encodes a message.
 ///
 /// # Errors
@@ -92,12 +96,20 @@
         entry.set_service(wait.service.0);
         entry.set_wait_ms(wait.wait_ms);
     }
-    let mut usage = to.init_usage(length(row.usage.len()));
+    let mut usage = to.reborrow().init_usage(length(row.usage.len()));
     for (index, used) in (0..).zip(&row.usage) {
         let mut entry = usage.reborrow().get(index);
         entry.set_account(used.account.0);
         entry.set_units(used.units);
     }
+    let mut backlogs = to.init_backlogs(length(row.backlogs.len()));
+    for (index, backlog) in (0..).zip(&row.backlogs) {
+        let mut entry = backlogs.reborrow().get(index);
+        let units = backlog.prefill_tokens.div_ceil(BACKLOG_UNIT_TOKENS);
+        entry.set_endpoint(backlog.endpoint.0);
+        entry.set_priority(backlog.priority);
+        entry.set_prefill_tokens16(u16::try_from(units).unwrap_or(u16::MAX));
+    }
 }
 
 fn encode_listing(mut to: schema::listing::Builder<'_>, listing: &EndpointListing) {
@@ -176,6 +188,11 @@
         account: NameHash(used.get_account()),
         units: used.get_units(),
     });
+    let backlogs = from.get_backlogs()?.iter().map(|backlog| EndpointBacklog {
+        endpoint: NameHash(backlog.get_endpoint()),
+        priority: backlog.get_priority(),
+        prefill_tokens: u64::from(backlog.get_prefill_tokens16()) * BACKLOG_UNIT_TOKENS,
+    });
     Ok(VmRow {
         ip: Ipv4Addr::from(from.get_ip()),
         zone: ZoneKey(from.get_zone()),
@@ -189,6 +206,7 @@
         reads_store: from.get_reads_store(),
         waits: waits.collect(),
         usage: usage.collect(),
+        backlogs: backlogs.collect(),
     })
 }
 
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::backlog::Backlog;
 use super::endpoint_health::EndpointHealth;
 use super::endpoint_notice::EndpointNotice;
 use super::load_estimate::LoadEstimate;
@@ -14,6 +15,7 @@
 use crate::clock::Monotonic;
 use crate::deployment::EndpointPhase;
 use crate::deployment::EndpointRecord;
+use crate::fleet::NameHash;
 
 /// The state of one endpoint instance, as seen by this VM.
 #[derive(Clone, Debug)]
@@ -27,12 +29,14 @@
     pub(super) health: EndpointHealth,
     pub(super) waits: WaitEstimate,
     pub(super) notice: EndpointNotice,
+    pub(super) hash: NameHash,
 }
 
 impl EndpointState {
     pub(super) fn new(now: Monotonic, record: EndpointRecord, notice: EndpointNotice) -> Self {
         Self {
             cold_until: now + record.cold_remaining,
+            hash: NameHash::from(&record.instance.id),
             record,
             is_listed: true,
             is_evacuated: false,
@@ -94,9 +98,17 @@
     }
 
     /// Returns the expected time to the first event of a request, in milliseconds.
-    pub(super) fn expected_ms(&self, now: Monotonic, prefill_tokens: u64, priority: u8) -> f64 {
-        let ahead_tokens = self.load.local_prefill_tokens() + prefill_tokens;
-        let prefill_ms = ahead_tokens as f64 * PREFILL_MS_PER_TOKEN;
+    ///
+    /// `peers` is what other VMs have pending at the endpoint.
+    pub(super) fn expected_ms(
+        &self,
+        now: Monotonic,
+        peers: Backlog,
+        prefill_tokens: u64,
+        priority: u8,
+    ) -> f64 {
+        let ahead_tokens = self.load.local_backlog().ahead_of(priority) + peers.ahead_of(priority);
+        let prefill_ms = (ahead_tokens + prefill_tokens) as f64 * PREFILL_MS_PER_TOKEN;
         let slots = f64::from(self.record.slots.max(1));
         let occupancy = f64::from(self.load.total_requests(now)) / slots;
         (self.waits.wait_ms(now, priority) * (1.0 + occupancy) + prefill_ms)
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -1,6 +1,7 @@
 //! The endpoints of the local region and the choice among them.
 
 use std::collections::HashMap;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -10,6 +11,7 @@
 use super::endpoint_notice::EndpointNotice;
 use super::endpoint_notice::EndpointNotices;
 use super::endpoint_sample::draw_sample;
+use super::peer_backlogs::PeerBacklogs;
 use super::AttemptOutcome;
 use super::ColdLimits;
 use super::EndpointKey;
@@ -27,6 +29,7 @@
 use crate::deployment::RegionKey;
 use crate::deployment::Topology;
 use crate::deployment::ZoneKey;
+use crate::fleet::EndpointBacklog;
 
 /// The time to prefill a prompt token that is not cached, in milliseconds.
 ///
@@ -76,6 +79,7 @@
     by_service: HashMap<Name, Vec<EndpointKey>>,
     remote: HashMap<Name, Vec<RemoteEndpoint>>,
     notices: EndpointNotices,
+    peer_backlogs: PeerBacklogs,
 }
 
 /// An endpoint of another region that accepts requests.
@@ -96,6 +100,7 @@
             by_service: HashMap::new(),
             remote: HashMap::new(),
             notices: EndpointNotices::default(),
+            peer_backlogs: PeerBacklogs::default(),
         }
     }
 
@@ -198,7 +203,10 @@
     pub fn shortest_wait_ms(&self, now: Monotonic, service: &Name) -> Option<f64> {
         self.of_service(service)
             .filter(|(_, state)| state.takes_requests() && state.backoff(now, false).is_none())
-            .map(|(_, state)| state.expected_ms(now, 0, MIDDLE_PRIORITY))
+            .map(|(_, state)| {
+                let peers = self.peer_backlogs.at(state.hash);
+                state.expected_ms(now, peers, 0, MIDDLE_PRIORITY)
+            })
             .min_by(f64::total_cmp)
     }
 
@@ -258,8 +266,9 @@
                 true => 0.0,
                 false => OTHER_ZONE_PENALTY_MS,
             };
+            let peers = self.peer_backlogs.at(state.hash);
             let expected_ms =
-                state.expected_ms(now, prefill_tokens, query.priority) + zone_penalty_ms;
+                state.expected_ms(now, peers, prefill_tokens, query.priority) + zone_penalty_ms;
             if best.is_none_or(|best| expected_ms < best.expected_ms) {
                 best = Some(Placement {
                     endpoint: key,
@@ -330,7 +339,9 @@
             if state.is_cold(now) {
                 state.cold_limiter.on_sent();
             }
-            state.load.on_sent(placement.prefill_tokens);
+            state
+                .load
+                .on_sent(placement.priority, placement.prefill_tokens);
             state.waits.on_sent(
                 placement.chosen_at,
                 placement.priority,
@@ -351,6 +362,33 @@
         }
     }
 
+    /// Returns what this VM has pending at each endpoint, for the other VMs of the region.
+    pub fn backlogs(&self) -> Vec<EndpointBacklog> {
+        let states = self.endpoints.values();
+        let backlogs = states.flat_map(|state| {
+            let endpoint = state.hash;
+            (0..)
+                .zip(state.load.local_backlog().by_priority())
+                .filter(|(_, prefill_tokens)| *prefill_tokens > 0)
+                .map(move |(priority, prefill_tokens)| EndpointBacklog {
+                    endpoint,
+                    priority,
+                    prefill_tokens,
+                })
+        });
+        backlogs.collect()
+    }
+
+    /// Replaces what is known to be pending from another VM of the region.
+    pub fn on_peer_backlogs(&mut self, now: Monotonic, ip: Ipv4Addr, backlogs: &[EndpointBacklog]) {
+        self.peer_backlogs.replace(now, ip, backlogs);
+    }
+
+    /// Forgets what is known from VMs whose rows no longer arrive.
+    pub fn remove_expired_backlogs(&mut self, now: Monotonic) {
+        self.peer_backlogs.remove_expired(now);
+    }
+
     /// Records a failure after the first outcome, such as an answer that broke after its head.
     pub fn on_late_outcome(
         &mut self,
@@ -366,7 +404,9 @@
     /// Records that the client no longer waits for the first event of an attempt.
     pub fn on_abandoned(&mut self, placement: &Placement) {
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            state.load.on_first_event(placement.prefill_tokens);
+            state
+                .load
+                .on_first_event(placement.priority, placement.prefill_tokens);
             state
                 .waits
                 .remove_pending(placement.priority, placement.chosen_at);
--- a/src/placement/ewma.rs
+++ b/src/placement/ewma.rs
@@ -6,6 +6,12 @@
     mean: Option<f64>,
 }
 
+impl From<f64> for Ewma {
+    fn from(mean: f64) -> Self {
+        Self { mean: Some(mean) }
+    }
+}
+
 impl Ewma {
     /// Adds a sample; `weight` is its weight in the new mean, between 0 and 1.
     pub fn add(&mut self, sample: f64, weight: f64) {
--- a/src/placement/load_estimate.rs
+++ b/src/placement/load_estimate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::backlog::Backlog;
 use crate::clock::Monotonic;
 
 /// The age at which a report no longer says anything about the requests of other VMs.
@@ -19,7 +20,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct LoadEstimate {
     local_requests: u32,
-    local_prefill_tokens: u64,
+    local_backlog: Backlog,
     report: Option<Report>,
 }
 
@@ -28,18 +29,18 @@
         self.local_requests
     }
 
-    /// Returns the prompt tokens of the requests of this VM whose first event is still pending.
-    pub(super) const fn local_prefill_tokens(&self) -> u64 {
-        self.local_prefill_tokens
+    /// Returns the prompts of the requests of this VM whose first event is still pending.
+    pub(super) const fn local_backlog(&self) -> &Backlog {
+        &self.local_backlog
     }
 
-    pub(super) fn on_sent(&mut self, prefill_tokens: u64) {
+    pub(super) fn on_sent(&mut self, priority: u8, prefill_tokens: u64) {
         self.local_requests += 1;
-        self.local_prefill_tokens += prefill_tokens;
+        self.local_backlog.add(priority, prefill_tokens);
     }
 
-    pub(super) fn on_first_event(&mut self, prefill_tokens: u64) {
-        self.local_prefill_tokens = self.local_prefill_tokens.saturating_sub(prefill_tokens);
+    pub(super) fn on_first_event(&mut self, priority: u8, prefill_tokens: u64) {
+        self.local_backlog.remove(priority, prefill_tokens);
     }
 
     pub(super) fn on_done(&mut self) {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! The choice of the endpoint of a request, by load, cached prompt prefixes and health.
 
 mod attempt_outcome;
+mod backlog;
 mod cold_rate_limiter;
 mod endpoint_health;
 mod endpoint_key;
@@ -12,6 +13,7 @@
 mod load_estimate;
 mod no_placement;
 mod overload;
+mod peer_backlogs;
 mod placement_query;
 mod prefix_owner;
 mod prompt_prefix;
--- a/src/placement/wait_estimate.rs
+++ b/src/placement/wait_estimate.rs
@@ -31,6 +31,17 @@
     prefill_ms: f64,
 }
 
+impl PriorityWait {
+    /// Returns the mean, with its excess over [`WAIT_UNKNOWN_MS`] reduced by its age.
+    fn decayed_ms(&self, now: Monotonic) -> Option<f64> {
+        let mean_ms = self.mean_ms.mean()?;
+        let age = now.since(self.answered_at).as_secs_f64();
+        let above_ms = (mean_ms - WAIT_UNKNOWN_MS).max(0.0);
+        let decayed_ms = above_ms * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64());
+        Some(mean_ms.min(WAIT_UNKNOWN_MS) + decayed_ms)
+    }
+}
+
 /// The expected time from sending a request to its first event, without its own prefill.
 ///
 /// Engines admit by priority, so each priority has its own estimate. A request that has been
@@ -60,21 +71,22 @@
     /// Records the wait of a request whose first event arrived.
     pub(super) fn on_answered(&mut self, now: Monotonic, priority: u8, wait_ms: f64) {
         let priority = self.priority_mut(priority);
+        // Otherwise one answer would bring back a mean that had decayed.
+        if let Some(decayed_ms) = priority.decayed_ms(now) {
+            priority.mean_ms = Ewma::from(decayed_ms);
+        }
         priority.mean_ms.add(wait_ms.max(1.0), ANSWER_WEIGHT);
-        priority.answered_at = now;
+        priority.answered_at = priority.answered_at.max(now);
     }
 
     /// Returns the expected wait of a request of a priority, in milliseconds.
     pub(super) fn wait_ms(&self, now: Monotonic, priority: u8) -> f64 {
         let priority = &self.priorities[index(priority)];
-        let mean_ms = priority.mean_ms.mean().unwrap_or(WAIT_UNKNOWN_MS);
-        let age = now.since(priority.answered_at).as_secs_f64();
-        let above_ms = (mean_ms - WAIT_UNKNOWN_MS).max(0.0);
-        let decayed_ms = above_ms * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64());
+        let mean_ms = priority.decayed_ms(now).unwrap_or(WAIT_UNKNOWN_MS);
         let oldest_ms = priority.pending.front().map_or(0.0, |pending| {
             now.since(pending.sent_at).as_secs_f64() * 1_000.0 - pending.prefill_ms
         });
-        (mean_ms.min(WAIT_UNKNOWN_MS) + decayed_ms).max(oldest_ms)
+        mean_ms.max(oldest_ms)
     }
 
     fn priority_mut(&mut self, priority: u8) -> &mut PriorityWait {
--- a/tests/behaviour/fleet/support.rs
+++ b/tests/behaviour/fleet/support.rs
@@ -33,6 +33,7 @@
         reads_store: true,
         waits: Vec::new(),
         usage: Vec::new(),
+        backlogs: Vec::new(),
     }
 }
 
