--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -196,7 +196,7 @@
                 region,
                 expected_ms: round_trip_ms.unwrap_or(ROUND_TRIP_UNKNOWN_MS)
                     + wait_ms.map_or(WAIT_UNKNOWN_MS, f64::from)
-                    + prefill_tokens as f64 * PREFILL_MS_PER_TOKEN,
+                    + endpoints.prefill_ms(&self.request.service.name, prefill_tokens),
                 has_prefix,
             })
         });
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -11,7 +11,6 @@
 use super::EndpointKey;
 use super::NoPlacement;
 use super::PlacementQuery;
-use super::PREFILL_MS_PER_TOKEN;
 use crate::clock::Monotonic;
 use crate::deployment::EndpointPhase;
 use crate::deployment::EndpointRecord;
@@ -97,21 +96,26 @@
         self.health.backoff(now, accepts_refusing).max(pause)
     }
 
-    /// Returns the expected time to the first event of a request, in milliseconds.
+    /// Returns the tokens that the endpoint prefills before those of a new request of a priority.
     ///
     /// `peers` is what other VMs have pending at the endpoint.
+    pub(super) fn ahead_tokens(&self, peers: Backlog, priority: u8) -> u64 {
+        self.load.local_backlog().ahead_of(priority) + peers.ahead_of(priority)
+    }
+
+    /// Returns the expected time to the first event of a request, in milliseconds.
+    ///
+    /// `queue_ms` is the time to prefill what is pending, `prefill_ms` that for the request.
     pub(super) fn expected_ms(
         &self,
         now: Monotonic,
-        peers: Backlog,
-        prefill_tokens: u64,
+        queue_ms: f64,
+        prefill_ms: f64,
         priority: u8,
     ) -> f64 {
-        let ahead_tokens = self.load.local_backlog().ahead_of(priority) + peers.ahead_of(priority);
-        let prefill_ms = (ahead_tokens + prefill_tokens) as f64 * PREFILL_MS_PER_TOKEN;
         let slots = f64::from(self.record.slots.max(1));
         let occupancy = f64::from(self.load.total_requests(now)) / slots;
-        (self.waits.wait_ms(now, priority) * (1.0 + occupancy) + prefill_ms)
-            * self.health.attempts_per_success()
+        let wait_ms = self.waits.wait_ms(now, priority) * (1.0 + occupancy);
+        (wait_ms.max(queue_ms) + prefill_ms) * self.health.attempts_per_success()
     }
 }
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -12,6 +12,7 @@
 use super::endpoint_notice::EndpointNotices;
 use super::endpoint_sample::draw_sample;
 use super::peer_backlogs::PeerBacklogs;
+use super::prefill_rate::PrefillRate;
 use super::AttemptOutcome;
 use super::ColdLimits;
 use super::EndpointKey;
@@ -31,11 +32,6 @@
 use crate::deployment::ZoneKey;
 use crate::fleet::EndpointBacklog;
 
-/// The time to prefill a prompt token that is not cached, in milliseconds.
-///
-/// Engines of the sizes in docs/CAPACITY.md prefill about 50 tokens per millisecond.
-pub const PREFILL_MS_PER_TOKEN: f64 = 0.02;
-
 /// The penalty of an endpoint in another availability zone, in milliseconds: traffic between zones
 /// costs money, and its latency is about a millisecond higher.
 const OTHER_ZONE_PENALTY_MS: f64 = 4.0;
@@ -49,6 +45,10 @@
     pub expected_ms: f64,
     /// The prompt tokens that the endpoint will have to prefill.
     pub prefill_tokens: u64,
+    /// The tokens that it has to prefill before the first event, those of earlier requests included.
+    pub queued_tokens: u64,
+    /// The expected time to prefill the prompt, in milliseconds.
+    pub prefill_ms: f64,
     /// The priority of the request; 0 is served first.
     pub priority: u8,
     /// When the endpoint was chosen.
@@ -57,13 +57,6 @@
     pub is_busy: bool,
 }
 
-impl Placement {
-    /// Returns the time to prefill the prompt, in milliseconds.
-    fn prefill_ms(&self) -> f64 {
-        self.prefill_tokens as f64 * PREFILL_MS_PER_TOKEN
-    }
-}
-
 /// The endpoints of the local region, and where else their services run.
 ///
 /// Placement has prefix affinity, for loads in which prompts share long prefixes: all VMs send
@@ -80,6 +73,7 @@
     remote: HashMap<Name, Vec<RemoteEndpoint>>,
     notices: EndpointNotices,
     peer_backlogs: PeerBacklogs,
+    prefill_rates: HashMap<Name, PrefillRate>,
 }
 
 /// An endpoint of another region that accepts requests.
@@ -101,6 +95,7 @@
             remote: HashMap::new(),
             notices: EndpointNotices::default(),
             peer_backlogs: PeerBacklogs::default(),
+            prefill_rates: HashMap::new(),
         }
     }
 
@@ -201,15 +196,26 @@
     ///
     /// Returns `None` if no endpoint of the service accepts requests here.
     pub fn shortest_wait_ms(&self, now: Monotonic, service: &Name) -> Option<f64> {
+        let rate = self.prefill_rate(service);
         self.of_service(service)
             .filter(|(_, state)| state.takes_requests() && state.backoff(now, false).is_none())
             .map(|(_, state)| {
                 let peers = self.peer_backlogs.at(state.hash);
-                state.expected_ms(now, peers, 0, MIDDLE_PRIORITY)
+                let queue_ms = rate.prefill_ms(state.ahead_tokens(peers, MIDDLE_PRIORITY));
+                state.expected_ms(now, queue_ms, 0.0, MIDDLE_PRIORITY)
             })
             .min_by(f64::total_cmp)
     }
 
+    /// Returns the expected time to prefill a prompt at an idle endpoint, in milliseconds.
+    pub fn prefill_ms(&self, service: &Name, tokens: u64) -> f64 {
+        self.prefill_rate(service).prefill_ms(tokens)
+    }
+
+    fn prefill_rate(&self, service: &Name) -> PrefillRate {
+        self.prefill_rates.get(service).copied().unwrap_or_default()
+    }
+
     fn of_service<'a>(
         &'a self,
         service: &Name,
@@ -239,6 +245,7 @@
             senders: COLD_SENDERS,
         };
         let keys = self.candidates(now, query);
+        let rate = self.prefill_rate(query.service);
         let mut best: Option<Placement> = None;
         let mut reason = NoPlacement::NoneListed;
         for key in keys {
@@ -267,13 +274,18 @@
                 false => OTHER_ZONE_PENALTY_MS,
             };
             let peers = self.peer_backlogs.at(state.hash);
+            let ahead_tokens = state.ahead_tokens(peers, query.priority);
+            let prefill_ms = rate.prefill_ms(prefill_tokens);
+            let queue_ms = rate.prefill_ms(ahead_tokens);
             let expected_ms =
-                state.expected_ms(now, peers, prefill_tokens, query.priority) + zone_penalty_ms;
+                state.expected_ms(now, queue_ms, prefill_ms, query.priority) + zone_penalty_ms;
             if best.is_none_or(|best| expected_ms < best.expected_ms) {
                 best = Some(Placement {
                     endpoint: key,
                     expected_ms,
                     prefill_tokens,
+                    queued_tokens: ahead_tokens + prefill_tokens,
+                    prefill_ms,
                     priority: query.priority,
                     chosen_at: now,
                     is_busy: state.is_busy(now),
@@ -345,7 +357,7 @@
             state.waits.on_sent(
                 placement.chosen_at,
                 placement.priority,
-                placement.prefill_ms(),
+                placement.prefill_ms,
             );
         }
     }
@@ -356,8 +368,13 @@
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
             state.health.record_outcome(now, outcome);
             if let AttemptOutcome::Answered { latency } = outcome {
-                let wait_ms = latency.as_secs_f64() * 1_000.0 - placement.prefill_ms();
+                let latency_ms = latency.as_secs_f64() * 1_000.0;
+                let wait_ms = latency_ms - placement.prefill_ms;
                 state.waits.on_answered(now, placement.priority, wait_ms);
+                self.prefill_rates
+                    .entry(state.record.service.clone())
+                    .or_default()
+                    .add(latency_ms, placement.queued_tokens);
             }
         }
     }
