Send the requests that leave the owner of a prefix to one replica

Change: the next engine in the rendezvous order of the owner is compared too, and counts as having half of the prefix.

--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -13,6 +13,7 @@
 use crate::fleet::NameHash;
 use crate::placement::choose_region;
 use crate::placement::overload_retry_after;
+use crate::placement::EndpointKey;
 use crate::placement::NoPlacement;
 use crate::placement::OverloadQuery;
 use crate::placement::Placement;
@@ -81,6 +82,16 @@
         })
     }
 
+    fn prefix_replica(
+        &self,
+        now: Monotonic,
+        prefix_owner: Option<PrefixOwner>,
+    ) -> Option<EndpointKey> {
+        let key = self.request.head.prefix.affinity_key()?;
+        let endpoints = self.state.endpoints.borrow();
+        endpoints.prefix_replica(now, &self.request.service.name, key, prefix_owner)
+    }
+
     fn no_endpoint_refusal(&self, reason: NoPlacement) -> Refusal {
         if self.ran_count > 0 {
             return Refusal::new(RefusalKind::Failed);
@@ -121,6 +132,7 @@
             prompt_tokens: self.request.head.prompt_tokens,
             prefix_tokens: self.request.head.prefix.tokens(),
             prefix_endpoint: prefix_owner.and_then(PrefixOwner::local),
+            prefix_replica: self.prefix_replica(now, prefix_owner),
             priority: self.request.priority(),
             tried: &self.tried,
             local_requests_max: (self.request.service.connections_max / local_vm_count).max(1),
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -268,7 +268,7 @@
                     continue;
                 }
             }
-            let prefill_tokens = query.prefill_tokens(query.prefix_endpoint == Some(key));
+            let prefill_tokens = query.prefill_tokens_at(key);
             let zone_penalty_ms = match state.record.zone == self.zone {
                 true => 0.0,
                 false => OTHER_ZONE_PENALTY_MS,
@@ -310,6 +310,7 @@
                 .unwrap_or_default();
         };
         drawn.extend(query.prefix_endpoint);
+        drawn.extend(query.prefix_replica);
         drawn
     }
 
@@ -337,6 +338,24 @@
             .map(|(_, owner)| owner)
     }
 
+    /// Returns the endpoint of the local region that takes the requests with a given prefix that
+    /// `owner` cannot take: the next one in the order by which owners are chosen.
+    pub fn prefix_replica(
+        &self,
+        now: Monotonic,
+        service: &Name,
+        prefix_hash: u64,
+        owner: Option<PrefixOwner>,
+    ) -> Option<EndpointKey> {
+        let owner = owner.and_then(PrefixOwner::local);
+        self.of_service(service)
+            .filter(|(key, state)| {
+                Some(*key) != owner && state.takes_requests() && !state.is_cold(now)
+            })
+            .max_by_key(|(_, state)| instance_score(&state.record.instance, prefix_hash))
+            .map(|(key, _)| key)
+    }
+
     /// Returns whether an endpoint of a service accepts requests in another region.
     pub fn is_served_in(&self, service: &Name, region: RegionKey) -> bool {
         let remote = self.remote.get(service).into_iter().flatten();
--- a/src/placement/placement_query.rs
+++ b/src/placement/placement_query.rs
@@ -3,6 +3,10 @@
 use super::EndpointKey;
 use crate::catalog::Name;
 
+/// The part of a prefix that counts as prefilled by its replica, which has it cached only if the
+/// owner was too busy a short time ago.
+const REPLICA_MISS_FRACTION: f64 = 0.5;
+
 /// A request that needs an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
@@ -14,6 +18,9 @@
     pub prefix_tokens: u64,
     /// The endpoint that owns the shared prefix, if it is in the local region.
     pub prefix_endpoint: Option<EndpointKey>,
+    /// The endpoint of the local region that takes the requests with this prefix that its owner is
+    /// too busy for.
+    pub prefix_replica: Option<EndpointKey>,
     /// The priority of the request; 0 is served first.
     pub priority: u8,
     /// The endpoints of earlier attempts, which are left out.
@@ -28,6 +35,18 @@
 }
 
 impl PlacementQuery<'_> {
+    /// Returns the tokens to prefill at an endpoint of the local region.
+    pub fn prefill_tokens_at(&self, endpoint: EndpointKey) -> u64 {
+        if self.prefix_endpoint == Some(endpoint) {
+            return self.prefill_tokens(true);
+        }
+        if self.prefix_replica != Some(endpoint) {
+            return self.prefill_tokens(false);
+        }
+        let missed_tokens = self.prefix_tokens as f64 * REPLICA_MISS_FRACTION;
+        self.prefill_tokens(true) + missed_tokens as u64
+    }
+
     /// Returns the tokens to prefill, with or without the shared prefix in the cache.
     pub const fn prefill_tokens(&self, is_cached: bool) -> u64 {
         if is_cached {
--- a/tests/behaviour/placement/mod.rs
+++ b/tests/behaviour/placement/mod.rs
@@ -1,5 +1,6 @@
 //! The choice of the endpoint and the region of a request.
 
+mod backlogs;
 mod cold_endpoints;
 mod failures;
 mod many_vms;
--- a/tests/behaviour/placement/prompts.rs
+++ b/tests/behaviour/placement/prompts.rs
@@ -96,6 +96,7 @@
         prompt_tokens: 17_000,
         prefix_tokens: 13_000,
         prefix_endpoint: owner.and_then(PrefixOwner::local),
+        prefix_replica: None,
         priority: 1,
         tried: &[],
         local_requests_max: u32::MAX,
--- a/tests/behaviour/placement/support.rs
+++ b/tests/behaviour/placement/support.rs
@@ -38,6 +38,7 @@
         prompt_tokens: 100,
         prefix_tokens: 0,
         prefix_endpoint: None,
+        prefix_replica: None,
         priority: 0,
         tried,
         local_requests_max: u32::MAX,
