Fetch a newer configuration once at a time, within the zone, and compressed

Change: one fetch runs at a time; one VM of a zone, by rendezvous, fetches from other zones, the others wait 0.9 s for a peer of their own zone; what is sent is compressed if the other VM accepts it (earlier builds do not); bodies from VMs are bounded. A newer version keeps the time at which an older one was confirmed as the newest. The test a_newer_version_does_not_inherit_the_confirmation_of_an_older_one was wrong: what had been published at that time is part of the newer version, so the age bounds what a VM may have missed. Its place is taken by two that fix the age exactly, for a confirmed, an unconfirmed and a never confirmed version.

--- a/src/belief/belief.rs
+++ b/src/belief/belief.rs
@@ -93,13 +93,13 @@
         let is_newer = self.configuration.is_none() || version > held;
         if is_newer {
             self.configuration = Some(configuration);
-            // Confirmations of an older version do not apply to this one.
-            self.configuration_confirmed_at = confirmed_at;
-        } else {
-            // A newer version may be among the writes that a restored store has lost.
-            let confirmed_at = confirmed_at.filter(|at| !self.restored_store.is_settling(*at));
-            self.configuration_confirmed_at = self.configuration_confirmed_at.max(confirmed_at);
         }
+        // A newer version may be among the writes that a restored store has lost.
+        let confirmed_at =
+            confirmed_at.filter(|at| is_newer || !self.restored_store.is_settling(*at));
+        // A time at which an older version was the newest also bounds the age of this one: whatever
+        // was published before it is part of this version.
+        self.configuration_confirmed_at = self.configuration_confirmed_at.max(confirmed_at);
         is_newer
     }
 
--- a/src/belief/configuration.rs
+++ b/src/belief/configuration.rs
@@ -1,5 +1,6 @@
 //! A configuration with the bytes it was decoded from.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -13,4 +14,6 @@
     pub deployment: Rc<Deployment>,
     /// The form in which the platform published it.
     pub encoded: Bytes,
+    /// That form compressed, once a VM has asked for it.
+    pub compressed: Rc<OnceCell<Bytes>>,
 }
--- a/src/edge/handlers.rs
+++ b/src/edge/handlers.rs
@@ -35,7 +35,7 @@
         EdgeRole::Metrics => metrics(&state),
         EdgeRole::Peers => match ForwardHeaders::decode(request.headers()) {
             Some(forwarded) => request_intake::serve(state, request, Some(forwarded)).await,
-            None => peer_fetch::answer(&state, request.uri()),
+            None => peer_fetch::answer(&state, &request),
         },
         EdgeRole::Clients => {
             forward_headers::strip(request.headers_mut());
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,6 +13,7 @@
 mod event_splitter;
 mod forward_headers;
 mod handlers;
+mod peer_encoding;
 mod peer_fetch;
 mod pooled_connection;
 mod refusal;
--- a/src/edge/peer_fetch.rs
+++ b/src/edge/peer_fetch.rs
@@ -5,17 +5,23 @@
 
 use bytes::Bytes;
 use http::header;
+use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::Uri;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use tokio::time::timeout;
 
 use super::edge_body::whole;
+use super::peer_encoding::compress;
+use super::peer_encoding::decompress;
+use super::peer_encoding::ENCODING;
 use super::EdgeBody;
 use super::UpstreamError;
+use crate::belief::Configuration;
 use crate::entry::EntryState;
 use crate::fleet::encode_message;
 use crate::fleet::FleetMessage;
@@ -30,25 +36,56 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The longest configuration or listing that is accepted from another VM.
+const BODY_MAX_BYTES: usize = 32 * 1024 * 1024;
+
 /// Answers another VM's request for the configuration or the listing of endpoints.
-pub(super) fn answer(state: &EntryState, target: &Uri) -> Response<EdgeBody> {
-    let held = match target.path() {
-        CONFIGURATION_PATH => configuration(state),
-        LISTING_PATH => listing(state),
+pub(super) fn answer<B>(state: &EntryState, request: &Request<B>) -> Response<EdgeBody> {
+    let held = match request.uri().path() {
+        CONFIGURATION_PATH => configuration(state, accepts_compressed(request.headers())),
+        LISTING_PATH => listing(state).map(|listing| Response::new(whole(listing))),
         _ => None,
     };
-    let Some(held) = held else {
+    held.unwrap_or_else(|| {
         let mut response = Response::new(whole(""));
         *response.status_mut() = StatusCode::NOT_FOUND;
-        return response;
-    };
-    Response::new(whole(held))
+        response
+    })
+}
+
+/// Returns whether the other VM accepts a compressed body; earlier builds do not.
+fn accepts_compressed(headers: &HeaderMap) -> bool {
+    headers.get(header::ACCEPT_ENCODING) == Some(&HeaderValue::from_static(ENCODING))
 }
 
-fn configuration(state: &EntryState) -> Option<Bytes> {
+fn configuration(state: &EntryState, accepts_compressed: bool) -> Option<Response<EdgeBody>> {
     let belief = state.belief.borrow();
     let configuration = belief.configuration()?;
-    Some(configuration.encoded.clone())
+    let compressed = match accepts_compressed {
+        true => compressed(configuration),
+        false => None,
+    };
+    let Some(compressed) = compressed else {
+        return Some(Response::new(whole(configuration.encoded.clone())));
+    };
+    let mut response = Response::new(whole(compressed));
+    let encoding = HeaderValue::from_static(ENCODING);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_ENCODING, encoding);
+    Some(response)
+}
+
+fn compressed(configuration: &Configuration) -> Option<Bytes> {
+    if let Some(compressed) = configuration.compressed.get() {
+        return Some(compressed.clone());
+    }
+    match compress(&configuration.encoded) {
+        Ok(compressed) => Some(configuration.compressed.get_or_init(|| compressed).clone()),
+        Err(error) => {
+            log::error!(error:% = error; "compressing the configuration failed");
+            None
+        }
+    }
 }
 
 fn listing(state: &EntryState) -> Option<Bytes> {
@@ -116,15 +153,18 @@
         .await?;
     let request = Request::get(path)
         .header(header::HOST, address.to_string())
+        .header(header::ACCEPT_ENCODING, ENCODING)
         .body(Full::default())
         .expect("the paths are constants");
-    let response = connection.send(request).await?;
-    let status = response.status();
-    let body = response.into_body().collect().await;
-    let body = body.map_err(UpstreamError::Broken)?.to_bytes();
+    let (parts, body) = connection.send(request).await?.into_parts();
+    let body = Limited::new(body, BODY_MAX_BYTES).collect().await;
+    let body = body.map_err(UpstreamError::PeerBody)?.to_bytes();
     pool.release(state.now(), connection);
-    if !status.is_success() {
-        return Err(UpstreamError::PeerStatus(status.as_u16()));
+    if !parts.status.is_success() {
+        return Err(UpstreamError::PeerStatus(parts.status.as_u16()));
+    }
+    if !parts.headers.contains_key(header::CONTENT_ENCODING) {
+        return Ok(body);
     }
-    Ok(body)
+    decompress(&body, BODY_MAX_BYTES).map_err(|error| UpstreamError::PeerBody(error.into()))
 }
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -34,6 +34,9 @@
     /// The stream ended in the middle of an event.
     #[error("the stream ended in the middle of an event")]
     Truncated,
+    /// What another VM sent could not be read or decompressed, or is too long.
+    #[error("the body sent by the VM could not be read: {0}")]
+    PeerBody(#[source] Box<dyn std::error::Error + Send + Sync>),
     /// Another VM answered a fetch with an error status.
     #[error("the VM answered with status {0}")]
     PeerStatus(u16),
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -1,11 +1,13 @@
 //! Exchanges gossip datagrams with other VMs.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use tokio::net::UdpSocket;
 use tokio::time::interval;
 use tokio::time::MissedTickBehavior;
@@ -19,6 +21,7 @@
 use crate::edge::fetch_listing;
 use crate::fleet::decode_message;
 use crate::fleet::encode_message;
+use crate::fleet::ConfigurationFetch;
 use crate::fleet::FleetMessage;
 use crate::fleet::FleetWireError;
 use crate::fleet::GossipPlan;
@@ -34,6 +37,7 @@
     plan: GossipPlan,
     requests_sent_at: HashMap<Ipv4Addr, Monotonic>,
     is_fetching_listing: Rc<Cell<bool>>,
+    configuration_fetch: Rc<RefCell<ConfigurationFetch>>,
 }
 
 impl GossipTask {
@@ -50,6 +54,7 @@
             plan,
             requests_sent_at: HashMap::new(),
             is_fetching_listing: Rc::default(),
+            configuration_fetch: Rc::default(),
         }
     }
 
@@ -158,7 +163,7 @@
             && digest.listing_hash != request.digest.listing_hash;
         self.send(from, now, Some(request.sent_at), has_listing);
         if request.digest.configuration_version > digest.configuration_version {
-            self.fetch_configuration(from);
+            self.fetch_configuration(now, from, BeliefDigest::default());
         }
     }
 
@@ -187,7 +192,7 @@
             apply_listing(&self.state, from, &digest, listing);
         }
         if updates.has_newer_configuration {
-            self.fetch_configuration_and_compare(from, digest);
+            self.fetch_configuration(now, from, digest);
         }
         if updates.has_newer_listing && !has_listing {
             self.fetch_listing(from);
@@ -215,22 +220,24 @@
         });
     }
 
-    fn fetch_configuration(&self, from: Ipv4Addr) {
-        self.fetch_configuration_and_compare(from, BeliefDigest::default());
-    }
-
-    fn fetch_configuration_and_compare(&self, from: Ipv4Addr, digest: BeliefDigest) {
+    /// Fetches a newer configuration from a peer whose digest has its version, if it is time to.
+    fn fetch_configuration(&self, now: Monotonic, from: Ipv4Addr, digest: BeliefDigest) {
+        let (distance, fetches_for_zone) = {
+            let fleet = self.state.fleet.borrow();
+            (fleet.distance(from), fleet.fetches_for_zone(now))
+        };
+        let mut fetch = self.configuration_fetch.borrow_mut();
+        if !fetch.try_start(now, distance, fetches_for_zone) {
+            return;
+        }
         let state = Rc::clone(&self.state);
+        let fetch = Rc::clone(&self.configuration_fetch);
         tokio::task::spawn_local(async move {
             let address = state.peer_address(from);
-            match fetch_configuration(&state, address).await {
-                Ok(encoded) => {
-                    let is_newer = apply_configuration(&state, encoded, None);
-                    let _ = state.belief.borrow_mut().compare(state.now(), &digest);
-                    if is_newer {
-                        state.on_belief_changed(state.now());
-                    }
-                }
+            let fetched = fetch_configuration(&state, address).await;
+            fetch.borrow_mut().on_ended(fetched.is_ok());
+            match fetched {
+                Ok(encoded) => on_configuration_fetched(&state, encoded, &digest),
                 Err(error) => {
                     log::warn!(from:% = from, error:% = error; "fetching a configuration failed");
                     state.read_now.notify_one();
@@ -240,6 +247,16 @@
     }
 }
 
+fn on_configuration_fetched(state: &EntryState, encoded: Bytes, digest: &BeliefDigest) {
+    let now = state.now();
+    let is_newer = apply_configuration(state, encoded, None);
+    // Whether newer content exists is seen again in the next round.
+    let _ = state.belief.borrow_mut().compare(now, digest);
+    if is_newer {
+        state.on_belief_changed(now);
+    }
+}
+
 /// Encodes a message; a listing that does not fit is omitted, and the other VM fetches it.
 fn encode_datagram(mut message: FleetMessage) -> Result<Vec<u8>, FleetWireError> {
     let bytes = encode_message(&message)?;
--- a/src/entry/store_task.rs
+++ b/src/entry/store_task.rs
@@ -112,6 +112,7 @@
             Ok(deployment) => Configuration {
                 deployment: Rc::new(deployment),
                 encoded,
+                compressed: Rc::default(),
             },
             Err(error) => {
                 log::error!(error:% = error; "the published configuration is invalid");
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::NameHash;
+use super::PeerDistance;
 use super::VmPhase;
 use super::VmRow;
 use crate::clock::Monotonic;
@@ -217,6 +218,24 @@
         ahead.count() < count
     }
 
+    /// Returns how far away a VM is; an unknown one counts as being in another region.
+    pub fn distance(&self, ip: Ipv4Addr) -> PeerDistance {
+        match self.others.get(&ip) {
+            Some(vm) if vm.row.zone == self.local_row.zone => PeerDistance::SameZone,
+            Some(vm) if self.region(&vm.row) == self.local_region() => PeerDistance::SameRegion,
+            _ => PeerDistance::OtherRegion,
+        }
+    }
+
+    /// Returns whether the local VM is the one of its zone that fetches from other zones, by
+    /// rendezvous hashing.
+    pub fn fetches_for_zone(&self, now: Monotonic) -> bool {
+        let local_score = rendezvous_score(FETCH_RENDEZVOUS_KEY, self.local_row.ip);
+        self.alive(now)
+            .filter(|row| row.zone == self.local_row.zone && row.phase != VmPhase::Leaving)
+            .all(|row| rendezvous_score(FETCH_RENDEZVOUS_KEY, row.ip) < local_score)
+    }
+
     /// Returns a random live VM of a region to forward requests to, and the average round-trip time
     /// to it in milliseconds, if it was measured.
     pub fn forward_target(
@@ -246,6 +265,8 @@
     }
 }
 
+const FETCH_RENDEZVOUS_KEY: u64 = 0x6665_7463;
+
 const READER_RENDEZVOUS_KEY: u64 = 0x7265_6164;
 
 fn rendezvous_score(rendezvous_key: u64, ip: Ipv4Addr) -> u64 {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Discovery of VMs by seed addresses and gossip, without a central list.
 
+mod configuration_fetch;
 mod fleet_message;
 mod fleet_view;
 mod gossip;
@@ -8,6 +9,8 @@
 mod wire;
 mod wire_error;
 
+pub use configuration_fetch::ConfigurationFetch;
+pub use configuration_fetch::PeerDistance;
 pub use fleet_message::FleetMessage;
 pub use fleet_message::MessageDigest;
 pub use fleet_view::FleetView;
--- a/tests/behaviour/belief/support.rs
+++ b/tests/behaviour/belief/support.rs
@@ -30,6 +30,7 @@
     Configuration {
         deployment: Rc::new(deployment),
         encoded: Bytes::from(version.to_string()),
+        compressed: Rc::default(),
     }
 }
 
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint_faults;
 mod endpoint_notices;
 mod keys;
+mod large_configurations;
 mod large_listings;
 mod requests;
 mod restored_store;
--- a/tests/behaviour/fleet/mod.rs
+++ b/tests/behaviour/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of discovery and gossip between VMs.
 
+mod configuration_fetch;
 mod convergence;
 mod directory;
 mod rows;
