Refuse what is bound to regions that a VM doesn't know, instead of serving it anywhere

Cause: names of home regions that are not in a VM's settings were dropped, and an empty list meant every region. Change: home regions are either any or a list; a list whose regions are all unknown allows none. Each unknown name is logged with the configuration.

--- a/src/deployment/account_policy.rs
+++ b/src/deployment/account_policy.rs
@@ -2,7 +2,7 @@
 
 use slotmap::new_key_type;
 
-use super::RegionKey;
+use super::HomeRegions;
 use crate::catalog::Name;
 
 new_key_type! {
@@ -25,6 +25,6 @@
     pub is_counted_in_tokens: bool,
     /// The tokens charged for a request that does not declare its tokens.
     pub undeclared_tokens: u64,
-    /// The only regions that may serve the account; empty for all.
-    pub home_regions: Vec<RegionKey>,
+    /// The regions that may serve the account.
+    pub home_regions: HomeRegions,
 }
--- a/src/deployment/served_route.rs
+++ b/src/deployment/served_route.rs
@@ -4,7 +4,7 @@
 
 use slotmap::new_key_type;
 
-use super::RegionKey;
+use super::HomeRegions;
 use super::ServiceKey;
 use crate::catalog::Name;
 
@@ -70,8 +70,8 @@
     pub attempts_max: u32,
     /// Whether requests need no API key.
     pub is_public: bool,
-    /// The only regions that may serve the route; empty for all.
-    pub home_regions: Vec<RegionKey>,
+    /// The regions that may serve the route.
+    pub home_regions: HomeRegions,
 }
 
 impl ServedRoute {
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -57,9 +57,9 @@
 
     /// Returns whether the route and the account allow a region.
     pub(super) fn allows(&self, region: RegionKey) -> bool {
-        let is_home = |homes: &[RegionKey]| homes.is_empty() || homes.contains(&region);
-        let account_homes = self.account.as_ref().map(|account| &*account.home_regions);
-        is_home(&self.route.home_regions) && account_homes.is_none_or(is_home)
+        let account_homes = self.account.as_ref().map(|account| &account.home_regions);
+        self.route.home_regions.allows(region)
+            && account_homes.is_none_or(|homes| homes.allows(region))
     }
 
     fn account_name(&self) -> Option<&Name> {
--- a/src/platform/configuration_wire.rs
+++ b/src/platform/configuration_wire.rs
@@ -9,7 +9,7 @@
 use crate::deployment::ClientLimits;
 use crate::deployment::Deployment;
 use crate::deployment::DeploymentBuilder;
-use crate::deployment::RegionKey;
+use crate::deployment::HomeRegions;
 use crate::deployment::RetrySafety;
 use crate::deployment::ServedRoute;
 use crate::deployment::ServiceProfile;
@@ -192,7 +192,7 @@
             .collect(),
         attempts_max: wire.max_attempts,
         is_public: wire.public,
-        home_regions: regions(&wire.home_regions, topology),
+        home_regions: home_regions(&wire.home_regions, topology),
     })
 }
 
@@ -207,13 +207,22 @@
         burst: wire.burst,
         is_counted_in_tokens: wire.unit.as_deref() == Some("tokens"),
         undeclared_tokens: wire.plain_tokens as u64,
-        home_regions: regions(&wire.home_regions, topology),
+        home_regions: home_regions(&wire.home_regions, topology),
     })
 }
 
-fn regions(names: &[String], topology: &Topology) -> Vec<RegionKey> {
-    let known = names.iter().filter_map(|name| topology.region(name));
-    known.collect()
+fn home_regions(names: &[String], topology: &Topology) -> HomeRegions {
+    if names.is_empty() {
+        return HomeRegions::Any;
+    }
+    let known = names.iter().filter_map(|name| {
+        let region = topology.region(name);
+        if region.is_none() {
+            log::warn!(region = name.as_str(); "a home region is not in the settings of this VM");
+        }
+        region
+    });
+    HomeRegions::Only(known.collect())
 }
 
 fn name(text: &str) -> Result<Name, serde_json::Error> {
--- a/tests/behaviour/entry/two_regions.rs
+++ b/tests/behaviour/entry/two_regions.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use super::support::configuration;
 use super::support::new_ip;
 use super::support::whole_stream;
 use super::support::EntryVm;
 use super::support::Site;
 use super::support::EAST;
+use super::support::KEY;
 use super::support::WEST;
 
 #[tokio::test]
@@ -87,3 +89,17 @@
     assert_eq!(response.status(), 200);
     assert_eq!(site.runs("r1"), 1);
 }
+
+#[tokio::test]
+async fn a_route_bound_to_a_region_unknown_to_the_vm_runs_nowhere() {
+    let site = Site::launch(EAST).await;
+    let mut bound = configuration(2, &[KEY]);
+    for route in bound["routes"].as_array_mut().expect("routes") {
+        route["homeRegions"] = serde_json::json!(["north"]);
+    }
+    site.store.put("op/config", bound.to_string());
+    let vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    let response = vm.post("/book/x", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 503);
+    assert_eq!(site.runs("r1"), 0);
+}
--- a/tests/behaviour/quota/fleet_bound.rs
+++ b/tests/behaviour/quota/fleet_bound.rs
@@ -8,6 +8,7 @@
 use figramp::deployment::ClientLimits;
 use figramp::deployment::Deployment;
 use figramp::deployment::DeploymentBuilder;
+use figramp::deployment::HomeRegions;
 use figramp::fleet::VmRow;
 use figramp::quota::QuotaLimiter;
 
@@ -27,7 +28,7 @@
         burst: RATE_PER_S,
         is_counted_in_tokens: true,
         undeclared_tokens: 200,
-        home_regions: Vec::new(),
+        home_regions: HomeRegions::Any,
     }
 }
 
--- a/tests/behaviour/quota/many_accounts.rs
+++ b/tests/behaviour/quota/many_accounts.rs
@@ -5,6 +5,7 @@
 use figramp::catalog::Name;
 use figramp::clock::Monotonic;
 use figramp::deployment::AccountPolicy;
+use figramp::deployment::HomeRegions;
 use figramp::fleet::encode_message;
 use figramp::fleet::AccountUsage;
 use figramp::fleet::FleetMessage;
@@ -33,7 +34,7 @@
         burst: 1_000.0,
         is_counted_in_tokens: true,
         undeclared_tokens: 200,
-        home_regions: Vec::new(),
+        home_regions: HomeRegions::Any,
     }
 }
 
