Count an engine with prompts pending as busy, so that what would be late is refused

Cause: only an engine with more than half of its slots taken counted as busy. Engines with 128 slots run out of reading time long before, so nothing was refused, and answers died at their deadline after seconds in a queue. Change: 100 ms of prompts pending at the engine, as known from all VMs of the region, count too.

--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -32,6 +32,10 @@
 use crate::deployment::ZoneKey;
 use crate::fleet::EndpointBacklog;
 
+/// The time to prefill what is pending from which on an endpoint counts as busy, in milliseconds:
+/// longer than most prompts take.
+const QUEUE_BUSY_MS: f64 = 100.0;
+
 /// The penalty of an endpoint in another availability zone, in milliseconds: traffic between zones
 /// costs money, and its latency is about a millisecond higher.
 const OTHER_ZONE_PENALTY_MS: f64 = 4.0;
@@ -53,7 +57,7 @@
     pub priority: u8,
     /// When the endpoint was chosen.
     pub chosen_at: Monotonic,
-    /// Whether requests wait at the endpoint, or more than half of its slots are taken.
+    /// Whether prompts wait at the endpoint, or more than half of its slots are taken.
     pub is_busy: bool,
 }
 
@@ -288,7 +292,7 @@
                     prefill_ms,
                     priority: query.priority,
                     chosen_at: now,
-                    is_busy: state.is_busy(now),
+                    is_busy: state.is_busy(now) || queue_ms > QUEUE_BUSY_MS,
                 });
             }
         }
