Split the table of endpoints: the choice, and what requests and other VMs tell of endpoints

Change: the placement and the methods that record events are in files of their own; nothing else changed.

--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -1,23 +1,21 @@
 //! The endpoints of the local region and the choice among them.
 
 use std::collections::HashMap;
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::cold_rate_limiter::COLD_SENDERS;
-use super::endpoint_notice::EndpointNotice;
 use super::endpoint_notice::EndpointNotices;
 use super::endpoint_sample::draw_sample;
 use super::peer_backlogs::PeerBacklogs;
 use super::prefill_rate::PrefillRate;
-use super::AttemptOutcome;
 use super::ColdLimits;
 use super::EndpointKey;
 use super::EndpointState;
 use super::NoPlacement;
+use super::Placement;
 use super::PlacementQuery;
 use super::PrefixOwner;
 use crate::catalog::Name;
@@ -30,7 +28,6 @@
 use crate::deployment::RegionKey;
 use crate::deployment::Topology;
 use crate::deployment::ZoneKey;
-use crate::fleet::EndpointBacklog;
 
 /// The time to prefill what is pending from which on an endpoint counts as busy, in milliseconds:
 /// longer than most prompts take.
@@ -40,27 +37,6 @@
 /// costs money, and its latency is about a millisecond higher.
 const OTHER_ZONE_PENALTY_MS: f64 = 4.0;
 
-/// The endpoint chosen for a request, and the estimates behind the choice.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Placement {
-    /// The chosen endpoint.
-    pub endpoint: EndpointKey,
-    /// The expected time to the first event, in milliseconds.
-    pub expected_ms: f64,
-    /// The prompt tokens that the endpoint will have to prefill.
-    pub prefill_tokens: u64,
-    /// The tokens that it has to prefill before the first event, those of earlier requests included.
-    pub queued_tokens: u64,
-    /// The expected time to prefill the prompt, in milliseconds.
-    pub prefill_ms: f64,
-    /// The priority of the request; 0 is served first.
-    pub priority: u8,
-    /// When the endpoint was chosen.
-    pub chosen_at: Monotonic,
-    /// Whether prompts wait at the endpoint, or more than half of its slots are taken.
-    pub is_busy: bool,
-}
-
 /// The endpoints of the local region, and where else their services run.
 ///
 /// Placement has prefix affinity, for loads in which prompts share long prefixes: all VMs send
@@ -71,13 +47,13 @@
 pub struct EndpointTable {
     region: RegionKey,
     zone: ZoneKey,
-    endpoints: SlotMap<EndpointKey, EndpointState>,
+    pub(super) endpoints: SlotMap<EndpointKey, EndpointState>,
     by_instance: HashMap<InstanceId, EndpointKey>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
     remote: HashMap<Name, Vec<RemoteEndpoint>>,
-    notices: EndpointNotices,
-    peer_backlogs: PeerBacklogs,
-    prefill_rates: HashMap<Name, PrefillRate>,
+    pub(super) notices: EndpointNotices,
+    pub(super) peer_backlogs: PeerBacklogs,
+    pub(super) prefill_rates: HashMap<Name, PrefillRate>,
 }
 
 /// An endpoint of another region that accepts requests.
@@ -367,149 +343,6 @@
             .map(|endpoint| endpoint.region)
             .any(|other| other == region)
     }
-
-    /// Records a request that is about to be sent to an endpoint.
-    pub fn on_sent(&mut self, now: Monotonic, placement: &Placement) {
-        if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            if state.is_cold(now) {
-                state.cold_limiter.on_sent();
-            }
-            state
-                .load
-                .on_sent(placement.priority, placement.prefill_tokens);
-            state.waits.on_sent(
-                placement.chosen_at,
-                placement.priority,
-                placement.prefill_ms,
-            );
-        }
-    }
-
-    /// Records the first outcome of an attempt; its prompt is no longer being prefilled.
-    pub fn on_outcome(&mut self, now: Monotonic, placement: &Placement, outcome: AttemptOutcome) {
-        self.on_abandoned(placement);
-        if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            state.health.record_outcome(now, outcome);
-            if let AttemptOutcome::Answered { latency } = outcome {
-                let latency_ms = latency.as_secs_f64() * 1_000.0;
-                let wait_ms = latency_ms - placement.prefill_ms;
-                state.waits.on_answered(now, placement.priority, wait_ms);
-                self.prefill_rates
-                    .entry(state.record.service.clone())
-                    .or_default()
-                    .add(latency_ms, placement.queued_tokens);
-            }
-        }
-    }
-
-    /// Returns what this VM has pending at each endpoint, for the other VMs of the region.
-    pub fn backlogs(&self) -> Vec<EndpointBacklog> {
-        let states = self.endpoints.values();
-        let backlogs = states.flat_map(|state| {
-            let endpoint = state.hash;
-            (0..)
-                .zip(state.load.local_backlog().by_priority())
-                .filter(|(_, prefill_tokens)| *prefill_tokens > 0)
-                .map(move |(priority, prefill_tokens)| EndpointBacklog {
-                    endpoint,
-                    priority,
-                    prefill_tokens,
-                })
-        });
-        backlogs.collect()
-    }
-
-    /// Replaces what is known to be pending from another VM of the region.
-    pub fn on_peer_backlogs(&mut self, now: Monotonic, ip: Ipv4Addr, backlogs: &[EndpointBacklog]) {
-        self.peer_backlogs.replace(now, ip, backlogs);
-    }
-
-    /// Forgets what is known from VMs whose rows no longer arrive.
-    pub fn remove_expired_backlogs(&mut self, now: Monotonic) {
-        self.peer_backlogs.remove_expired(now);
-    }
-
-    /// Records a failure after the first outcome, such as an answer that broke after its head.
-    pub fn on_late_outcome(
-        &mut self,
-        now: Monotonic,
-        placement: &Placement,
-        outcome: AttemptOutcome,
-    ) {
-        if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            state.health.record_outcome(now, outcome);
-        }
-    }
-
-    /// Records that the client no longer waits for the first event of an attempt.
-    pub fn on_abandoned(&mut self, placement: &Placement) {
-        if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            state
-                .load
-                .on_first_event(placement.priority, placement.prefill_tokens);
-            state
-                .waits
-                .remove_pending(placement.priority, placement.chosen_at);
-        }
-    }
-
-    /// Records that a request is no longer in flight at its endpoint.
-    pub fn on_done(&mut self, placement: &Placement) {
-        if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            state.load.on_done();
-        }
-    }
-
-    /// Records the numbers of running and waiting requests that an endpoint reported.
-    pub fn on_load(&mut self, now: Monotonic, key: EndpointKey, running: u32, waiting: u32) {
-        if let Some(state) = self.endpoints.get_mut(key) {
-            state.load.on_report(now, running, waiting);
-        }
-    }
-
-    /// Records that an endpoint reported to be cold for the `remaining` time.
-    pub fn on_cold(&mut self, now: Monotonic, key: EndpointKey, remaining: Duration) {
-        if let Some(state) = self.endpoints.get_mut(key) {
-            state.cold_until = now + remaining;
-        }
-    }
-
-    /// Records that an endpoint announced in an answer that it is about to stop; returns whether
-    /// that is new.
-    ///
-    /// It gets no further requests, also if it is listed again; only another instance does.
-    pub fn on_leaving(&mut self, now: Monotonic, key: EndpointKey) -> bool {
-        self.on_notice(key, |notices, instance| notices.on_leaving(now, instance))
-    }
-
-    /// Records that an endpoint wants no request of this VM for the `pause`; returns whether that
-    /// extends an earlier notice.
-    pub fn on_pause(&mut self, now: Monotonic, key: EndpointKey, pause: Duration) -> bool {
-        self.on_notice(key, |notices, instance| {
-            notices.on_pause(now, instance, pause)
-        })
-    }
-
-    fn on_notice(
-        &mut self,
-        key: EndpointKey,
-        record_notice: impl FnOnce(&mut EndpointNotices, &InstanceId) -> EndpointNotice,
-    ) -> bool {
-        let Some(state) = self.endpoints.get_mut(key) else {
-            return false;
-        };
-        let notice = record_notice(&mut self.notices, &state.record.instance);
-        std::mem::replace(&mut state.notice, notice) != notice
-    }
-
-    /// Records that another instance answered at the address of an endpoint.
-    ///
-    /// The endpoint gets no requests until a listing contains it again.
-    pub fn on_replaced(&mut self, key: EndpointKey) {
-        if let Some(state) = self.endpoints.get_mut(key) {
-            state.is_listed = false;
-        }
-    }
 }
 
 /// The priority whose expected wait is published to other regions.
