--- a/src/edge/event_splitter.rs
+++ b/src/edge/event_splitter.rs
@@ -32,6 +32,11 @@
         self.pending.is_empty()
     }
 
+    /// Returns the number of bytes of the event that is not whole yet.
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Discards a partially received event.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -19,12 +19,17 @@
 use super::EdgeBody;
 use super::EventSplitter;
 use super::UpstreamError;
+use crate::clock::Monotonic;
 use crate::placement::AttemptOutcome;
 
 /// The time without data after which a stream is resumed elsewhere, as a multiple of the route's
 /// target for the gap between events. Clients abort at eight times that target.
 const SILENCE_TIMEOUT_GAPS: u32 = 5;
 
+/// The longest event of a stream: many times the events of a model's answer. An endpoint that sends
+/// bytes without end would otherwise fill the memory of the VM.
+const EVENT_MAX_BYTES: usize = 256 * 1024;
+
 /// The headers of an answer that apply to a single connection.
 const HOP_BY_HOP_HEADERS: [&str; 6] = [
     "connection",
@@ -68,10 +73,12 @@
     let mut headers = client_headers(answer.parts.headers.clone());
     headers.remove(header::CONTENT_LENGTH);
     let last_id = attempts.request.head.last_event_id;
+    let progressed_at = attempts.state.now();
     let relay = StreamRelay {
         attempts,
         answer: Some(answer),
         splitter: EventSplitter::new(last_id),
+        progressed_at,
     };
     let frames = stream::try_unfold(relay, |mut relay| async move {
         let bytes = relay.next().await?;
@@ -94,6 +101,8 @@
     attempts: Attempts,
     answer: Option<Answer>,
     splitter: EventSplitter,
+    /// When the head of the present answer or its last whole event arrived.
+    progressed_at: Monotonic,
 }
 
 impl StreamRelay {
@@ -104,8 +113,13 @@
                 Ok(Chunk::Bytes(bytes)) => {
                     let events = self.splitter.push(&bytes);
                     if !events.is_empty() {
+                        self.progressed_at = self.attempts.state.now();
                         return Ok(Some(events));
                     }
+                    if self.splitter.partial_bytes() > EVENT_MAX_BYTES {
+                        let error = UpstreamError::TooLong(EVENT_MAX_BYTES);
+                        self.resume(error).await?;
+                    }
                 }
                 Ok(Chunk::End) if self.splitter.is_at_boundary() => {
                     if let Some(answer) = self.answer.take() {
@@ -126,12 +140,19 @@
             return Err(UpstreamError::DeadlinePassed);
         }
         let silence_timeout = self.silence_timeout(time_left);
+        let is_resumable = silence_timeout < time_left;
+        // Bytes that complete no event are no progress.
+        let elapsed = self.attempts.state.now().since(self.progressed_at);
+        let silence_timeout = match is_resumable {
+            true => silence_timeout.saturating_sub(elapsed),
+            false => time_left,
+        };
         let Some(answer) = &mut self.answer else {
             return Ok(Chunk::End);
         };
         loop {
             let Ok(frame) = timeout(silence_timeout, answer.body.frame()).await else {
-                return Err(match silence_timeout < time_left {
+                return Err(match is_resumable {
                     true => UpstreamError::Timeout(silence_timeout),
                     false => UpstreamError::DeadlinePassed,
                 });
@@ -183,6 +204,7 @@
             return Err(error);
         }
         self.answer = Some(answer);
+        self.progressed_at = self.attempts.state.now();
         Ok(())
     }
 }
--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -19,6 +19,8 @@
     pub mislabels_answers: bool,
     /// Resets streams after half of the event with this number.
     pub truncated_event: Option<u64>,
+    /// Sends bytes that complete no event without end, this many at a time, in place of a stream.
+    pub endless_bytes: Option<usize>,
     /// The delay before each event and each plain answer.
     pub pause: Duration,
 }
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -238,7 +238,22 @@
     Box::pin(StreamBody::new(frames))
 }
 
+fn endless_body(chunk_bytes: usize, pause: Duration, running: Arc<()>) -> AnswerBody {
+    let chunk = Bytes::from(vec![b'x'; chunk_bytes]);
+    let frames = stream::unfold(running, move |running| {
+        let chunk = chunk.clone();
+        async move {
+            sleep(pause).await;
+            Some((Ok(Frame::data(chunk)), running))
+        }
+    });
+    Box::pin(StreamBody::new(frames))
+}
+
 fn event_stream(first_event: u64, faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
+    if let Some(chunk_bytes) = faults.endless_bytes {
+        return endless_body(chunk_bytes, faults.pause, running);
+    }
     let (pause, truncated_event) = (faults.pause, faults.truncated_event);
     let frames = stream::unfold(
         (Some(first_event), running),
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Whole daemons on loopback, with stand-ins for the platform.
 
 mod disconnects;
+mod endless_answers;
 mod endpoint_faults;
 mod endpoint_notices;
 mod keys;
--- a/tests/behaviour/entry/support.rs
+++ b/tests/behaviour/entry/support.rs
@@ -224,6 +224,15 @@
         assert!(status.expect("kill runs").success());
     }
 
+    /// Returns the peak resident memory of the daemon.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the daemon runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let value = line.and_then(|line| line.split_whitespace().next());
+        value.expect("a value").parse().expect("a number")
+    }
+
     pub(crate) fn wait_for_exit(&mut self) -> Option<i32> {
         self.child.wait().expect("the process ends").code()
     }
