--- a/tests/behaviour/fleet/mod.rs
+++ b/tests/behaviour/fleet/mod.rs
@@ -4,5 +4,6 @@
 mod convergence;
 mod directory;
 mod rows;
+mod simultaneous_start;
 pub(crate) mod support;
 mod wire;
