Log the shared prompt parts of an interrupted stream, and whether it had an event

Both are fields of the entry "stream interrupted" now; parts are logged as the hashes by which the gateway knows them.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -79,6 +79,7 @@
         answer: Some(answer),
         splitter: EventSplitter::new(last_id),
         progressed_at,
+        has_event: false,
     };
     let frames = stream::try_unfold(relay, |mut relay| async move {
         let bytes = relay.next().await?;
@@ -103,6 +104,8 @@
     splitter: EventSplitter,
     /// When the head of the present answer or its last whole event arrived.
     progressed_at: Monotonic,
+    /// Whether the present answer had a whole event.
+    has_event: bool,
 }
 
 impl StreamRelay {
@@ -113,6 +116,7 @@
                 Ok(Chunk::Bytes(bytes)) => {
                     let events = self.splitter.push(&bytes);
                     if !events.is_empty() {
+                        self.has_event = true;
                         self.progressed_at = self.attempts.state.now();
                         return Ok(Some(events));
                     }
@@ -188,6 +192,8 @@
         log::info!(
             request = &*request.head.request_id,
             after_event = self.splitter.last_id().unwrap_or(0),
+            has_event = self.has_event,
+            parts = request.head.prefix.to_string().as_str(),
             can_resume = self.attempts.can_retry(),
             error:% = error;
             "stream interrupted"
@@ -204,6 +210,7 @@
             return Err(error);
         }
         self.answer = Some(answer);
+        self.has_event = false;
         self.progressed_at = self.attempts.state.now();
         Ok(())
     }
--- a/src/placement/prompt_prefix.rs
+++ b/src/placement/prompt_prefix.rs
@@ -1,5 +1,7 @@
 //! The prefix of a prompt that other requests share.
 
+use std::fmt;
+
 /// The fraction of a prefix that a cached part must cover, with the parts before it, to decide where
 /// requests with that prefix go.
 const COVERED_FRACTION: f64 = 0.8;
@@ -25,6 +27,11 @@
         Self { parts }
     }
 
+    /// Returns the parts that other requests may share; one without tokens is not shared.
+    pub fn shared_parts(&self) -> impl Iterator<Item = &PromptPart> {
+        self.parts.iter().filter(|part| part.tokens > 0)
+    }
+
     /// Returns the length in tokens.
     pub fn tokens(&self) -> u64 {
         self.parts.iter().map(|part| part.tokens).sum()
@@ -45,3 +52,14 @@
         part.map(|part| part.hash)
     }
 }
+
+/// Writes the hashes of the shared parts, for logs.
+impl fmt::Display for PromptPrefix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.shared_parts().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{:016x}", part.hash)?;
+        }
+        Ok(())
+    }
+}
