Show a route that runs outside homes that its VM missed, and list it

The test takes the store away from a VM, publishes home regions for a route without a key, and waits for the time within which a configuration binds: 200 and one run instead of 503 and none (left: 200, right: 503). The other test of the file holds the way back; it passes.

--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -9,6 +9,7 @@
 mod large_listings;
 mod requests;
 mod restored_store;
+mod stale_configurations;
 mod stopping;
 pub(crate) mod support;
 mod two_regions;
