Refuse every request while the configuration may have been replaced, not only those with a key

Cause: the age of the configuration was checked for requests with a key alone. A VM that cannot get a newer configuration, because its link is full, its store silent or its peers cut off, went on serving routes without a key by the old one without any limit of time. Change: each request needs a configuration confirmed within the time after which a published one binds, and one with a key within 0.9 of the bound on revoked keys as before. A setting without that time bounds nothing.

--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -28,13 +28,6 @@
 use crate::entry::EntryState;
 use crate::platform::RequestHead;
 
-/// The maximum age of the configuration for checking keys, as a fraction of the longest time for
-/// which a revoked key may still be accepted.
-///
-/// A request is admitted after it was sent, so any fraction below one keeps the bound; the rest
-/// allows for clock drift.
-const KEY_AGE_FRACTION: f64 = 0.9;
-
 /// The maximum age of the configuration for answering that a key or a path does not exist.
 const NOT_FOUND_AGE_MAX: Duration = Duration::from_millis(2_000);
 
@@ -167,17 +160,12 @@
     let (_, route) = deployment
         .route_for(&host, request.uri().path())
         .ok_or_else(|| not_found(RefusalKind::UnknownRoute))?;
+    let needs_key = deployment.has_accounts() && !route.is_public;
+    if age > state.settings.bounds.configuration_age_max(needs_key) {
+        return Err(not_ready);
+    }
     let mut account = None;
-    if deployment.has_accounts() && !route.is_public {
-        if age
-            > state
-                .settings
-                .bounds
-                .key_revocation
-                .mul_f64(KEY_AGE_FRACTION)
-        {
-            return Err(not_ready);
-        }
+    if needs_key {
         let key = head.api_key.as_deref();
         account = key
             .and_then(|key| deployment.account_for(key))
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -29,6 +29,8 @@
 /// The bounds that the operators set in the settings file.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EntryBounds {
+    /// The time after which a published configuration binds all VMs; [`Duration::MAX`] for never.
+    pub configuration_deadline: Duration,
     /// The longest time for which a revoked key may still be accepted.
     pub key_revocation: Duration,
     /// The time between SIGTERM and SIGKILL.
@@ -45,6 +47,24 @@
     pub quota_overage: f64,
 }
 
+/// The fraction of the bound on revoked keys up to which the configuration may be old.
+///
+/// A request is admitted after it was sent, so any fraction below one keeps the bound; the rest
+/// allows for clock drift.
+const KEY_AGE_FRACTION: f64 = 0.9;
+
+impl EntryBounds {
+    /// Returns the age of the configuration beyond which requests are refused, as a newer one may
+    /// have changed where, and for those with a key for whom, a route is served.
+    pub fn configuration_age_max(&self, needs_key: bool) -> Duration {
+        let key_age_max = self.key_revocation.mul_f64(KEY_AGE_FRACTION);
+        match needs_key {
+            true => key_age_max.min(self.configuration_deadline),
+            false => self.configuration_deadline,
+        }
+    }
+}
+
 /// The validated settings of an entry VM.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
--- a/src/platform/settings_wire.rs
+++ b/src/platform/settings_wire.rs
@@ -52,6 +52,8 @@
 
 #[derive(Debug, Deserialize)]
 struct BoundsWire {
+    #[serde(rename = "configDeadlineMs", default)]
+    config_deadline_ms: Option<f64>,
     #[serde(rename = "revokeMs")]
     revoke_ms: f64,
     #[serde(rename = "graceS")]
@@ -118,6 +120,9 @@
     fn from(wire: BoundsWire) -> Self {
         let seconds = |value: f64| Duration::try_from_secs_f64(value).unwrap_or_default();
         Self {
+            configuration_deadline: wire
+                .config_deadline_ms
+                .map_or(Duration::MAX, |ms| seconds(ms / 1_000.0)),
             key_revocation: seconds(wire.revoke_ms / 1_000.0),
             shutdown_grace: seconds(wire.grace_s),
             directory_ttl_max: seconds(wire.ttl_max_s),
