Quarantine prompt parts under which endpoints crash one after the other

Cause: requests were judged one by one. Nothing related an answer that broke off to the prompt it answered, so each new request, each repeat and each resumed stream with that part was sent to the next endpoint, from every VM. Change: a VM reports answers that broke off between head and first event with the shared parts of their prompt, and shares the reports by gossip. A part without any whole answer since is the cause after three such crashes one after the other, or five that were no single outage; requests with it are refused at once as not run, also before a stream is resumed.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -11,6 +11,10 @@
   # The first row is the sender's own.
   rows @3 :List(VmRow);
   listing @4 :Listing;
+  # Answers that broke off between their head and their first event.
+  crashes @5 :List(Crash);
+  # The parts of these crashes that were in requests with whole answers.
+  answeredParts @6 :List(AnsweredPart);
 }
 
 struct BeliefDigest {
@@ -61,6 +65,19 @@
   units @1 :UInt64;
 }
 
+struct Crash {
+  endpoint @0 :UInt32;
+  # Ages are counted to the sending of the message.
+  beganAgeMs @1 :UInt32;
+  crashedAgeMs @2 :UInt32;
+  parts @3 :List(UInt64);
+}
+
+struct AnsweredPart {
+  part @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
 struct Listing {
   endpoints @0 :List(EndpointRow);
   evacuatedZones @1 :List(UInt16);
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -96,6 +96,12 @@
             if time_left.is_zero() {
                 return Err(self.deadline_refusal());
             }
+            if let Some(remaining) = self
+                .state
+                .quarantine_remaining(now, &self.request.head.prefix)
+            {
+                return Err(self.quarantine_refusal(remaining));
+            }
             let target = self.choose(now)?;
             if self.arrived_count > 0 && !self.try_take_retry(now) {
                 return Err(self.retry_budget_refusal());
@@ -200,6 +206,14 @@
         })
     }
 
+    /// Returns the refusal for a prompt with parts that are quarantined for the `remaining` time.
+    const fn quarantine_refusal(&self, remaining: Duration) -> Refusal {
+        match self.ran_count {
+            0 => Refusal::retry_after(RefusalKind::Quarantined, remaining),
+            _ => Refusal::new(RefusalKind::Failed),
+        }
+    }
+
     /// Returns the refusal for a request whose service has no retry budget left.
     fn retry_budget_refusal(&self) -> Refusal {
         match self.ran_count {
--- a/src/edge/peer_fetch.rs
+++ b/src/edge/peer_fetch.rs
@@ -25,6 +25,7 @@
 use crate::entry::EntryState;
 use crate::fleet::encode_message;
 use crate::fleet::FleetMessage;
+use crate::fleet::MessageCrashes;
 use crate::fleet::MessageDigest;
 
 const CONFIGURATION_PATH: &str = "/v1/configuration";
@@ -97,6 +98,7 @@
         digest: MessageDigest::new(&belief.digest(), now),
         rows: vec![state.fleet.borrow().local_row().clone()],
         listing: Some(belief.listing().as_ref().clone()),
+        crashes: MessageCrashes::default(),
     };
     match encode_message(&message) {
         Ok(bytes) => Some(Bytes::from(bytes)),
--- a/src/edge/refusal.rs
+++ b/src/edge/refusal.rs
@@ -38,6 +38,8 @@
     TimedOut,
     /// The deadline passed before the request ran.
     TooLate,
+    /// A part of the prompt crashes endpoints.
+    Quarantined,
 }
 
 impl RefusalKind {
@@ -53,7 +55,8 @@
             | Self::Overloaded
             | Self::NoEndpoint
             | Self::EndpointsFull
-            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TooLate
+            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -79,6 +82,7 @@
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
             Self::TooLate => "too_late",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -128,6 +128,7 @@
                 Ok(Chunk::End) if self.splitter.is_at_boundary() => {
                     if let Some(answer) = self.answer.take() {
                         answer.running.finish();
+                        self.record_answered();
                     }
                     return Ok(None);
                 }
@@ -183,10 +184,36 @@
         }
     }
 
+    /// Records that the endpoint answered a prompt with these parts.
+    fn record_answered(&self) {
+        let Attempts { state, request, .. } = &self.attempts;
+        state.on_prompt_answered(state.now(), &request.head.prefix);
+    }
+
+    /// Records an answer that the endpoint broke off, which the prompt may have caused if the endpoint
+    /// had only begun it.
+    fn record_broken_off(&self, answer: &Answer) {
+        let Attempts { state, request, .. } = &self.attempts;
+        let Some(instance) = answer.running.instance() else {
+            return;
+        };
+        let now = state.now();
+        if self.has_event {
+            state.quarantine.borrow_mut().on_broken_off(now, instance);
+        } else {
+            // Until the first event this is when the head arrived.
+            let began_at = self.progressed_at;
+            state.on_prompt_crashed(now, instance, began_at, &request.head.prefix);
+        }
+    }
+
     /// Resumes the stream at another endpoint, after the last event passed on.
     async fn resume(&mut self, error: UpstreamError) -> Result<(), UpstreamError> {
         if let Some(mut answer) = self.answer.take() {
             answer.running.record_outcome(AttemptOutcome::Failed);
+            if error.is_broken_off() {
+                self.record_broken_off(&answer);
+            }
         }
         let request = &self.attempts.request;
         log::info!(
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -6,11 +6,13 @@
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
+use crate::quarantine::InstanceHash;
 
 /// A request in flight; dropping it closes its connection, which cancels the work.
 pub(super) struct RunningRequest {
     state: Rc<EntryState>,
     placement: Option<Placement>,
+    instance: Option<InstanceHash>,
     connection: Option<PooledConnection>,
     is_outcome_recorded: bool,
 }
@@ -21,13 +23,18 @@
     /// The request adds to the endpoint's load from its placement on, not from when it is
     /// connected: otherwise all requests that wait for connections would see the endpoint as free.
     pub(super) fn new(state: Rc<EntryState>, placement: Option<Placement>) -> Self {
+        let mut instance = None;
         if let Some(placement) = &placement {
             let now = state.now();
-            state.endpoints.borrow_mut().on_sent(now, placement);
+            let mut endpoints = state.endpoints.borrow_mut();
+            endpoints.on_sent(now, placement);
+            let endpoint = endpoints.get(placement.endpoint);
+            instance = endpoint.map(|endpoint| InstanceHash::from(&endpoint.record().instance));
         }
         Self {
             state,
             placement,
+            instance,
             connection: None,
             is_outcome_recorded: false,
         }
@@ -37,6 +44,11 @@
         self.placement.as_ref()
     }
 
+    /// Returns the endpoint instance; `None` for another VM.
+    pub(super) const fn instance(&self) -> Option<InstanceHash> {
+        self.instance
+    }
+
     /// Sets the connection that the request uses.
     pub(super) fn attach(&mut self, connection: PooledConnection) {
         self.connection = Some(connection);
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -1,15 +1,17 @@
 //! The error of an exchange with an endpoint or another VM.
 
+use std::error::Error;
+use std::io;
 use std::time::Duration;
 
-use thiserror::Error;
+use thiserror::Error as ThisError;
 
 /// Why an exchange with an endpoint or another VM failed.
-#[derive(Debug, Error)]
+#[derive(Debug, ThisError)]
 pub enum UpstreamError {
     /// No connection could be made; nothing was sent.
     #[error("connecting failed: {0}")]
-    Connect(#[source] std::io::Error),
+    Connect(#[source] io::Error),
     /// Connecting timed out; nothing was sent.
     #[error("connecting timed out after {0:?}")]
     ConnectTimeout(Duration),
@@ -36,13 +38,22 @@
     Truncated,
     /// What another VM sent could not be read or decompressed, or is too long.
     #[error("the body sent by the VM could not be read: {0}")]
-    PeerBody(#[source] Box<dyn std::error::Error + Send + Sync>),
+    PeerBody(#[source] Box<dyn Error + Send + Sync>),
     /// Another VM answered a fetch with an error status.
     #[error("the VM answered with status {0}")]
     PeerStatus(u16),
 }
 
 impl UpstreamError {
+    /// Returns whether the endpoint ended an answer before it was whole, rather than being silent.
+    pub fn is_broken_off(&self) -> bool {
+        match self {
+            Self::Truncated => true,
+            Self::Broken(error) => !is_io_timeout(error),
+            _ => false,
+        }
+    }
+
     /// Returns whether certainly no part of the request was sent.
     pub const fn is_not_sent(&self) -> bool {
         matches!(
@@ -51,3 +62,15 @@
         )
     }
 }
+
+/// Returns whether a connection failed because the kernel got no sign of life from its peer.
+fn is_io_timeout(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return error.kind() == io::ErrorKind::TimedOut;
+        }
+        source = error.source();
+    }
+    false
+}
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -7,6 +7,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -27,6 +28,11 @@
 use crate::fleet::VmPhase;
 use crate::fleet::VmRow;
 use crate::placement::EndpointTable;
+use crate::placement::PromptPrefix;
+use crate::quarantine::CrashReports;
+use crate::quarantine::InstanceHash;
+use crate::quarantine::PartHash;
+use crate::quarantine::PromptQuarantine;
 use crate::quota::QuotaLimiter;
 use crate::retry::FleetRetryBudget;
 use crate::telemetry::EntryGauges;
@@ -46,6 +52,8 @@
     pub fleet: RefCell<FleetView>,
     /// The endpoints of the local region, and which services other regions have.
     pub endpoints: RefCell<EndpointTable>,
+    /// The prompt parts that crash endpoints.
+    pub quarantine: RefCell<PromptQuarantine>,
     /// The token buckets of the client accounts.
     pub quota: RefCell<QuotaLimiter>,
     /// The retry budgets, by service.
@@ -83,6 +91,7 @@
             read_plan: RefCell::default(),
             fleet: RefCell::new(FleetView::new(settings.topology.clone(), local_row)),
             endpoints: RefCell::new(EndpointTable::new(settings.region, settings.zone)),
+            quarantine: RefCell::default(),
             quota: RefCell::new(QuotaLimiter::new(settings.bounds.quota_overage)),
             retry_budgets: RefCell::default(),
             connection_pool: ConnectionPool::default(),
@@ -176,9 +185,46 @@
             alive_vms: self.fleet.borrow().alive_count(now) as u64,
             running_requests: u64::from(self.running_count.get()),
             opened_connections: self.connection_pool.opened_count(),
+            quarantined_parts: self.quarantine.borrow().quarantined().len() as u64,
         })
     }
 
+    /// Returns how long requests with this prompt prefix stay quarantined; `None` if they are not.
+    pub fn quarantine_remaining(&self, now: Monotonic, prefix: &PromptPrefix) -> Option<Duration> {
+        self.quarantine.borrow().remaining(now, part_hashes(prefix))
+    }
+
+    /// Records the whole answer to a request with this prompt prefix.
+    pub fn on_prompt_answered(&self, now: Monotonic, prefix: &PromptPrefix) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.on_answered(now, part_hashes(prefix)) {
+            log_quarantine(&quarantine);
+        }
+    }
+
+    /// Records that an endpoint broke off its answer to a request with this prompt prefix before the
+    /// first event; the head of the answer had arrived at `began_at`.
+    pub fn on_prompt_crashed(
+        &self,
+        now: Monotonic,
+        instance: InstanceHash,
+        began_at: Monotonic,
+        prefix: &PromptPrefix,
+    ) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.on_crashed(now, instance, began_at, part_hashes(prefix)) {
+            log_quarantine(&quarantine);
+        }
+    }
+
+    /// Adds the crashes that another VM reported.
+    pub fn on_crashes_reported(&self, now: Monotonic, reports: CrashReports) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.merge(now, reports) {
+            log_quarantine(&quarantine);
+        }
+    }
+
     /// Takes one retry from the budget of a service; returns whether the budget allows it.
     pub fn try_take_retry(&self, now: Monotonic, service: &Name) -> bool {
         let known_vms = self.fleet.borrow().known_count();
@@ -203,3 +249,16 @@
         operation(budget)
     }
 }
+
+fn part_hashes(prefix: &PromptPrefix) -> impl Iterator<Item = PartHash> + '_ {
+    prefix.shared_parts().map(PartHash::from)
+}
+
+fn log_quarantine(quarantine: &PromptQuarantine) {
+    let sets = quarantine.quarantined().iter().map(|set| {
+        let parts: Vec<String> = set.iter().map(ToString::to_string).collect();
+        parts.join("+")
+    });
+    let sets: Vec<String> = sets.collect();
+    log::warn!(parts = sets.join(",").as_str(); "the quarantined prompt parts changed");
+}
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -25,6 +25,7 @@
 use crate::fleet::FleetMessage;
 use crate::fleet::FleetWireError;
 use crate::fleet::GossipPlan;
+use crate::fleet::MessageCrashes;
 use crate::fleet::MessageDigest;
 
 /// The longest payload of a UDP datagram over IPv4.
@@ -109,6 +110,10 @@
                 digest: MessageDigest::new(&belief.digest(), now),
                 rows: GossipPlan::rows(now, &fleet, to, &mut *rng),
                 listing: has_listing.then(|| belief.listing().as_ref().clone()),
+                crashes: {
+                    let quarantine = self.state.quarantine.borrow();
+                    MessageCrashes::new(&quarantine.reports(&mut *rng), now)
+                },
             }
         };
         let bytes = match encode_datagram(message) {
@@ -135,6 +140,8 @@
         };
         let now = self.state.now();
         self.merge_rows(now, from, &message);
+        let crashes = message.crashes.received(now);
+        self.state.on_crashes_reported(now, crashes);
         match message.request_sent_at {
             None => self.reply(now, from, &message),
             Some(request_sent_at) => self.on_reply(now, from, request_sent_at, message),
--- a/src/fleet/fleet_message.rs
+++ b/src/fleet/fleet_message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::MessageCrashes;
 use super::VmRow;
 use crate::belief::BeliefDigest;
 use crate::clock::Monotonic;
@@ -69,4 +70,6 @@
     pub rows: Vec<VmRow>,
     /// The listing, in a reply to a VM that holds an older one.
     pub listing: Option<EndpointListing>,
+    /// The crashes of endpoints that prompts may have caused.
+    pub crashes: MessageCrashes,
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -12,6 +12,9 @@
 use super::EndpointBacklog;
 use super::FleetMessage;
 use super::FleetWireError;
+use super::MessageAnsweredPart;
+use super::MessageCrash;
+use super::MessageCrashes;
 use super::MessageDigest;
 use super::NameHash;
 use super::ServiceWait;
@@ -26,6 +29,8 @@
 use crate::deployment::ListingVersion;
 use crate::deployment::ZoneKey;
 use crate::peer::generated::fleet_capnp as schema;
+use crate::quarantine::InstanceHash;
+use crate::quarantine::PartHash;
 
 /// The value of an age field for "never confirmed".
 const AGE_UNKNOWN_MS: u32 = u32::MAX;
@@ -48,6 +53,7 @@
     for (index, row) in (0..).zip(&message.rows) {
         encode_row(rows.reborrow().get(index), row);
     }
+    encode_crashes(root.reborrow(), &message.crashes);
     if let Some(listing) = &message.listing {
         encode_listing(root.init_listing(), listing);
     }
@@ -79,6 +85,27 @@
     (age_ms != AGE_UNKNOWN_MS).then(|| Duration::from_millis(u64::from(age_ms)))
 }
 
+fn encode_crashes(mut to: schema::fleet_message::Builder<'_>, reports: &MessageCrashes) {
+    let age_ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    let mut crashes = to.reborrow().init_crashes(length(reports.crashes.len()));
+    for (index, crash) in (0..).zip(&reports.crashes) {
+        let mut entry = crashes.reborrow().get(index);
+        entry.set_endpoint(crash.endpoint.0);
+        entry.set_began_age_ms(age_ms(crash.began_age));
+        entry.set_crashed_age_ms(age_ms(crash.crashed_age));
+        let mut parts = entry.init_parts(length(crash.parts.len()));
+        for (index, part) in (0..).zip(&crash.parts) {
+            parts.set(index, part.0);
+        }
+    }
+    let mut answered = to.init_answered_parts(length(reports.answered.len()));
+    for (index, part) in (0..).zip(&reports.answered) {
+        let mut entry = answered.reborrow().get(index);
+        entry.set_part(part.part.0);
+        entry.set_age_ms(age_ms(part.age));
+    }
+}
+
 fn encode_row(mut to: schema::vm_row::Builder<'_>, row: &VmRow) {
     to.set_ip(u32::from(row.ip));
     to.set_zone(row.zone.0);
@@ -163,6 +190,7 @@
         digest: decode_digest(root.get_digest()?),
         rows,
         listing,
+        crashes: decode_crashes(root)?,
     })
 }
 
@@ -179,6 +207,30 @@
     }
 }
 
+fn decode_crashes(
+    from: schema::fleet_message::Reader<'_>,
+) -> Result<MessageCrashes, FleetWireError> {
+    let age = |age_ms: u32| Duration::from_millis(u64::from(age_ms));
+    let mut crashes = Vec::new();
+    for crash in from.get_crashes()? {
+        crashes.push(MessageCrash {
+            endpoint: InstanceHash(crash.get_endpoint()),
+            began_age: age(crash.get_began_age_ms()),
+            crashed_age: age(crash.get_crashed_age_ms()),
+            parts: crash.get_parts()?.iter().map(PartHash).collect(),
+        });
+    }
+    let answered = from.get_answered_parts()?.iter();
+    let answered = answered.map(|answered| MessageAnsweredPart {
+        part: PartHash(answered.get_part()),
+        age: age(answered.get_age_ms()),
+    });
+    Ok(MessageCrashes {
+        crashes,
+        answered: answered.collect(),
+    })
+}
+
 fn decode_row(from: schema::vm_row::Reader<'_>) -> Result<VmRow, FleetWireError> {
     let waits = from.get_waits()?.iter().map(|wait| ServiceWait {
         service: NameHash(wait.get_service()),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod placement;
 pub mod platform;
 pub mod publication;
+pub mod quarantine;
 pub mod queueing;
 pub mod quota;
 pub mod request;
--- /dev/null
+++ b/src/quarantine/culprits.rs
@@ -0,0 +1,109 @@
+//! Which prompt parts explain a series of crashes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::CrashReport;
+use super::EventTime;
+use super::InstanceHash;
+use super::PartHash;
+
+/// The number of endpoints, each of which began after the one before had crashed, that makes a part
+/// the cause.
+const SEQUENTIAL_CRASHES: usize = 3;
+
+/// The number of crashed endpoints that makes a part the cause if not all crashed at once.
+const CRASHED_ENDPOINTS: usize = 5;
+
+/// A crash with the parts that may be its cause: those without a whole answer since.
+#[derive(Clone, Debug)]
+pub(super) struct Evidence<'a> {
+    pub(super) crash: &'a CrashReport,
+    pub(super) suspects: BTreeSet<PartHash>,
+}
+
+/// When endpoints crashed and had begun to answer; the first report of each counts.
+type CrashSpans = BTreeMap<InstanceHash, (EventTime, EventTime)>;
+
+/// The crashes of requests with one part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Record {
+    /// The crashes of which each began after the one before.
+    sequential: usize,
+    /// The endpoints that crashed.
+    endpoints: usize,
+}
+
+impl Record {
+    fn new(spans: &CrashSpans) -> Self {
+        Self {
+            endpoints: spans.len(),
+            sequential: sequential_count(spans.values().copied()),
+        }
+    }
+
+    const fn shows_cause(self) -> bool {
+        self.sequential >= SEQUENTIAL_CRASHES
+            || (self.sequential > 1 && self.endpoints >= CRASHED_ENDPOINTS)
+    }
+}
+
+/// Returns the sets of parts that cause crashes; a request with all parts of a set crashes its
+/// endpoint.
+///
+/// The other requests that an endpoint was answering are reported as well when it crashes. So a part
+/// is the cause only after several crashes one after the other, or many that did not happen at once,
+/// as they do in an outage; and what the clearest cause explains does not count against other parts.
+/// Parts that only occurred together cannot be told apart and form a set.
+pub(super) fn find_culprits(mut evidence: Vec<Evidence<'_>>) -> Vec<BTreeSet<PartHash>> {
+    let mut found = Vec::new();
+    while let Some(part) = clearest_cause(&evidence) {
+        let with_part = evidence
+            .iter()
+            .filter(|crash| crash.suspects.contains(&part));
+        let explained: BTreeSet<InstanceHash> = with_part
+            .clone()
+            .map(|crash| crash.crash.endpoint)
+            .collect();
+        let common = with_part
+            .map(|crash| crash.suspects.clone())
+            .reduce(|common, suspects| &common & &suspects);
+        found.extend(common);
+        evidence.retain(|crash| !explained.contains(&crash.crash.endpoint));
+    }
+    found
+}
+
+fn clearest_cause(evidence: &[Evidence<'_>]) -> Option<PartHash> {
+    let mut by_part: BTreeMap<PartHash, CrashSpans> = BTreeMap::new();
+    for Evidence { crash, suspects } in evidence {
+        let span = (crash.crashed_at, crash.began_at);
+        for part in suspects {
+            let spans = by_part.entry(*part).or_default();
+            let first = spans.entry(crash.endpoint).or_insert(span);
+            *first = span.min(*first);
+        }
+    }
+    by_part
+        .iter()
+        .map(|(part, spans)| (Record::new(spans), *part))
+        .filter(|(record, _)| record.shows_cause())
+        .max()
+        .map(|(_, part)| part)
+}
+
+/// Returns the largest number of spans (end, start) that do not overlap: taking the one that ends
+/// first is optimal for interval scheduling.
+fn sequential_count(spans: impl Iterator<Item = (EventTime, EventTime)>) -> usize {
+    let mut spans: Vec<(EventTime, EventTime)> = spans.collect();
+    spans.sort_unstable();
+    let mut last_end = None;
+    let mut count = 0;
+    for (end, start) in spans {
+        if last_end.is_none_or(|last_end| start > last_end) {
+            last_end = Some(end);
+            count += 1;
+        }
+    }
+    count
+}
--- /dev/null
+++ b/src/quarantine/part_hash.rs
@@ -0,0 +1,21 @@
+//! The identity of a prompt part.
+
+use std::fmt;
+
+use crate::placement::PromptPart;
+
+/// The hash that identifies a prompt part on all VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartHash(pub u64);
+
+impl From<&PromptPart> for PartHash {
+    fn from(part: &PromptPart) -> Self {
+        Self(part.hash)
+    }
+}
+
+impl fmt::Display for PartHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/src/quarantine/reports.rs
@@ -0,0 +1,13 @@
+//! What VMs tell each other about crashes.
+
+use super::AnsweredPart;
+use super::CrashReport;
+
+/// Crashes of endpoints, and answers that exonerate prompt parts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashReports {
+    /// The crashes.
+    pub crashes: Vec<CrashReport>,
+    /// The parts of these crashes that were in requests with whole answers.
+    pub answered: Vec<AnsweredPart>,
+}
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -35,6 +35,8 @@
     pub running_requests: u64,
     /// The connections opened to endpoints and other VMs since the daemon started.
     pub opened_connections: u64,
+    /// The sets of prompt parts that are quarantined.
+    pub quarantined_parts: u64,
 }
 
 /// Metrics of the entry daemon, with their registry.
@@ -49,6 +51,7 @@
     alive_vms: Gauge,
     running_requests: Gauge,
     opened_connections: Gauge,
+    quarantined_parts: Gauge,
 }
 
 impl EntryMetrics {
@@ -65,6 +68,7 @@
             alive_vms: Gauge::default(),
             running_requests: Gauge::default(),
             opened_connections: Gauge::default(),
+            quarantined_parts: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -92,6 +96,8 @@
         registry.register("running_requests", "Requests being served", running);
         let opened = self.opened_connections.clone();
         registry.register("opened_connections", "Connections opened", opened);
+        let parts = self.quarantined_parts.clone();
+        registry.register("quarantined_parts", "Prompt parts not sent on", parts);
     }
 
     /// Counts an answer whose head arrived `latency` after the request.
@@ -125,6 +131,7 @@
         self.running_requests.set(signed(gauges.running_requests));
         self.opened_connections
             .set(signed(gauges.opened_connections));
+        self.quarantined_parts.set(signed(gauges.quarantined_parts));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/tests/behaviour/fleet/wire.rs
+++ b/tests/behaviour/fleet/wire.rs
@@ -9,15 +9,35 @@
 use figramp::fleet::encode_message;
 use figramp::fleet::AccountUsage;
 use figramp::fleet::FleetMessage;
+use figramp::fleet::MessageAnsweredPart;
+use figramp::fleet::MessageCrash;
+use figramp::fleet::MessageCrashes;
 use figramp::fleet::MessageDigest;
 use figramp::fleet::NameHash;
 use figramp::fleet::ServiceWait;
+use figramp::quarantine::InstanceHash;
+use figramp::quarantine::PartHash;
 use quickcheck::quickcheck;
 
 use super::support::row;
 use crate::belief::support::at;
 use crate::belief::support::listing;
 
+fn crashes() -> MessageCrashes {
+    MessageCrashes {
+        crashes: vec![MessageCrash {
+            endpoint: InstanceHash(5),
+            began_age: Duration::from_millis(700),
+            crashed_age: Duration::from_millis(640),
+            parts: vec![PartHash(1), PartHash(u64::MAX)],
+        }],
+        answered: vec![MessageAnsweredPart {
+            part: PartHash(1),
+            age: Duration::from_millis(20),
+        }],
+    }
+}
+
 fn message(listing: Option<EndpointListing>) -> FleetMessage {
     let mut own = row(1, 77);
     own.waits.push(ServiceWait {
@@ -43,6 +63,7 @@
         },
         rows: vec![own, row(2, 3)],
         listing,
+        crashes: crashes(),
     }
 }
 
@@ -56,6 +77,7 @@
     let received = decode_message(&bytes).expect("decodes");
     assert_eq!(received.rows, message(None).rows);
     assert_eq!(received.listing, Some(sent));
+    assert_eq!(received.crashes, crashes());
     assert_eq!(received.request_sent_at, Some(at(1_200)));
     assert_eq!(received.digest.listing_age, None);
     assert_eq!(
--- a/tests/behaviour/main.rs
+++ b/tests/behaviour/main.rs
@@ -14,6 +14,7 @@
 mod peer;
 mod placement;
 mod publication;
+mod quarantine;
 mod queueing;
 mod quota;
 mod retry;
--- a/tests/behaviour/quota/many_accounts.rs
+++ b/tests/behaviour/quota/many_accounts.rs
@@ -9,6 +9,7 @@
 use figramp::fleet::encode_message;
 use figramp::fleet::AccountUsage;
 use figramp::fleet::FleetMessage;
+use figramp::fleet::MessageCrashes;
 use figramp::fleet::MessageDigest;
 use figramp::fleet::NameHash;
 use figramp::fleet::VmRow;
@@ -68,6 +69,7 @@
         digest: MessageDigest::default(),
         rows: rows.collect(),
         listing: None,
+        crashes: MessageCrashes::default(),
     };
     let bytes = encode_message(&message).expect("the message can be encoded");
     assert!(bytes.len() < DATAGRAM_MAX_BYTES, "{} bytes", bytes.len());
