Cold endpoints get requests only from VMs that have found their region

Cause: VMs that start together don't know each other yet, so each ranks itself among the two senders of a cold endpoint; so did a VM behind a cut and one after a pause (others were silent for 3 s), and VMs that saw the others still starting. Change: a VM sends to cold endpoints once it has found no other VM of its region for three rounds of gossip, 2 s after its start if it is alone, 3 s in any case (RegionDiscovery); it discovers anew when all others were silent for 30 s. The rank counts all VMs heard of within 30 s, starting and silent ones too, and a leaving VM drops out.

--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::region_discovery::RegionDiscovery;
 use super::NameHash;
 use super::PeerDistance;
 use super::VmPhase;
@@ -47,6 +48,7 @@
     topology: Topology,
     local_row: VmRow,
     others: BTreeMap<Ipv4Addr, KnownVm>,
+    discovery: RegionDiscovery,
 }
 
 impl FleetView {
@@ -56,6 +58,7 @@
             topology,
             local_row,
             others: BTreeMap::new(),
+            discovery: RegionDiscovery::new(Monotonic::ZERO),
         }
     }
 
@@ -96,6 +99,9 @@
                     row: row.clone(),
                 };
                 self.others.insert(row.ip, vm);
+                if self.region(row) == self.local_region() {
+                    self.discovery.on_found(now);
+                }
                 true
             }
             Some(known) => {
@@ -131,14 +137,25 @@
     }
 
     /// Removes VMs that left, and those that were silent for 30 s.
+    ///
+    /// If no other VM of the region is left after such a silence, as after a long pause, the region
+    /// has to be discovered anew.
     pub fn remove_expired(&mut self, now: Monotonic) {
+        let (topology, region) = (&self.topology, self.local_region());
+        let mut is_region_silent = false;
         self.others.retain(|_, vm| {
             let silence = now.since(vm.last_beat_at);
-            match vm.row.phase {
+            let is_kept = match vm.row.phase {
                 VmPhase::Leaving => silence < SILENCE_MAX,
                 VmPhase::Starting | VmPhase::Ready => silence < SHARE_TIMEOUT,
-            }
+            };
+            let is_local = topology.region_of(vm.row.zone) == region;
+            is_region_silent |= is_local && !is_kept && vm.row.phase != VmPhase::Leaving;
+            is_kept
         });
+        if is_region_silent && self.known().all(|row| self.region(row) != region) {
+            self.discovery = RegionDiscovery::new(now);
+        }
     }
 
     /// Returns the rows of the other VMs of which a new row arrived within the last 3 s.
@@ -208,12 +225,18 @@
 
     /// Returns whether the local VM is one of the `count` VMs of its region with the highest
     /// rendezvous scores for a key.
+    ///
+    /// Silent and starting VMs keep their rank, as they may count themselves in. A VM that has just
+    /// started or is leaving isn't selected.
     pub fn is_selected(&self, now: Monotonic, rendezvous_key: u64, count: usize) -> bool {
+        if !self.discovery.is_complete(now) || self.local_row.phase == VmPhase::Leaving {
+            return false;
+        }
         let region = self.local_region();
         let local_score = rendezvous_score(rendezvous_key, self.local_row.ip);
         let ahead = self
-            .alive(now)
-            .filter(|row| self.region(row) == region && row.phase == VmPhase::Ready)
+            .known()
+            .filter(|row| self.region(row) == region && row.phase != VmPhase::Leaving)
             .filter(|row| rendezvous_score(rendezvous_key, row.ip) > local_score);
         ahead.count() < count
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod fleet_message;
 mod fleet_view;
 mod gossip;
+mod region_discovery;
 mod vm_phase;
 mod vm_row;
 mod wire;
--- a/tests/behaviour/fleet/mod.rs
+++ b/tests/behaviour/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of discovery and gossip between VMs.
 
+mod cold_senders;
 mod configuration_fetch;
 mod convergence;
 mod directory;
