--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod fleet_view;
 mod gossip;
 mod message_crashes;
+mod region_discovery;
 mod vm_phase;
 mod vm_row;
 mod wire;
