Test answers that end with their connection

Cause: an endpoint may now send an answer, a stream too, with neither a length nor chunks; no stand-in did. Change: a proxy before an endpoint stand-in passes its answers on in that form (HTTP/1.1 with and without `Connection: close`, HTTP/1.0), whole or broken off, ended by a half-close or a reset; it counts what is still sent on a connection that has ended. Tests of whole daemons in one and in two regions, of the endpoint client of `serve`, and of the splitter with a stream cut anywhere. Not shown: a connection closed within a plain body or between two events, which looks like the end.

--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -4,9 +4,15 @@
 mod endpoint_server;
 mod http_listener;
 mod store_server;
+mod unframed_proxy;
 
 pub use endpoint_faults::EndpointFaults;
 pub use endpoint_server::EndpointServer;
 pub use store_server::StoreBackup;
 pub use store_server::StoreFault;
 pub use store_server::StoreServer;
+pub use unframed_proxy::AnswerFraming;
+pub use unframed_proxy::BreakOff;
+pub use unframed_proxy::ConnectionEnd;
+pub use unframed_proxy::UnframedAnswers;
+pub use unframed_proxy::UnframedProxy;
--- a/tests/behaviour/edge/event_splitting.rs
+++ b/tests/behaviour/edge/event_splitting.rs
@@ -52,6 +52,16 @@
         passed == sent.as_bytes() && splitter.is_at_boundary()
     }
 
+    fn a_stream_cut_anywhere_is_at_a_boundary_only_after_whole_events(end: usize) -> bool {
+        let sent = stream(1..=4);
+        let cut = &sent[..end % (sent.len() + 1)];
+        let mut splitter = EventSplitter::new(None);
+        let passed = push_all(&mut splitter, cut.as_bytes(), 7);
+        let whole = (0..=4).map(|count| stream(1..=count)).rfind(|whole| cut.starts_with(whole));
+        whole.is_some_and(|whole| passed == whole.as_bytes())
+            && splitter.is_at_boundary() == (passed == cut.as_bytes())
+    }
+
     fn a_resume_anywhere_gives_each_event_once(count: u8, end: usize, overlap: u8) -> bool {
         let count = u64::from(count).max(1);
         let sent = stream(1..=count);
--- a/tests/behaviour/endpoint/mod.rs
+++ b/tests/behaviour/endpoint/mod.rs
@@ -6,3 +6,4 @@
 mod pooled_connections;
 mod service_faults;
 mod support;
+mod unframed_answers;
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -12,3 +12,4 @@
 mod stopping;
 pub(crate) mod support;
 mod two_regions;
+mod unframed_answers;
