End a stream without length that had no event as broken off

Cause: a stream with neither a length nor chunks whose connection was closed before its first event, or before the next one after a resume, was taken as complete: it ended between two events. An endpoint that fails right after the head of its answer looks like this. Change: such an end is a broken stream, unless the answer had a new event. With a length or chunks the endpoint has said itself that the stream ends. A resume after the last event that has nothing left passes with a length and with chunks; without either it now ends as broken.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -76,6 +77,16 @@
     pub(super) running: RunningRequest,
 }
 
+impl Answer {
+    /// Returns whether the body has neither a length nor chunks, so that only the end of the
+    /// connection ends it.
+    pub(super) fn ends_with_connection(&self) -> bool {
+        let headers = &self.parts.headers;
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+}
+
 /// Why an attempt gave no answer.
 #[derive(Debug)]
 pub(super) enum AttemptError {
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -79,6 +79,7 @@
         answer: Some(answer),
         splitter: EventSplitter::new(last_id),
         progressed_at,
+        has_event: false,
     };
     let frames = stream::try_unfold(relay, |mut relay| async move {
         let bytes = relay.next().await?;
@@ -103,6 +104,8 @@
     splitter: EventSplitter,
     /// When the head of the present answer or its last whole event arrived.
     progressed_at: Monotonic,
+    /// Whether the present answer has had a new event.
+    has_event: bool,
 }
 
 impl StreamRelay {
@@ -114,6 +117,7 @@
                     let events = self.splitter.push(&bytes);
                     if !events.is_empty() {
                         self.progressed_at = self.attempts.state.now();
+                        self.has_event = true;
                         return Ok(Some(events));
                     }
                     if self.splitter.partial_bytes() > EVENT_MAX_BYTES {
@@ -121,18 +125,36 @@
                         self.resume(error).await?;
                     }
                 }
-                Ok(Chunk::End) if self.splitter.is_at_boundary() => {
-                    if let Some(answer) = self.answer.take() {
-                        answer.running.finish();
+                Ok(Chunk::End) => match self.check_end() {
+                    Ok(()) => {
+                        if let Some(answer) = self.answer.take() {
+                            answer.running.finish();
+                        }
+                        return Ok(None);
                     }
-                    return Ok(None);
-                }
-                Ok(Chunk::End) => self.resume(UpstreamError::Truncated).await?,
+                    Err(error) => self.resume(error).await?,
+                },
                 Err(error) => self.resume(error).await?,
             }
         }
     }
 
+    /// Checks that the stream was not broken off where its body ended.
+    fn check_end(&self) -> Result<(), UpstreamError> {
+        if !self.splitter.is_at_boundary() {
+            return Err(UpstreamError::Truncated);
+        }
+        // An endpoint that fails closes its connection too, possibly right after the head.
+        let ends_with_connection = self
+            .answer
+            .as_ref()
+            .is_some_and(Answer::ends_with_connection);
+        match ends_with_connection && !self.has_event {
+            true => Err(UpstreamError::NoEvent),
+            false => Ok(()),
+        }
+    }
+
     async fn next_chunk(&mut self) -> Result<Chunk, UpstreamError> {
         let request = &self.attempts.request;
         let time_left = request.time_left(self.attempts.state.now());
@@ -205,6 +227,7 @@
         }
         self.answer = Some(answer);
         self.progressed_at = self.attempts.state.now();
+        self.has_event = false;
         Ok(())
     }
 }
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -34,6 +34,9 @@
     /// The stream ended in the middle of an event.
     #[error("the stream ended in the middle of an event")]
     Truncated,
+    /// The connection of a stream without length was closed before an event arrived.
+    #[error("the connection was closed before an event of the stream arrived")]
+    NoEvent,
     /// What another VM sent could not be read or decompressed, or is too long.
     #[error("the body sent by the VM could not be read: {0}")]
     PeerBody(#[source] Box<dyn std::error::Error + Send + Sync>),
--- a/tests/behaviour/entry/unframed_answers.rs
+++ b/tests/behaviour/entry/unframed_answers.rs
@@ -209,6 +209,53 @@
     }
 }
 
+#[tokio::test]
+async fn a_resumable_stream_that_ends_before_its_first_event_is_sent_elsewhere() {
+    let (site, vm) = launch().await;
+    site.engines[1].set_answers(WHOLE);
+    site.engines[0].set_answers(broken(AFTER_THE_HEAD, ConnectionEnd::HalfClose));
+    for index in 0..6 {
+        let answer = answer(&vm, "/stream/x", &format!("r{index}")).await;
+        assert_eq!(answer, Some((200, whole_stream())));
+    }
+    assert!(site.site.engines[0].total_run_count() > 0);
+}
+
+#[tokio::test]
+async fn a_resumed_stream_that_ends_before_its_next_event_is_not_complete() {
+    let (site, vm) = launch().await;
+    site.engines[0].set_answers(broken(WITHIN_AN_EVENT, ConnectionEnd::HalfClose));
+    site.engines[1].set_answers(broken(AFTER_THE_HEAD, ConnectionEnd::HalfClose));
+    for index in 0..6 {
+        let answer = answer(&vm, "/stream/x", &format!("r{index}")).await;
+        assert_eq!(answer, None);
+    }
+    assert!(site.site.engines[0].total_run_count() > 0);
+    assert!(site.site.engines[1].total_run_count() > 0);
+}
+
+#[tokio::test]
+async fn a_resumed_stream_with_a_length_or_chunks_may_have_no_event_left() {
+    let after_the_last_event = BreakOff {
+        after_events: 6,
+        then_bytes: 0,
+    };
+    for is_chunked in [false, true] {
+        let site = ProxiedSite::launch(EAST).await;
+        site.engines[0].set_answers(broken(after_the_last_event, ConnectionEnd::Reset));
+        if is_chunked {
+            let direct = &site.site.engines[1];
+            site.site.store.put(&direct.key(), direct.record("ready"));
+        }
+        let vm = EntryVm::launch(new_ip(), EAST, &site.site.store, &[]).await;
+        for index in 0..6 {
+            let answer = answer(&vm, "/stream/x", &format!("r{index}")).await;
+            assert_eq!(answer, Some((200, whole_stream())), "{is_chunked}");
+        }
+        assert!(site.site.engines[0].total_run_count() > 0);
+    }
+}
+
 #[tokio::test]
 async fn broken_streams_that_cannot_be_resumed_end_with_an_error() {
     let (site, vm) = launch().await;
@@ -224,6 +271,20 @@
     assert_eq!(answer, Some((200, whole_stream())));
 }
 
+#[tokio::test]
+async fn a_stream_that_ends_before_its_first_event_is_not_complete() {
+    let (site, vm) = launch().await;
+    for framing in UNFRAMED {
+        site.set_answers(UnframedAnswers {
+            framing,
+            ..broken(AFTER_THE_HEAD, ConnectionEnd::HalfClose)
+        });
+        let id = format!("{framing:?}");
+        assert_eq!(answer(&vm, "/tip-stream/x", &id).await, None, "{id}");
+        assert_eq!(site.site.runs(&id), 1);
+    }
+}
+
 #[tokio::test]
 async fn a_reset_plain_answer_is_retried_only_if_that_is_safe() {
     for break_off in [WITHIN_A_PLAIN_BODY, AFTER_THE_HEAD] {
@@ -286,7 +347,8 @@
 #[tokio::test]
 async fn broken_answers_of_another_region_are_not_complete() {
     let (site, local, _remote) = launch_in_two_regions().await;
-    for (break_off, end) in BROKEN_STREAMS {
+    let before_the_first_event = (AFTER_THE_HEAD, ConnectionEnd::HalfClose);
+    for (break_off, end) in BROKEN_STREAMS.into_iter().chain([before_the_first_event]) {
         site.set_answers(broken(break_off, end));
         let id = format!("{break_off:?}{end:?}").replace(' ', "");
         // Before its first event, the other VM may break the answer off before its head.
