--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -104,7 +104,7 @@
     splitter: EventSplitter,
     /// When the head of the present answer or its last whole event arrived.
     progressed_at: Monotonic,
-    /// Whether the present answer had a whole event.
+    /// Whether the present answer has had a new event.
     has_event: bool,
 }
 
@@ -125,19 +125,37 @@
                         self.resume(error).await?;
                     }
                 }
-                Ok(Chunk::End) if self.splitter.is_at_boundary() => {
-                    if let Some(answer) = self.answer.take() {
-                        answer.running.finish();
-                        self.record_answered();
+                Ok(Chunk::End) => match self.check_end() {
+                    Ok(()) => {
+                        if let Some(answer) = self.answer.take() {
+                            answer.running.finish();
+                            self.record_answered();
+                        }
+                        return Ok(None);
                     }
-                    return Ok(None);
-                }
-                Ok(Chunk::End) => self.resume(UpstreamError::Truncated).await?,
+                    Err(error) => self.resume(error).await?,
+                },
                 Err(error) => self.resume(error).await?,
             }
         }
     }
 
+    /// Checks that the stream was not broken off where its body ended.
+    fn check_end(&self) -> Result<(), UpstreamError> {
+        if !self.splitter.is_at_boundary() {
+            return Err(UpstreamError::Truncated);
+        }
+        // An endpoint that fails closes its connection too, possibly right after the head.
+        let ends_with_connection = self
+            .answer
+            .as_ref()
+            .is_some_and(Answer::ends_with_connection);
+        match ends_with_connection && !self.has_event {
+            true => Err(UpstreamError::NoEvent),
+            false => Ok(()),
+        }
+    }
+
     async fn next_chunk(&mut self) -> Result<Chunk, UpstreamError> {
         let request = &self.attempts.request;
         let time_left = request.time_left(self.attempts.state.now());
@@ -186,6 +204,9 @@
 
     /// Records that the endpoint answered a prompt with these parts.
     fn record_answered(&self) {
+        if !self.has_event {
+            return;
+        }
         let Attempts { state, request, .. } = &self.attempts;
         state.on_prompt_answered(state.now(), &request.head.prefix);
     }
@@ -237,8 +258,8 @@
             return Err(error);
         }
         self.answer = Some(answer);
-        self.has_event = false;
         self.progressed_at = self.attempts.state.now();
+        self.has_event = false;
         Ok(())
     }
 }
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -36,6 +36,9 @@
     /// The stream ended in the middle of an event.
     #[error("the stream ended in the middle of an event")]
     Truncated,
+    /// The connection of a stream without length was closed before an event arrived.
+    #[error("the connection was closed before an event of the stream arrived")]
+    NoEvent,
     /// What another VM sent could not be read or decompressed, or is too long.
     #[error("the body sent by the VM could not be read: {0}")]
     PeerBody(#[source] Box<dyn Error + Send + Sync>),
@@ -48,7 +51,7 @@
     /// Returns whether the endpoint ended an answer before it was whole, rather than being silent.
     pub fn is_broken_off(&self) -> bool {
         match self {
-            Self::Truncated => true,
+            Self::Truncated | Self::NoEvent => true,
             Self::Broken(error) => !is_io_timeout(error),
             _ => false,
         }
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -15,3 +15,4 @@
 mod stopping;
 pub(crate) mod support;
 mod two_regions;
+mod unframed_answers;
