Keep the share of the limits of a VM that cannot be connected to

Cause (found by reading, by a reviewer of the cold endpoints): a failed connection set the time of a VM's last row to the start of the process. On a process older than 30 s the next round of gossip then removed that VM at once, instead of after 30 s of silence, so known_count fell, and with it what this VM leaves to others of retry budgets and refills of rates. Change: a flag of its own says that a VM is unreachable until a newer row arrives; the time of its last row stays. Result: the new test saw 1 VM known where 2 are, and passes now; fleet: 36 passed. The effect on quotas was not played.

--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -33,12 +33,14 @@
 struct KnownVm {
     row: VmRow,
     last_beat_at: Monotonic,
+    /// Whether a connection to the VM failed since its last row.
+    is_unreachable: bool,
     round_trip_ms: Option<f64>,
 }
 
 impl KnownVm {
     fn is_alive(&self, now: Monotonic) -> bool {
-        now.since(self.last_beat_at) < SILENCE_MAX
+        !self.is_unreachable && now.since(self.last_beat_at) < SILENCE_MAX
     }
 }
 
@@ -95,6 +97,7 @@
             None => {
                 let vm = KnownVm {
                     last_beat_at: now,
+                    is_unreachable: false,
                     round_trip_ms: None,
                     row: row.clone(),
                 };
@@ -111,6 +114,7 @@
                 if is_newer {
                     known.row = row.clone();
                     known.last_beat_at = now;
+                    known.is_unreachable = false;
                 }
                 is_newer
             }
@@ -132,7 +136,7 @@
     /// Treats a VM as silent until a newer row of it arrives.
     pub fn on_unreachable(&mut self, ip: Ipv4Addr) {
         if let Some(known) = self.others.get_mut(&ip) {
-            known.last_beat_at = Monotonic::ZERO;
+            known.is_unreachable = true;
         }
     }
 
--- a/tests/behaviour/fleet/rows.rs
+++ b/tests/behaviour/fleet/rows.rs
@@ -59,3 +59,15 @@
     unknown.zone = figramp::deployment::ZoneKey(40);
     assert!(!fleet.merge(at(0), &unknown, true));
 }
+
+#[test]
+fn a_vm_that_is_unreachable_keeps_its_share_of_the_limits() {
+    let mut fleet = view(1);
+    fleet.merge(at(60_000), &row(2, 1), true);
+    fleet.on_unreachable(ip(2));
+    fleet.remove_expired(at(60_300));
+    assert_eq!(fleet.alive_count(at(60_300)), 1);
+    assert_eq!(fleet.known_count(), 2);
+    fleet.remove_expired(at(91_000));
+    assert_eq!(fleet.known_count(), 1);
+}
