--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -29,6 +29,7 @@
 use crate::deployment::ListingVersion;
 use crate::deployment::ZoneKey;
 use crate::peer::generated::fleet_capnp as schema;
+use crate::quarantine::CrashReport;
 use crate::quarantine::InstanceHash;
 use crate::quarantine::PartHash;
 
@@ -38,6 +39,12 @@
 /// The unit of a backlog in a message.
 const BACKLOG_UNIT_TOKENS: u64 = 16;
 
+/// The largest number of crashes that are read from a message.
+const CRASHES_MAX: usize = 64;
+
+/// The largest number of answered parts that are read from a message.
+const ANSWERED_PARTS_MAX: usize = 512;
+
 /// Encodes a message.
 ///
 /// # Errors
@@ -212,15 +219,20 @@
 ) -> Result<MessageCrashes, FleetWireError> {
     let age = |age_ms: u32| Duration::from_millis(u64::from(age_ms));
     let mut crashes = Vec::new();
-    for crash in from.get_crashes()? {
+    for crash in from.get_crashes()?.iter().take(CRASHES_MAX) {
         crashes.push(MessageCrash {
             endpoint: InstanceHash(crash.get_endpoint()),
             began_age: age(crash.get_began_age_ms()),
             crashed_age: age(crash.get_crashed_age_ms()),
-            parts: crash.get_parts()?.iter().map(PartHash).collect(),
+            parts: crash
+                .get_parts()?
+                .iter()
+                .take(CrashReport::PARTS_MAX)
+                .map(PartHash)
+                .collect(),
         });
     }
-    let answered = from.get_answered_parts()?.iter();
+    let answered = from.get_answered_parts()?.iter().take(ANSWERED_PARTS_MAX);
     let answered = answered.map(|answered| MessageAnsweredPart {
         part: PartHash(answered.get_part()),
         age: age(answered.get_age_ms()),
