Take a remote VM's refusal of a quarantined prompt as final

Found in review: a VM that did not know of the quarantine yet took the refusal of a VM of another region like any other and sent the request to an endpoint of its own region. The mark of a request that did not run says now that its prompt is quarantined, and the request is refused. Not shown by a test of its own: the window is the time that gossip takes.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -95,6 +95,8 @@
         has_arrived: bool,
         retry_after: Option<Duration>,
     },
+    /// The request did not run, and must not be sent on for this time, as its prompt is quarantined.
+    Quarantined(Duration),
     /// The request may have run.
     MayHaveRun(UpstreamError),
 }
@@ -216,6 +218,11 @@
     if !head.is_other_instance {
         record_notices(state, now, target, &head);
     }
+    if forward_headers::is_quarantined(&answer.parts.headers) {
+        let remaining = head.retry_after.unwrap_or_default();
+        on_refused(answer, None).await;
+        return Err(AttemptError::Quarantined(remaining));
+    }
     if head.is_not_executed || forward_headers::is_not_run(&answer.parts.headers) {
         return Err(on_refused(answer, head.retry_after).await);
     }
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -124,6 +124,9 @@
                     self.arrived_count += u32::from(has_arrived);
                     self.retry_after = self.retry_after.max(retry_after);
                 }
+                Err(AttemptError::Quarantined(remaining)) => {
+                    return Err(self.quarantine_refusal(remaining));
+                }
                 Err(AttemptError::MayHaveRun(error)) => {
                     self.arrived_count += 1;
                     self.ran_count += 1;
--- a/src/edge/forward_headers.rs
+++ b/src/edge/forward_headers.rs
@@ -10,6 +10,9 @@
 /// Marks an answer to a request that did not run.
 const NOT_RUN: HeaderName = HeaderName::from_static("figramp-not-run");
 
+/// The value of that mark for a quarantined prompt.
+const QUARANTINED: &str = "quarantined";
+
 /// The headers of a request forwarded by another VM; it is not forwarded again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ForwardHeaders {
@@ -35,8 +38,15 @@
     headers.remove(NOT_RUN);
 }
 
-pub(super) fn mark_not_run(headers: &mut HeaderMap) {
-    headers.insert(NOT_RUN, HeaderValue::from_static("1"));
+pub(super) fn mark_not_run(headers: &mut HeaderMap, is_quarantined: bool) {
+    let value = if is_quarantined { QUARANTINED } else { "1" };
+    headers.insert(NOT_RUN, HeaderValue::from_static(value));
+}
+
+/// Returns whether the request did not run because its prompt is quarantined, so that no endpoint may
+/// get it.
+pub(super) fn is_quarantined(headers: &HeaderMap) -> bool {
+    headers.get(NOT_RUN) == Some(&HeaderValue::from_static(QUARANTINED))
 }
 
 pub(super) fn is_not_run(headers: &HeaderMap) -> bool {
--- a/src/edge/refusal.rs
+++ b/src/edge/refusal.rs
@@ -124,7 +124,7 @@
             HeaderValue::from_static("application/json"),
         );
         if self.kind.is_not_run() {
-            forward_headers::mark_not_run(headers);
+            forward_headers::mark_not_run(headers, self.kind == RefusalKind::Quarantined);
         }
         let wait = self
             .retry_after
