--- a/src/belief/read_plan.rs
+++ b/src/belief/read_plan.rs
@@ -11,7 +11,7 @@
 
 /// The time without confirmation after which a VM that is not the region's reader reads the store.
 ///
-/// Twice the age that is usual with gossip, and a quarter of the age at which keys are refused.
+/// Twice the age that is usual with gossip, and well under the age at which requests are refused.
 const FALLBACK_AGE: Duration = Duration::from_millis(1_300);
 
 /// The backoff after a failed read.
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -116,7 +116,7 @@
                 Ok(Chunk::Bytes(bytes)) => {
                     let events = self.splitter.push(&bytes);
                     if !events.is_empty() {
-                        self.has_event = true;
+                        self.on_event();
                         self.progressed_at = self.attempts.state.now();
                         return Ok(Some(events));
                     }
@@ -129,7 +129,6 @@
                     Ok(()) => {
                         if let Some(answer) = self.answer.take() {
                             answer.running.finish();
-                            self.record_answered();
                         }
                         return Ok(None);
                     }
@@ -202,13 +201,15 @@
         }
     }
 
-    /// Records that the endpoint answered a prompt with these parts.
-    fn record_answered(&self) {
-        if !self.has_event {
+    /// Records an event of the present answer: with the first one the endpoint has answered the prompt.
+    fn on_event(&mut self) {
+        if std::mem::replace(&mut self.has_event, true) {
             return;
         }
         let Attempts { state, request, .. } = &self.attempts;
-        state.on_prompt_answered(state.now(), &request.head.prefix);
+        let answer = self.answer.as_ref();
+        let instance = answer.and_then(|answer| answer.running.instance());
+        state.on_prompt_answered(state.now(), instance, &request.head.prefix);
     }
 
     /// Records an answer that the endpoint broke off, which the prompt may have caused if the endpoint
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -194,10 +194,16 @@
         self.quarantine.borrow().remaining(now, part_hashes(prefix))
     }
 
-    /// Records the whole answer to a request with this prompt prefix.
-    pub fn on_prompt_answered(&self, now: Monotonic, prefix: &PromptPrefix) {
+    /// Records the first event of the answer to a request with this prompt prefix; `instance` is `None`
+    /// if another VM passed it on.
+    pub fn on_prompt_answered(
+        &self,
+        now: Monotonic,
+        instance: Option<InstanceHash>,
+        prefix: &PromptPrefix,
+    ) {
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.on_answered(now, part_hashes(prefix)) {
+        if quarantine.on_answered(now, instance, part_hashes(prefix)) {
             log_quarantine(&quarantine);
         }
     }
--- a/src/quarantine/answered_part.rs
+++ b/src/quarantine/answered_part.rs
@@ -3,11 +3,11 @@
 use super::EventTime;
 use super::PartHash;
 
-/// A prompt part that was in a request with a whole answer.
+/// A prompt part of a request whose answer had an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnsweredPart {
     /// The part.
     pub part: PartHash,
-    /// When the latest such answer was complete, by the clock of the VM that holds this.
+    /// When the latest first event of such an answer arrived, by the clock of the VM that holds this.
     pub answered_at: EventTime,
 }
--- a/src/quarantine/crash_instants.rs
+++ b/src/quarantine/crash_instants.rs
@@ -1,6 +1,7 @@
 //! When endpoints crashed, to tell outages from single crashes.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::EventTime;
@@ -13,36 +14,41 @@
 const OUTAGE_ENDPOINTS: usize = 3;
 
 /// The largest number of crashes that are kept.
-const INSTANTS_MAX: usize = 256;
+const INSTANTS_MAX: usize = 512;
 
-/// The times at which endpoints crashed.
+/// The times at which endpoints broke off answers.
 #[derive(Debug, Default)]
 pub(super) struct CrashInstants {
-    by_endpoint: BTreeMap<InstanceHash, EventTime>,
+    instants: VecDeque<(InstanceHash, EventTime)>,
 }
 
 impl CrashInstants {
-    /// Records a crash; the earliest time that is heard of an endpoint is kept.
+    /// Records that an endpoint broke off an answer.
     pub(super) fn record(&mut self, endpoint: InstanceHash, crashed_at: EventTime) {
-        let first = self.by_endpoint.entry(endpoint).or_insert(crashed_at);
-        *first = crashed_at.min(*first);
-        if self.by_endpoint.len() > INSTANTS_MAX {
-            let oldest = self.by_endpoint.iter().min_by_key(|(_, at)| **at);
-            if let Some(oldest) = oldest.map(|(endpoint, _)| *endpoint) {
-                self.by_endpoint.remove(&oldest);
-            }
+        let is_known = self
+            .instants
+            .iter()
+            .any(|(other, at)| *other == endpoint && is_together(*at, crashed_at));
+        if is_known {
+            return;
+        }
+        self.instants.push_back((endpoint, crashed_at));
+        if self.instants.len() > INSTANTS_MAX {
+            self.instants.pop_front();
         }
     }
 
-    /// Returns whether an endpoint crashed together with others.
-    pub(super) fn is_in_outage(&self, endpoint: InstanceHash) -> bool {
-        let Some(crashed_at) = self.by_endpoint.get(&endpoint) else {
-            return false;
-        };
-        let together = self.by_endpoint.values().filter(|other| {
-            !other.is_later_by(OUTAGE_SPREAD, *crashed_at)
-                && !crashed_at.is_later_by(OUTAGE_SPREAD, **other)
-        });
-        together.count() >= OUTAGE_ENDPOINTS
+    /// Returns whether several endpoints crashed at about a time.
+    pub(super) fn is_outage(&self, crashed_at: EventTime) -> bool {
+        let together = self.instants.iter();
+        let endpoints: BTreeSet<InstanceHash> = together
+            .filter(|(_, at)| is_together(*at, crashed_at))
+            .map(|(endpoint, _)| *endpoint)
+            .collect();
+        endpoints.len() >= OUTAGE_ENDPOINTS
     }
 }
+
+fn is_together(one: EventTime, other: EventTime) -> bool {
+    !one.is_later_by(OUTAGE_SPREAD, other) && !other.is_later_by(OUTAGE_SPREAD, one)
+}
--- a/src/quarantine/crash_report.rs
+++ b/src/quarantine/crash_report.rs
@@ -20,6 +20,9 @@
 }
 
 impl CrashReport {
+    /// The largest number of parts of a report.
+    pub const PARTS_MAX: usize = 32;
+
     /// Returns whether both reports tell the same: an instance crashes once, and the times of a report
     /// vary with its way through the fleet.
     pub(super) fn is_same(&self, other: &Self) -> bool {
--- a/src/quarantine/culprits.rs
+++ b/src/quarantine/culprits.rs
@@ -15,7 +15,7 @@
 /// The number of crashed endpoints that makes a part the cause if not all crashed at once.
 const CRASHED_ENDPOINTS: usize = 5;
 
-/// A crash with the parts that may be its cause: those without a whole answer since.
+/// A crash with the parts that may be its cause: those without an answer since.
 #[derive(Clone, Debug)]
 pub(super) struct Evidence<'a> {
     pub(super) crash: &'a CrashReport,
@@ -57,24 +57,33 @@
 /// Parts that only occurred together cannot be told apart and form a set.
 pub(super) fn find_culprits(mut evidence: Vec<Evidence<'_>>) -> Vec<BTreeSet<PartHash>> {
     let mut found = Vec::new();
-    while let Some(part) = clearest_cause(&evidence) {
-        let with_part = evidence
-            .iter()
-            .filter(|crash| crash.suspects.contains(&part));
-        let explained: BTreeSet<InstanceHash> = with_part
-            .clone()
-            .map(|crash| crash.crash.endpoint)
-            .collect();
-        let common = with_part
-            .map(|crash| crash.suspects.clone())
-            .reduce(|common, suspects| &common & &suspects);
-        found.extend(common);
-        evidence.retain(|crash| !explained.contains(&crash.crash.endpoint));
+    while let Some(cause) = clearest_cause(&evidence) {
+        evidence.retain(|crash| !cause.endpoints.contains(&crash.crash.endpoint));
+        found.push(cause.parts);
     }
     found
 }
 
-fn clearest_cause(evidence: &[Evidence<'_>]) -> Option<PartHash> {
+/// Parts that explain crashes.
+struct Cause {
+    parts: BTreeSet<PartHash>,
+    endpoints: BTreeSet<InstanceHash>,
+}
+
+/// Returns the parts that all requests with a part have in common, as far as they are suspects.
+fn parts_with(part: PartHash, evidence: &[Evidence<'_>]) -> BTreeSet<PartHash> {
+    let crashes = evidence
+        .iter()
+        .filter(|crash| crash.suspects.contains(&part));
+    let common = crashes
+        .map(|crash| crash.suspects.clone())
+        .reduce(|common, suspects| &common & &suspects);
+    common.unwrap_or_default()
+}
+
+/// Returns the cause with the most crashes; of several, the one with most parts, as a part that also
+/// occurred alone is less likely to be the one that crashes endpoints.
+fn clearest_cause(evidence: &[Evidence<'_>]) -> Option<Cause> {
     let mut by_part: BTreeMap<PartHash, CrashSpans> = BTreeMap::new();
     for Evidence { crash, suspects } in evidence {
         let span = (crash.crashed_at, crash.began_at);
@@ -85,11 +94,18 @@
         }
     }
     by_part
-        .iter()
-        .map(|(part, spans)| (Record::new(spans), *part))
-        .filter(|(record, _)| record.shows_cause())
-        .max()
-        .map(|(_, part)| part)
+        .into_iter()
+        .map(|(part, spans)| (Record::new(&spans), part, spans))
+        .filter(|(record, _, _)| record.shows_cause())
+        .map(|(record, part, spans)| {
+            let cause = Cause {
+                parts: parts_with(part, evidence),
+                endpoints: spans.into_keys().collect(),
+            };
+            (record, cause)
+        })
+        .max_by_key(|(record, cause)| (*record, cause.parts.len()))
+        .map(|(_, cause)| cause)
 }
 
 /// Returns the largest number of spans (end, start) that do not overlap: taking the one that ends
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -6,6 +6,7 @@
 mod culprits;
 mod event_time;
 mod instance_hash;
+mod latest_times;
 mod part_hash;
 mod prompt_quarantine;
 mod reports;
--- a/src/quarantine/prompt_quarantine.rs
+++ b/src/quarantine/prompt_quarantine.rs
@@ -1,7 +1,7 @@
 //! The prompt parts that crash endpoints, as known from all VMs.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::seq::IteratorRandom;
@@ -10,6 +10,7 @@
 use super::crash_instants::CrashInstants;
 use super::culprits::find_culprits;
 use super::culprits::Evidence;
+use super::latest_times::LatestTimes;
 use super::AnsweredPart;
 use super::CrashReport;
 use super::CrashReports;
@@ -21,32 +22,39 @@
 /// How long a crash counts.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// How long before a crash a whole answer still exonerates a part. It covers the time by which the
-/// clocks of two VMs are compared wrongly, since ages in messages do not count the time in transit.
+/// How long before a crash an answer still exonerates a part. It covers the time by which the clocks
+/// of two VMs are compared wrongly, since ages in messages do not count the time in transit.
 const EXONERATION_LEAD: Duration = Duration::from_millis(500);
 
+/// How long after a crash an event of the same instance shows that it did not crash. Events that had
+/// arrived before the crash are passed on within this time.
+const SURVIVAL_DELAY: Duration = Duration::from_millis(500);
+
+/// How long a VM goes on telling that a part was answered after it last heard it blamed.
+const EXONERATION_RETENTION: Duration = Duration::from_secs(30);
+
 /// The largest number of crashes that are kept.
 const CRASHES_MAX: usize = 256;
 
-/// The largest number of parts of a prompt that are kept.
-const PARTS_MAX: usize = 16;
-
-/// The largest number of answered parts that are kept.
-const ANSWERED_MAX: usize = 4_096;
+/// The largest number of exonerated parts that are told to others.
+const EXONERATED_MAX: usize = 256;
 
-/// The largest number of crashes in a message to another VM.
-const MESSAGE_CRASHES_MAX: usize = 12;
+/// The largest number of crashes and of exonerated parts in a message to another VM.
+const MESSAGE_ITEMS_MAX: usize = 12;
 
 /// Finds the prompt parts that crash each endpoint that begins to answer a request with them.
 ///
 /// It answers requests that share such a part and come at any VM, while sound requests share their
-/// other parts: only a part without any whole answer is the cause. Endpoints that crash together do
-/// so for another reason. Crashes and answers are shared by gossip, since one VM sees few of them.
+/// other parts: only a part without any answer is the cause. Endpoints that crash together do so for
+/// another reason. Crashes and answers are shared by gossip, since one VM sees few of them.
 #[derive(Debug, Default)]
 pub struct PromptQuarantine {
     crashes: Vec<CrashReport>,
     instants: CrashInstants,
-    answered: HashMap<PartHash, EventTime>,
+    answered: LatestTimes<PartHash>,
+    answering: LatestTimes<InstanceHash>,
+    /// The parts that were blamed and answered, with the time they were last blamed.
+    exonerated: BTreeMap<PartHash, EventTime>,
     quarantined: Vec<BTreeSet<PartHash>>,
 }
 
@@ -65,49 +73,47 @@
         began_at: Monotonic,
         parts: impl IntoIterator<Item = PartHash>,
     ) -> bool {
-        let parts: BTreeSet<PartHash> = parts.into_iter().take(PARTS_MAX).collect();
+        let parts: BTreeSet<PartHash> = parts.into_iter().take(CrashReport::PARTS_MAX).collect();
         let report = CrashReport {
             endpoint,
             began_at: EventTime::from(began_at),
             crashed_at: EventTime::from(now),
             parts: parts.into_iter().collect(),
         };
-        self.add(report) && self.update(now)
+        self.add(now, report) && self.update(now)
     }
 
-    /// Records the whole answer to a request; returns whether that changes what is quarantined.
+    /// Records the first event of an answer; returns whether that changes what is quarantined.
+    ///
+    /// `endpoint` is `None` if another VM passed the answer on.
     pub fn on_answered(
         &mut self,
         now: Monotonic,
+        endpoint: Option<InstanceHash>,
         parts: impl IntoIterator<Item = PartHash>,
     ) -> bool {
-        let mut is_suspect = false;
-        for part in parts {
-            self.answered.insert(part, EventTime::from(now));
-            is_suspect |= self.is_reported(part);
+        let mut is_changed = false;
+        if let Some(endpoint) = endpoint {
+            self.answering.record(endpoint, EventTime::from(now));
+            is_changed |= self.crashes.iter().any(|crash| self.has_survived(crash));
         }
-        if self.answered.len() > ANSWERED_MAX {
-            self.forget_oldest_answers();
+        for part in parts {
+            is_changed |= self.is_suspect(part);
+            self.answered.record(part, EventTime::from(now));
         }
-        is_suspect && self.update(now)
+        is_changed && self.update(now)
     }
 
     /// Adds what another VM reported, with times by the local clock; returns whether that changes
     /// what is quarantined.
     pub fn merge(&mut self, now: Monotonic, reports: CrashReports) -> bool {
         let mut is_changed = false;
-        for answered in reports.answered {
-            let known = self.answered.get(&answered.part).copied();
-            // Times come later by their transit; without a limit they would grow from VM to VM.
-            let is_newer =
-                known.is_none_or(|at| answered.answered_at.is_later_by(EXONERATION_LEAD, at));
-            if is_newer {
-                self.answered.insert(answered.part, answered.answered_at);
-                is_changed = true;
-            }
+        for AnsweredPart { part, answered_at } in reports.answered {
+            is_changed |= self.is_suspect(part);
+            self.answered.record(part, answered_at);
         }
         for report in reports.crashes {
-            is_changed |= self.add(report);
+            is_changed |= self.add(now, report);
         }
         is_changed && self.update(now)
     }
@@ -116,14 +122,16 @@
     pub fn reports(&self, rng: &mut impl Rng) -> CrashReports {
         let (evident, others): (Vec<&CrashReport>, Vec<&CrashReport>) =
             self.crashes.iter().partition(|crash| self.supports(crash));
-        let mut crashes = evident.into_iter().sample(rng, MESSAGE_CRASHES_MAX / 2);
-        crashes.extend(others.into_iter().sample(rng, MESSAGE_CRASHES_MAX / 2));
-        let parts: BTreeSet<PartHash> = crashes
-            .iter()
-            .flat_map(|crash| crash.parts.iter().copied())
+        let mut crashes = evident.into_iter().sample(rng, MESSAGE_ITEMS_MAX / 2);
+        crashes.extend(others.into_iter().sample(rng, MESSAGE_ITEMS_MAX / 2));
+        let exonerated = self.exonerated.keys().copied();
+        let mut parts: BTreeSet<PartHash> = exonerated
+            .sample(rng, MESSAGE_ITEMS_MAX)
+            .into_iter()
             .collect();
+        parts.extend(crashes.iter().flat_map(|crash| crash.parts.iter().copied()));
         let answered = parts.into_iter().filter_map(|part| {
-            let answered_at = *self.answered.get(&part)?;
+            let answered_at = self.answered.get(part)?;
             Some(AnsweredPart { part, answered_at })
         });
         CrashReports {
@@ -142,14 +150,15 @@
             return None;
         }
         let parts: BTreeSet<PartHash> = parts.into_iter().collect();
-        let culprits = self.quarantined.iter().find(|set| set.is_subset(&parts))?;
-        let crashes = self.crashes.iter();
-        let crashed_at = crashes
-            .filter(|crash| culprits.iter().all(|part| crash.parts.contains(part)))
-            .map(|crash| crash.crashed_at)
-            .max()?;
-        let remaining = RETENTION.saturating_sub(crashed_at.age(now));
-        (!remaining.is_zero()).then_some(remaining)
+        let culprits = self.quarantined.iter().filter(|set| set.is_subset(&parts));
+        let crashes = culprits.flat_map(|set| {
+            let crashes = self.crashes.iter();
+            crashes.filter(|crash| set.iter().all(|part| crash.parts.contains(part)))
+        });
+        crashes
+            .map(|crash| RETENTION.saturating_sub(crash.crashed_at.age(now)))
+            .max()
+            .filter(|remaining| !remaining.is_zero())
     }
 
     /// Returns the quarantined sets of parts.
@@ -157,33 +166,57 @@
         &self.quarantined
     }
 
-    fn add(&mut self, report: CrashReport) -> bool {
-        self.instants.record(report.endpoint, report.crashed_at);
-        if report.parts.is_empty() || self.suspects(&report).next().is_none() {
-            return false;
+    /// Adds a report unless it is known or void; returns whether it was added.
+    fn add(&mut self, now: Monotonic, report: CrashReport) -> bool {
+        let blamed_at = EventTime::from(now);
+        for part in &report.parts {
+            if self.is_exonerated(*part, report.crashed_at) {
+                self.exonerated.insert(*part, blamed_at);
+            }
         }
-        match self.crashes.iter_mut().find(|held| held.is_same(&report)) {
-            Some(_) => false,
-            None => {
-                self.crashes.push(report);
-                true
+        if self.exonerated.len() > EXONERATED_MAX {
+            let oldest = self.exonerated.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.exonerated.remove(&oldest);
             }
         }
+        if let Some(held) = self.crashes.iter_mut().find(|held| held.is_same(&report)) {
+            // Reports that waited on their way are dated late.
+            if report.crashed_at < held.crashed_at {
+                *held = report;
+            }
+            return false;
+        }
+        self.instants.record(report.endpoint, report.crashed_at);
+        let is_void = report.crashed_at.age(now) >= RETENTION
+            || self.has_survived(&report)
+            || self.suspects(&report).next().is_none();
+        if !is_void {
+            self.crashes.push(report);
+        }
+        !is_void
     }
 
-    /// Returns the parts of a report without a whole answer since, or shortly before.
-    fn suspects<'a>(&'a self, report: &'a CrashReport) -> impl Iterator<Item = PartHash> + 'a {
-        let is_exonerated = |part: &PartHash| {
-            let answered_at = self.answered.get(part);
-            answered_at.is_some_and(|at| !report.crashed_at.is_later_by(EXONERATION_LEAD, *at))
-        };
-        let parts = report.parts.iter().copied();
-        parts.filter(move |part| !is_exonerated(part))
+    /// Returns whether an instance answered after it seemed to have crashed.
+    fn has_survived(&self, crash: &CrashReport) -> bool {
+        let answered_at = self.answering.get(crash.endpoint);
+        answered_at.is_some_and(|at| at.is_later_by(SURVIVAL_DELAY, crash.crashed_at))
     }
 
-    fn is_reported(&self, part: PartHash) -> bool {
+    /// Returns whether a part was answered since a crash, or shortly before it.
+    fn is_exonerated(&self, part: PartHash, crashed_at: EventTime) -> bool {
+        let answered_at = self.answered.get(part);
+        answered_at.is_some_and(|at| !crashed_at.is_later_by(EXONERATION_LEAD, at))
+    }
+
+    fn suspects<'a>(&'a self, crash: &'a CrashReport) -> impl Iterator<Item = PartHash> + 'a {
+        let parts = crash.parts.iter().copied();
+        parts.filter(|part| !self.is_exonerated(*part, crash.crashed_at))
+    }
+
+    fn is_suspect(&self, part: PartHash) -> bool {
         let mut crashes = self.crashes.iter();
-        crashes.any(|crash| crash.parts.contains(&part))
+        crashes.any(|crash| self.suspects(crash).any(|suspect| suspect == part))
     }
 
     /// Returns whether a quarantine rests on a crash.
@@ -195,26 +228,40 @@
     /// Removes crashes that count no longer and finds the culprits anew; returns whether they changed.
     fn update(&mut self, now: Monotonic) -> bool {
         let mut crashes = std::mem::take(&mut self.crashes);
+        let blamed_at = EventTime::from(now);
+        for crash in &crashes {
+            for part in &crash.parts {
+                if self.is_exonerated(*part, crash.crashed_at) {
+                    self.exonerated.insert(*part, blamed_at);
+                }
+            }
+        }
         crashes.retain(|crash| {
-            crash.crashed_at.age(now) < RETENTION && self.suspects(crash).next().is_some()
+            crash.crashed_at.age(now) < RETENTION
+                && !self.has_survived(crash)
+                && self.suspects(crash).next().is_some()
         });
         if crashes.len() > CRASHES_MAX {
             self.remove_oldest(&mut crashes);
         }
         self.crashes = crashes;
-        let evidence: Vec<Evidence<'_>> = self
-            .crashes
-            .iter()
-            .filter(|crash| !self.instants.is_in_outage(crash.endpoint))
+        self.exonerated
+            .retain(|_, blamed_at| blamed_at.age(now) < EXONERATION_RETENTION);
+        let quarantined = find_culprits(self.evidence());
+        let is_changed = quarantined != self.quarantined;
+        self.quarantined = quarantined;
+        is_changed
+    }
+
+    fn evidence(&self) -> Vec<Evidence<'_>> {
+        let crashes = self.crashes.iter();
+        crashes
+            .filter(|crash| !self.instants.is_outage(crash.crashed_at))
             .map(|crash| Evidence {
                 crash,
                 suspects: self.suspects(crash).collect(),
             })
-            .collect();
-        let quarantined = find_culprits(evidence);
-        let is_changed = quarantined != self.quarantined;
-        self.quarantined = quarantined;
-        is_changed
+            .collect()
     }
 
     /// Removes the oldest crashes that no quarantine rests on.
@@ -222,17 +269,4 @@
         crashes.sort_by_key(|crash| (self.supports(crash), crash.crashed_at));
         crashes.drain(..crashes.len() - CRASHES_MAX);
     }
-
-    fn forget_oldest_answers(&mut self) {
-        let mut times: Vec<EventTime> = self.answered.values().copied().collect();
-        times.sort_unstable();
-        let median = times[times.len() / 2];
-        let reported: BTreeSet<PartHash> = self
-            .crashes
-            .iter()
-            .flat_map(|crash| crash.parts.iter().copied())
-            .collect();
-        self.answered
-            .retain(|part, at| *at >= median || reported.contains(part));
-    }
 }
--- a/tests/behaviour/quarantine/fleet.rs
+++ b/tests/behaviour/quarantine/fleet.rs
@@ -93,3 +93,36 @@
         assert!(!is_quarantined(vm, 10_000, &[CULPRIT]));
     }
 }
+
+#[test]
+fn a_vm_that_blames_a_part_is_told_of_an_answer_that_another_has_forgotten_the_crashes_for() {
+    let (mut crashed, mut answered) = (PromptQuarantine::default(), PromptQuarantine::default());
+    for (endpoint, ms) in [(1, 1_000), (2, 1_500), (3, 2_000)] {
+        crash(&mut crashed, ms, endpoint, &[20]);
+    }
+    send(&crashed, &mut answered, at(2_100), at(2_100));
+    answer(&mut answered, 2_300, &[20]);
+    for round in 0..3 {
+        let now = at(2_400 + round * ROUND_MS);
+        send(&crashed, &mut answered, now, now);
+        send(&answered, &mut crashed, now, now);
+    }
+    assert!(!is_quarantined(&crashed, 4_000, &[20]));
+}
+
+#[test]
+fn a_report_that_waited_on_its_way_is_dated_by_a_later_one_that_did_not() {
+    let (mut from, mut to) = (PromptQuarantine::default(), PromptQuarantine::default());
+    for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        crash(&mut from, ms, endpoint, &[20]);
+    }
+    send(&from, &mut to, at(3_100), at(8_100));
+    send(&from, &mut to, at(8_200), at(8_200));
+    answer(&mut to, 8_300, &[30]);
+    assert!(is_quarantined(&to, 8_300, &[20]));
+    let mut answered = PromptQuarantine::default();
+    answer(&mut answered, 5_000, &[20]);
+    send(&to, &mut answered, at(8_300), at(8_300));
+    send(&answered, &mut to, at(8_400), at(8_400));
+    assert!(!is_quarantined(&to, 8_500, &[20]));
+}
--- a/tests/behaviour/quarantine/support.rs
+++ b/tests/behaviour/quarantine/support.rs
@@ -26,7 +26,7 @@
 }
 
 pub(super) fn answer(quarantine: &mut PromptQuarantine, ms: u64, parts: &[u64]) {
-    quarantine.on_answered(at(ms), hashes(parts));
+    quarantine.on_answered(at(ms), None, hashes(parts));
 }
 
 pub(super) fn is_quarantined(quarantine: &PromptQuarantine, ms: u64, parts: &[u64]) -> bool {
