Tell outages from crashes in quick succession by what one VM sees and by corrected times

The log of the stopped VM shows the quarantine set and lifted within 4 ms of its return, at 4 crashes in 175 ms. Cause: reports that waited in its socket were first dated late and then corrected, and the outage filter counted each date; with a spread of 100 ms pairs of crashes 110 ms apart looked like an outage. Change: the filter uses the times of held reports, which are corrected, and this VM's own breaks; the spread is 30 ms. A corrected date evaluates the crashes anew.

--- a/src/quarantine/crash_instants.rs
+++ b/src/quarantine/crash_instants.rs
@@ -4,11 +4,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::CrashReport;
 use super::EventTime;
 use super::InstanceHash;
 
 /// Crashes of several endpoints within this time of each other are an outage.
-const OUTAGE_SPREAD: Duration = Duration::from_millis(100);
+const OUTAGE_SPREAD: Duration = Duration::from_millis(30);
 
 /// The number of endpoints that crash together in an outage.
 const OUTAGE_ENDPOINTS: usize = 3;
@@ -16,7 +17,7 @@
 /// The largest number of crashes that are kept.
 const INSTANTS_MAX: usize = 512;
 
-/// The times at which endpoints broke off answers.
+/// The times at which endpoints broke off answers to this VM.
 #[derive(Debug, Default)]
 pub(super) struct CrashInstants {
     instants: VecDeque<(InstanceHash, EventTime)>,
@@ -38,12 +39,15 @@
         }
     }
 
-    /// Returns whether several endpoints crashed at about a time.
-    pub(super) fn is_outage(&self, crashed_at: EventTime) -> bool {
-        let together = self.instants.iter();
-        let endpoints: BTreeSet<InstanceHash> = together
+    /// Returns whether several endpoints crashed at about a time, by these times and by `reports`.
+    pub(super) fn is_outage(&self, crashed_at: EventTime, reports: &[CrashReport]) -> bool {
+        let reported = reports
+            .iter()
+            .map(|report| (report.endpoint, report.crashed_at));
+        let endpoints: BTreeSet<InstanceHash> = reported
+            .chain(self.instants.iter().copied())
             .filter(|(_, at)| is_together(*at, crashed_at))
-            .map(|(endpoint, _)| *endpoint)
+            .map(|(endpoint, _)| endpoint)
             .collect();
         endpoints.len() >= OUTAGE_ENDPOINTS
     }
--- a/src/quarantine/prompt_quarantine.rs
+++ b/src/quarantine/prompt_quarantine.rs
@@ -30,6 +30,9 @@
 /// arrived before the crash are passed on within this time.
 const SURVIVAL_DELAY: Duration = Duration::from_millis(500);
 
+/// The difference between the times of two copies of a report from which on it is dated anew.
+const DATING_TOLERANCE: Duration = Duration::from_millis(50);
+
 /// How long a VM goes on telling that a part was answered after it last heard it blamed.
 const EXONERATION_RETENTION: Duration = Duration::from_secs(30);
 
@@ -73,6 +76,7 @@
         began_at: Monotonic,
         parts: impl IntoIterator<Item = PartHash>,
     ) -> bool {
+        self.on_broken_off(now, endpoint);
         let parts: BTreeSet<PartHash> = parts.into_iter().take(CrashReport::PARTS_MAX).collect();
         let report = CrashReport {
             endpoint,
@@ -166,7 +170,7 @@
         &self.quarantined
     }
 
-    /// Adds a report unless it is known or void; returns whether it was added.
+    /// Adds a report unless it is known or void; returns whether it was added or dated anew.
     fn add(&mut self, now: Monotonic, report: CrashReport) -> bool {
         let blamed_at = EventTime::from(now);
         for part in &report.parts {
@@ -182,12 +186,14 @@
         }
         if let Some(held) = self.crashes.iter_mut().find(|held| held.is_same(&report)) {
             // Reports that waited on their way are dated late.
-            if report.crashed_at < held.crashed_at {
+            let is_corrected = held
+                .crashed_at
+                .is_later_by(DATING_TOLERANCE, report.crashed_at);
+            if is_corrected {
                 *held = report;
             }
-            return false;
+            return is_corrected;
         }
-        self.instants.record(report.endpoint, report.crashed_at);
         let is_void = report.crashed_at.age(now) >= RETENTION
             || self.has_survived(&report)
             || self.suspects(&report).next().is_none();
@@ -256,7 +262,7 @@
     fn evidence(&self) -> Vec<Evidence<'_>> {
         let crashes = self.crashes.iter();
         crashes
-            .filter(|crash| !self.instants.is_outage(crash.crashed_at))
+            .filter(|crash| !self.instants.is_outage(crash.crashed_at, &self.crashes))
             .map(|crash| Evidence {
                 crash,
                 suspects: self.suspects(crash).collect(),
--- a/tests/behaviour/quarantine/culprits.rs
+++ b/tests/behaviour/quarantine/culprits.rs
@@ -89,3 +89,13 @@
     }
     assert!(is_quarantined(&quarantine, 500_000, &[CULPRIT]));
 }
+
+#[test]
+fn pairs_of_crashes_in_quick_succession_are_no_outage() {
+    let mut quarantine = PromptQuarantine::default();
+    for (endpoint, ms) in [(1, 1_000), (3, 1_110), (5, 1_220)] {
+        crash(&mut quarantine, ms, endpoint, &[CULPRIT]);
+        crash(&mut quarantine, ms + 33, endpoint + 1, &[CULPRIT]);
+    }
+    assert!(is_quarantined(&quarantine, 1_300, &[CULPRIT]));
+}
--- a/tests/behaviour/quarantine/fleet.rs
+++ b/tests/behaviour/quarantine/fleet.rs
@@ -126,3 +126,16 @@
     send(&answered, &mut to, at(8_400), at(8_400));
     assert!(!is_quarantined(&to, 8_500, &[20]));
 }
+
+#[test]
+fn reports_that_waited_for_a_stopped_vm_together_are_no_outage() {
+    let (mut from, mut stopped) = (PromptQuarantine::default(), PromptQuarantine::default());
+    let resumed_at = at(9_000);
+    for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000), (4, 4_000)] {
+        crash(&mut from, ms, endpoint, &[CULPRIT]);
+        // The reports of a datagram are dated by its arrival.
+        send(&from, &mut stopped, at(ms), resumed_at);
+    }
+    send(&from, &mut stopped, at(9_300), at(9_300));
+    assert!(is_quarantined(&stopped, 9_301, &[CULPRIT]));
+}
