Tests of the daemon as a process: say what was pending when it does not serve

Cause: "the daemon serves: Elapsed" named neither the wait (start or pause) nor the request, and the log was dropped. Change: the wait fails with the number of requests, the age of the pending one, the last answer, the exit status and the log; its bound of 30 s stays. The three tests of the file pass.

--- a/tests/behaviour/vm/processes.rs
+++ b/tests/behaviour/vm/processes.rs
@@ -1,17 +1,21 @@
 //! A daemon in a separate process that is terminated, killed or stopped for a while.
 
+use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::time::Duration;
+use std::time::Instant;
 
 use figramp::demo::raw_ticket;
 use figramp::stand_in::engine::EngineOptions;
 use figramp::stand_in::engine::EngineServer;
 use figramp::stand_in::platform::PlatformStandIn;
+use parking_lot::Mutex;
 use reqwest::Client;
 use reqwest::Response;
 use serde_json::json;
@@ -22,6 +26,7 @@
 /// Longer than the longest pause that a daemon ignores.
 const PAUSE: Duration = Duration::from_secs(6);
 const POLL: Duration = Duration::from_millis(20);
+const SERVING_MAX: Duration = Duration::from_secs(30);
 
 /// A daemon in a separate process, with stand-ins of the engine and the platform in this one.
 struct Process {
@@ -69,7 +74,7 @@
             _engine: engine,
             _platform: platform,
         };
-        process.wait_until_serving().await;
+        process.wait_until_serving("its start").await;
         process
     }
 
@@ -82,18 +87,35 @@
             .await
     }
 
-    async fn wait_until_serving(&mut self) {
+    /// Sends requests, one after the other, until one is answered with success.
+    async fn wait_until_serving(&mut self, after: &str) {
         let (body, _) = stream_body(1);
+        let attempts = Mutex::new(Attempts::default());
         let serving = async {
             loop {
-                if matches!(self.post(&body).await, Ok(response) if response.status() == 200) {
+                attempts.lock().begin();
+                let answer = self.post(&body).await;
+                if matches!(&answer, Ok(response) if response.status() == 200) {
                     return;
                 }
+                let text = match answer {
+                    Ok(response) => format!("{}: {:?}", response.status(), response.text().await),
+                    Err(error) => format!("{error:?}"),
+                };
+                attempts.lock().end(text);
                 tokio::time::sleep(POLL).await;
             }
         };
-        let is_serving = tokio::time::timeout(Duration::from_secs(30), serving).await;
-        is_serving.expect("the daemon serves");
+        if tokio::time::timeout(SERVING_MAX, serving).await.is_ok() {
+            return;
+        }
+        panic!(
+            "the daemon does not serve within {SERVING_MAX:?} of {after}: {}, exit status {:?}, \
+             log:\n{}",
+            attempts.lock(),
+            self.child.try_wait(),
+            fs::read_to_string(log_path(&self.settings)).unwrap_or_default(),
+        );
     }
 
     fn signal(&self, name: &str) {
@@ -108,6 +130,38 @@
     }
 }
 
+/// The requests of a wait, described if it fails.
+#[derive(Default)]
+struct Attempts {
+    count: u32,
+    /// The start of the request that is not answered yet.
+    pending_since: Option<Instant>,
+    last_answer: String,
+}
+
+impl Attempts {
+    fn begin(&mut self) {
+        self.count += 1;
+        self.pending_since = Some(Instant::now());
+    }
+
+    fn end(&mut self, answer: String) {
+        self.pending_since = None;
+        self.last_answer = answer;
+    }
+}
+
+impl fmt::Display for Attempts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let pending = self.pending_since.map(|since| since.elapsed());
+        let (count, last) = (self.count, &self.last_answer);
+        write!(
+            f,
+            "{count} requests, one pending for {pending:?}, last answer {last}"
+        )
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // The process may have ended by itself.
@@ -121,12 +175,20 @@
     }
 }
 
-fn spawn(settings: &PathBuf) -> Child {
+fn log_path(settings: &Path) -> PathBuf {
+    settings.with_file_name("log")
+}
+
+fn spawn(settings: &Path) -> Child {
+    let log = fs::File::options()
+        .create(true)
+        .append(true)
+        .open(log_path(settings));
     Command::new(env!("CARGO_BIN_EXE_figramp"))
         .args(["serve", "--settings"])
         .arg(settings)
         .stdout(Stdio::null())
-        .stderr(Stdio::null())
+        .stderr(log.expect("the log is created"))
         .spawn()
         .expect("the program starts")
 }
@@ -173,7 +235,7 @@
     );
     process.child.wait().expect("the process ends");
     process.child = spawn(&process.settings);
-    process.wait_until_serving().await;
+    process.wait_until_serving("its start").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -182,7 +244,7 @@
     process.signal("-STOP");
     tokio::time::sleep(PAUSE).await;
     process.signal("-CONT");
-    process.wait_until_serving().await;
+    process.wait_until_serving("its pause").await;
     while !process.audit().await.contains("paused") {
         tokio::time::sleep(POLL).await;
     }
