Soak: endpoints that announce that they leave, or refuse with Retry-After

Cause: the soak had no endpoint that says in its answers that it leaves or wants no requests for a time. The stand-in records its arrivals and can be replaced by another instance. Two checks, of the requests whose sender is known (the client asked a VM of the endpoint's region): no request sent later than drainMs after a process passed on the announcement; at most two in the time asked. Forwarded requests are not checked, as their sender is not known. A restart excuses both; a pause of the VM or a disturbed link to the endpoint excuses the second.

--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures::stream;
@@ -27,11 +28,15 @@
 use tokio::time::sleep;
 
 use super::http_listener;
+use super::Arrival;
 use super::EndpointFaults;
 
 /// The number of events in a complete stream.
 const EVENT_COUNT: u64 = 6;
 
+/// The time at which the first instance of an endpoint started.
+const FIRST_BORN_UNIX_MS: u64 = 1_000;
+
 /// Requests whose path contains this are answered with a stream.
 const STREAM_PATH: &str = "stream";
 
@@ -41,11 +46,29 @@
 struct EndpointState {
     faults: EndpointFaults,
     runs: HashMap<String, u32>,
-    arrival_count: u32,
+    arrivals: Vec<Arrival>,
     /// Each answer in progress holds a clone, so that the strong count gives their number.
     running: Arc<()>,
     last_headers: HeaderMap,
     sequence: u64,
+    replaced_count: u64,
+}
+
+impl EndpointState {
+    /// Describes a request that arrives now.
+    fn arrival(&self, request_id: &str) -> Arrival {
+        let retry_after = self.faults.retry_after.as_ref();
+        let retry_after_s = retry_after
+            .filter(|_| self.faults.is_full)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        Arrival {
+            request_id: request_id.to_owned(),
+            at: Instant::now(),
+            replaced_count: self.replaced_count,
+            is_leaving: self.faults.is_leaving,
+            retry_after: retry_after_s.and_then(|value| Duration::try_from_secs_f64(value).ok()),
+        }
+    }
 }
 
 /// An endpoint that counts how often it ran each request.
@@ -104,10 +127,10 @@
 
     /// Returns the record to register in the store, with another address, such as that of a proxy.
     pub fn record_at(&self, address: SocketAddr, state: &str) -> String {
-        let sequence = {
+        let (sequence, born) = {
             let mut state = self.state.lock();
             state.sequence += 1;
-            state.sequence
+            (state.sequence, FIRST_BORN_UNIX_MS + state.replaced_count)
         };
         json!({
             "service": self.service,
@@ -118,7 +141,7 @@
             "state": state,
             "coldRemainingMs": 0,
             "sequence": sequence,
-            "born": 1_000,
+            "born": born,
         })
         .to_string()
     }
@@ -128,6 +151,11 @@
         self.state.lock().faults = faults;
     }
 
+    /// Puts another instance in place of the endpoint; its records say so from now on.
+    pub fn replace(&self) {
+        self.state.lock().replaced_count += 1;
+    }
+
     /// Returns how often a request ran.
     pub fn run_count(&self, request_id: &str) -> u32 {
         let state = self.state.lock();
@@ -141,7 +169,12 @@
 
     /// Returns the number of requests received, including those that were refused.
     pub fn arrival_count(&self) -> u32 {
-        self.state.lock().arrival_count
+        u32::try_from(self.state.lock().arrivals.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the requests received, including those that were refused.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.lock().arrivals.clone()
     }
 
     /// Returns the number of answers in progress.
@@ -184,7 +217,8 @@
     let (faults, running) = {
         let mut state = state.lock();
         state.last_headers.clone_from(&parts.headers);
-        state.arrival_count += 1;
+        let arrival = state.arrival(&request_id);
+        state.arrivals.push(arrival);
         if state.faults.is_full {
             return Ok(refusal(&state.faults));
         }
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -1,10 +1,12 @@
 //! Stand-ins for the users' deployment: the platform's store and the endpoints that register in it.
 
+mod arrival;
 mod endpoint_faults;
 mod endpoint_server;
 mod http_listener;
 mod store_server;
 
+pub use arrival::Arrival;
 pub use endpoint_faults::EndpointFaults;
 pub use endpoint_server::EndpointServer;
 pub use store_server::StoreBackup;
--- a/tests/behaviour/soak/faults.rs
+++ b/tests/behaviour/soak/faults.rs
@@ -159,20 +159,21 @@
                 sleep(time).await;
                 proxy.set(LinkState::Open);
                 world.record_endpoint_fault(from);
+                world.record_link_fault(endpoint, from);
             }
             Self::Endpoint {
                 endpoint,
                 faults,
                 time,
             } => {
-                let server = &world.endpoints[endpoint].server;
+                let slot = &world.endpoints[endpoint];
                 // Slow and full endpoints do not interrupt answers.
                 let is_interrupting = faults.loses_answers
                     || faults.mislabels_answers
                     || faults.truncated_event.is_some();
-                server.set_faults(faults);
+                slot.set_faults(faults);
                 sleep(time).await;
-                server.set_faults(no_faults());
+                slot.set_faults(no_faults());
                 if is_interrupting {
                     world.record_endpoint_fault(from);
                 }
--- a/tests/behaviour/soak/history.rs
+++ b/tests/behaviour/soak/history.rs
@@ -85,7 +85,12 @@
 impl Span {
     /// Returns whether a request overlaps the span, extended by the time that its effects may last.
     pub(super) fn overlaps(&self, exchange: &Exchange, effects_max: Duration) -> bool {
-        self.from <= exchange.ended_at && exchange.sent_at <= self.until + effects_max
+        self.touches(exchange.sent_at, exchange.ended_at, effects_max)
+    }
+
+    /// Returns whether a time overlaps the span, extended by the time that its effects may last.
+    pub(super) fn touches(&self, from: Instant, until: Instant, effects_max: Duration) -> bool {
+        self.from <= until && from <= self.until + effects_max
     }
 }
 
@@ -105,6 +110,8 @@
     pub(super) vm_faults: Vec<(usize, Span)>,
     /// All faults that may interrupt an answer on its way from an endpoint.
     pub(super) endpoint_faults: Vec<Span>,
+    /// Links to endpoints that were disturbed, with the index of the endpoint.
+    pub(super) link_faults: Vec<(usize, Span)>,
     /// Descriptions of the injected faults, printed if the run fails.
     pub(super) actions: Vec<String>,
     /// Descriptions of daemons that ended otherwise than they should.
--- a/tests/behaviour/soak/mod.rs
+++ b/tests/behaviour/soak/mod.rs
@@ -2,14 +2,17 @@
 //! endpoints run.
 //!
 //! `FIGRAMP_SOAK_SEEDS=100-149` runs more seeds by hand, `FIGRAMP_SOAK_VMS=60` with more daemons;
-//! `FIGRAMP_SOAK_RESTORATIONS=1` also restores the store from backups;
-//! `FIGRAMP_TEST_LOGS` names a directory for the logs of the daemons and for what failed in a run.
+//! `FIGRAMP_SOAK_RESTORATIONS=1` also restores the store from backups; with `FIGRAMP_SOAK_NOTICES=1`
+//! endpoints also announce that they stop, or want no requests for a time; `FIGRAMP_TEST_LOGS` names
+//! a directory for the logs of the daemons and for what failed in a run.
 
 mod checks;
 mod clients;
 mod faults;
 mod history;
 mod loopback_proxy;
+mod notice_checks;
+mod notices;
 mod restorations;
 mod runs;
 mod world;
--- a/tests/behaviour/soak/runs.rs
+++ b/tests/behaviour/soak/runs.rs
@@ -16,6 +16,8 @@
 use super::faults::inject;
 use super::history::Exchange;
 use super::history::Received;
+use super::notice_checks;
+use super::notices;
 use super::restorations;
 use super::world::World;
 use crate::entry::support::KEY;
@@ -55,6 +57,7 @@
 struct RunOptions {
     vm_count: usize,
     has_restorations: bool,
+    has_notices: bool,
 }
 
 impl Default for RunOptions {
@@ -62,6 +65,7 @@
         Self {
             vm_count: VM_COUNT,
             has_restorations: false,
+            has_notices: false,
         }
     }
 }
@@ -73,6 +77,7 @@
         Self {
             vm_count,
             has_restorations: std::env::var("FIGRAMP_SOAK_RESTORATIONS").is_ok(),
+            has_notices: std::env::var("FIGRAMP_SOAK_NOTICES").is_ok(),
         }
     }
 }
@@ -90,10 +95,17 @@
         let rng = StdRng::seed_from_u64(!seed);
         tokio::spawn(restorations::inject(world.clone(), rng, FAULT_TIME))
     });
+    let notices = options.has_notices.then(|| {
+        let rng = StdRng::seed_from_u64(seed.reverse_bits());
+        tokio::spawn(notices::inject(world.clone(), rng, FAULT_TIME))
+    });
     inject(&world, StdRng::seed_from_u64(seed), FAULT_TIME).await;
     if let Some(restorations) = restorations {
         restorations.await.expect("the restorations end");
     }
+    if let Some(notices) = notices {
+        notices.await.expect("the notices end");
+    }
     world.clear_faults();
     let is_ready = timeout(RECOVERY_MAX, world.wait_until_ready()).await;
     sleep(ENDPOINT_RECOVERY_TIME).await;
@@ -106,6 +118,7 @@
     world.check_all_running().await;
     let history = world.history.lock();
     let mut found = violations(&world, &history);
+    found.extend(notice_checks::violations(&world, &history));
     found.extend(history.wrong_exits.iter().cloned());
     if is_ready.is_err() {
         found.push("not all VMs were ready in time".to_owned());
@@ -174,7 +187,8 @@
 }
 
 /// Runs the seeds that `FIGRAMP_SOAK_SEEDS` names; none without it. `FIGRAMP_SOAK_VMS` sets the
-/// number of daemons, `FIGRAMP_SOAK_RESTORATIONS` restores the store as well.
+/// number of daemons, `FIGRAMP_SOAK_RESTORATIONS` restores the store as well, and
+/// `FIGRAMP_SOAK_NOTICES` lets endpoints announce that they stop or want no requests.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_by_hand() {
     let Ok(seeds) = std::env::var("FIGRAMP_SOAK_SEEDS") else {
--- a/tests/behaviour/soak/world.rs
+++ b/tests/behaviour/soak/world.rs
@@ -17,6 +17,7 @@
 use super::history::Revocation;
 use super::history::Span;
 use super::loopback_proxy::LoopbackProxy;
+use super::notices::Notice;
 use crate::entry::support::any_port;
 use crate::entry::support::configuration;
 use crate::entry::support::new_ip;
@@ -42,6 +43,25 @@
     pub(super) server: EndpointServer,
     pub(super) link: LoopbackProxy,
     pub(super) zone: &'static str,
+    faults: Mutex<EndpointFaults>,
+    notice: Mutex<Notice>,
+}
+
+impl EndpointSlot {
+    /// Replaces the simulated faults; the notice in force stays.
+    pub(super) fn set_faults(&self, faults: EndpointFaults) {
+        let notice = self.notice.lock();
+        *self.faults.lock() = faults.clone();
+        self.server.set_faults(notice.added_to(faults));
+    }
+
+    /// Replaces the notice in the answers; the simulated faults stay.
+    pub(super) fn set_notice(&self, new: Notice) {
+        let mut notice = self.notice.lock();
+        let faults = self.faults.lock().clone();
+        self.server.set_faults(new.added_to(faults));
+        *notice = new;
+    }
 }
 
 /// The store, the endpoints, the daemons and the proxies of a run.
@@ -72,7 +92,13 @@
                     let server = EndpointServer::launch(any_port(), &id, service, zone).await;
                     let server = server.expect("an endpoint");
                     let link = LoopbackProxy::launch(server.address()).await;
-                    endpoints.push(EndpointSlot { server, link, zone });
+                    endpoints.push(EndpointSlot {
+                        server,
+                        link,
+                        zone,
+                        faults: Mutex::default(),
+                        notice: Mutex::default(),
+                    });
                 }
             }
         }
@@ -110,7 +136,8 @@
     /// Ends the simulated faults of all endpoints and registers them.
     pub(super) fn clear_faults(&self) {
         for endpoint in &self.endpoints {
-            endpoint.server.set_faults(no_faults());
+            endpoint.set_notice(Notice::None);
+            endpoint.set_faults(no_faults());
             self.register(endpoint, "ready");
         }
     }
@@ -231,6 +258,14 @@
         self.history.lock().endpoint_faults.push(span);
     }
 
+    pub(super) fn record_link_fault(&self, endpoint: usize, from: Instant) {
+        let span = Span {
+            from,
+            until: Instant::now(),
+        };
+        self.history.lock().link_faults.push((endpoint, span));
+    }
+
     /// Returns how often a request ran in all, and how often in the eastern region.
     pub(super) fn runs(&self, request_id: &str) -> (u32, u32) {
         let count = |zone: Option<&str>| {
