Keep what an endpoint asks also while it is not listed

Cause: a notice (leaving, Retry-After) was recorded by the key of the endpoint in the table. An answer that came after the endpoint's record was removed had no key any more, so the notice was lost; a store restored from a backup, or a record written again, listed the same instance again, and it got requests. Change: notices are recorded by instance, which the target of an attempt now holds.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -15,8 +15,8 @@
 use super::forward_headers;
 use super::running_request::RunningRequest;
 use super::UpstreamError;
-use crate::catalog::Name;
 use crate::clock::Monotonic;
+use crate::deployment::InstanceId;
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
@@ -43,7 +43,7 @@
     Endpoint {
         placement: Placement,
         address: SocketAddr,
-        instance: Name,
+        instance: InstanceId,
         copy_prefix_from: Option<SocketAddr>,
     },
     /// A VM of another region.
@@ -63,7 +63,7 @@
 impl fmt::Display for Target {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Endpoint { instance, .. } => write!(f, "endpoint {instance}"),
+            Self::Endpoint { instance, .. } => write!(f, "endpoint {}", instance.id),
             Self::Vm { ip, .. } => write!(f, "vm {ip}"),
         }
     }
@@ -103,7 +103,7 @@
             instance,
             copy_prefix_from,
             ..
-        } => request.to_endpoint(sent_at, instance, *copy_prefix_from, resume_after),
+        } => request.to_endpoint(sent_at, &instance.id, *copy_prefix_from, resume_after),
         Target::Vm { attempts_max, .. } => request.to_vm(sent_at, *attempts_max, resume_after),
     };
     let response = match timeout(response_timeout, running.connection_mut().send(message)).await {
@@ -228,24 +228,19 @@
 
 /// Records what an endpoint asks of this VM in the head of an answer.
 fn record_notices(state: &EntryState, now: Monotonic, target: &Target, head: &AnswerHead) {
-    let Target::Endpoint {
-        placement,
-        instance,
-        ..
-    } = target
-    else {
+    let Target::Endpoint { instance, .. } = target else {
         return;
     };
     let mut endpoints = state.endpoints.borrow_mut();
-    if head.is_leaving && endpoints.on_leaving(now, placement.endpoint) {
-        log::info!(endpoint = instance.as_str(); "the endpoint is leaving; it gets no more requests");
+    if head.is_leaving && endpoints.on_leaving(now, instance) {
+        log::info!(endpoint = instance.id.as_str(); "the endpoint is leaving; it gets no more requests");
     }
     let Some(pause) = head.retry_after else {
         return;
     };
-    if endpoints.on_pause(now, placement.endpoint, pause) {
+    if endpoints.on_pause(now, instance, pause) {
         log::info!(
-            endpoint = instance.as_str(),
+            endpoint = instance.id.as_str(),
             pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
             "the endpoint wants no requests for a time"
         );
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -170,7 +170,7 @@
         Target::Endpoint {
             placement,
             address: record.address,
-            instance: record.instance.id.clone(),
+            instance: record.instance.clone(),
             copy_prefix_from: prefix_owner
                 .and_then(PrefixOwner::local)
                 .filter(|key| *key != placement.endpoint && self.request.head.prefix.tokens() > 0)
--- a/src/placement/endpoint_events.rs
+++ b/src/placement/endpoint_events.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::endpoint_notice::EndpointNotice;
-use super::endpoint_notice::EndpointNotices;
 use super::AttemptOutcome;
 use super::EndpointKey;
 use super::EndpointTable;
@@ -123,29 +122,29 @@
     /// Records that an endpoint announced in an answer that it is about to stop; returns whether
     /// that is new.
     ///
-    /// It gets no further requests, also if it is listed again; only another instance does.
-    pub fn on_leaving(&mut self, now: Monotonic, key: EndpointKey) -> bool {
-        self.on_notice(key, |notices, instance| notices.on_leaving(now, instance))
+    /// It gets no further requests, also if it is listed again; only another instance does. The
+    /// answer may come after the endpoint was removed from the listing.
+    pub fn on_leaving(&mut self, now: Monotonic, instance: &InstanceId) -> bool {
+        let before = self.notices.get(instance);
+        let notice = self.notices.on_leaving(now, instance);
+        self.set_notice(instance, notice);
+        notice != before
     }
 
     /// Records that an endpoint wants no request of this VM for the `pause`; returns whether that
     /// extends an earlier notice.
-    pub fn on_pause(&mut self, now: Monotonic, key: EndpointKey, pause: Duration) -> bool {
-        self.on_notice(key, |notices, instance| {
-            notices.on_pause(now, instance, pause)
-        })
+    pub fn on_pause(&mut self, now: Monotonic, instance: &InstanceId, pause: Duration) -> bool {
+        let before = self.notices.get(instance);
+        let notice = self.notices.on_pause(now, instance, pause);
+        self.set_notice(instance, notice);
+        notice != before
     }
 
-    fn on_notice(
-        &mut self,
-        key: EndpointKey,
-        record_notice: impl FnOnce(&mut EndpointNotices, &InstanceId) -> EndpointNotice,
-    ) -> bool {
-        let Some(state) = self.endpoints.get_mut(key) else {
-            return false;
-        };
-        let notice = record_notice(&mut self.notices, &state.record.instance);
-        std::mem::replace(&mut state.notice, notice) != notice
+    fn set_notice(&mut self, instance: &InstanceId, notice: EndpointNotice) {
+        let key = self.by_instance.get(instance).copied();
+        if let Some(state) = key.and_then(|key| self.endpoints.get_mut(key)) {
+            state.notice = notice;
+        }
     }
 
     /// Records that another instance answered at the address of an endpoint.
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -48,7 +48,7 @@
     region: RegionKey,
     zone: ZoneKey,
     pub(super) endpoints: SlotMap<EndpointKey, EndpointState>,
-    by_instance: HashMap<InstanceId, EndpointKey>,
+    pub(super) by_instance: HashMap<InstanceId, EndpointKey>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
     remote: HashMap<Name, Vec<RemoteEndpoint>>,
     pub(super) notices: EndpointNotices,
