--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -29,11 +29,15 @@
 
 use super::endpoint_process::EndpointProcess;
 use super::http_listener;
+use super::Arrival;
 use super::EndpointFaults;
 
 /// The number of events in a complete stream.
 const EVENT_COUNT: u64 = 6;
 
+/// The time at which the first instance of an endpoint started.
+const FIRST_BORN_UNIX_MS: u64 = 1_000;
+
 /// Requests whose path contains this are answered with a stream.
 const STREAM_PATH: &str = "stream";
 
@@ -47,12 +51,30 @@
     process: EndpointProcess,
     faults: EndpointFaults,
     runs: HashMap<String, u32>,
-    arrival_count: u32,
+    arrivals: Vec<Arrival>,
     crashing_arrivals: Vec<Instant>,
     /// Each answer in progress holds a clone, so that the strong count gives their number.
     running: Arc<()>,
     last_headers: HeaderMap,
     sequence: u64,
+    replaced_count: u64,
+}
+
+impl EndpointState {
+    /// Describes a request that arrives now.
+    fn arrival(&self, request_id: &str) -> Arrival {
+        let retry_after = self.faults.retry_after.as_ref();
+        let retry_after_s = retry_after
+            .filter(|_| self.faults.is_full)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        Arrival {
+            request_id: request_id.to_owned(),
+            at: Instant::now(),
+            replaced_count: self.replaced_count,
+            is_leaving: self.faults.is_leaving,
+            retry_after: retry_after_s.and_then(|value| Duration::try_from_secs_f64(value).ok()),
+        }
+    }
 }
 
 /// An endpoint that counts how often it ran each request.
@@ -133,10 +155,10 @@
 
     /// Returns the record to register in the store, with another address, such as that of a proxy.
     pub fn record_at(&self, address: SocketAddr, state: &str) -> String {
-        let sequence = {
+        let (sequence, born) = {
             let mut state = self.state.lock();
             state.sequence += 1;
-            state.sequence
+            (state.sequence, FIRST_BORN_UNIX_MS + state.replaced_count)
         };
         json!({
             "service": self.service,
@@ -147,7 +169,7 @@
             "state": state,
             "coldRemainingMs": 0,
             "sequence": sequence,
-            "born": 1_000,
+            "born": born,
         })
         .to_string()
     }
@@ -157,6 +179,11 @@
         self.state.lock().faults = faults;
     }
 
+    /// Puts another instance in place of the endpoint; its records say so from now on.
+    pub fn replace(&self) {
+        self.state.lock().replaced_count += 1;
+    }
+
     /// Returns how often a request ran.
     pub fn run_count(&self, request_id: &str) -> u32 {
         let state = self.state.lock();
@@ -170,7 +197,12 @@
 
     /// Returns the number of requests received, including those that were refused.
     pub fn arrival_count(&self) -> u32 {
-        self.state.lock().arrival_count
+        u32::try_from(self.state.lock().arrivals.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the requests received, including those that were refused.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.lock().arrivals.clone()
     }
 
     /// Returns the number of answers in progress.
@@ -228,7 +260,8 @@
     let (faults, crashes, running) = {
         let mut state = state.lock();
         state.last_headers.clone_from(&parts.headers);
-        state.arrival_count += 1;
+        let arrival = state.arrival(&request_id);
+        state.arrivals.push(arrival);
         let crashes = state.faults.crashes_under(&prompt_parts);
         if crashes {
             state.crashing_arrivals.push(Instant::now());
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the users' deployment: the platform's store and the endpoints that register in it.
 
+mod arrival;
 mod endpoint_faults;
 mod endpoint_process;
 mod endpoint_server;
@@ -7,6 +8,7 @@
 mod store_server;
 mod unframed_proxy;
 
+pub use arrival::Arrival;
 pub use endpoint_faults::EndpointFaults;
 pub use endpoint_server::EndpointServer;
 pub use store_server::StoreBackup;
