Send a request that was accepted earlier nowhere that a newer configuration excludes

Cause: homes were read from the configuration by which the request was accepted, up to the timeout of its route. Change: each attempt also goes by the homes of a newer configuration.

--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -15,6 +15,7 @@
 use super::client_request::ClientRequest;
 use super::edge_body::whole;
 use super::relay;
+use super::request_homes::RequestHomes;
 use super::EdgeBody;
 use super::Refusal;
 use super::RefusalKind;
@@ -47,6 +48,8 @@
     arrived_count: u32,
     pub(super) ran_count: u32,
     retry_after: Option<Duration>,
+    /// The homes by a configuration that is newer than the one by which the request was accepted.
+    newer_homes: Option<RequestHomes>,
 }
 
 impl Attempts {
@@ -59,6 +62,7 @@
             arrived_count: 0,
             ran_count: 0,
             retry_after: None,
+            newer_homes: None,
         }
     }
 
@@ -102,6 +106,7 @@
             {
                 return Err(self.quarantine_refusal(remaining));
             }
+            self.update_homes();
             let target = self.choose(now)?;
             if self.arrived_count > 0 && !self.try_take_retry(now) {
                 return Err(self.retry_budget_refusal());
@@ -142,6 +147,21 @@
         }
     }
 
+    /// Reads the homes of the request from a newer configuration, if there is one.
+    fn update_homes(&mut self) {
+        let belief = self.state.belief.borrow();
+        let newer = belief
+            .deployment()
+            .filter(|deployment| deployment.version() > self.request.configuration_version);
+        self.newer_homes = newer.map(|deployment| RequestHomes::new(&self.request, deployment));
+    }
+
+    /// Returns whether the request may be sent to a region.
+    pub(super) fn allows(&self, region: RegionKey) -> bool {
+        let newer = self.newer_homes.as_ref();
+        self.request.allows(region) && newer.is_none_or(|homes| homes.allows(region))
+    }
+
     fn on_answer(&self, sent_at: Monotonic, target: &Target, answer: &Answer) {
         let latency = self.state.now().since(sent_at);
         self.state.metrics.on_answer(latency);
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -34,6 +34,9 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: RequestHead,
+    pub(super) host: String,
+    /// The version of the configuration by which the request was accepted.
+    pub(super) configuration_version: u64,
     pub(super) route: ServedRoute,
     pub(super) service: ServiceProfile,
     pub(super) account: Option<AccountPolicy>,
@@ -55,7 +58,7 @@
             .map_or(self.route.attempts_max, |forwarded| forwarded.attempts_max)
     }
 
-    /// Returns whether the route and the account allow a region.
+    /// Returns whether the route and the account allowed a region when the request was accepted.
     pub(super) fn allows(&self, region: RegionKey) -> bool {
         let account_homes = self.account.as_ref().map(|account| &account.home_regions);
         self.route.home_regions.allows(region)
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,6 +18,7 @@
 mod pooled_connection;
 mod refusal;
 mod relay;
+mod request_homes;
 mod request_intake;
 mod running_request;
 mod served_request;
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -82,6 +82,8 @@
         headers: parts.headers,
         body,
         head,
+        host: accepted.host,
+        configuration_version: accepted.deployment.version(),
         route: accepted.route,
         service,
         account: accepted.account,
@@ -131,6 +133,7 @@
 
 /// The route, account and deadline of a request that passed the checks of its head.
 struct Accepted {
+    host: String,
     deployment: Rc<Deployment>,
     route: ServedRoute,
     account: Option<AccountPolicy>,
@@ -177,6 +180,7 @@
     }
     let client_timeout = head.timeout.unwrap_or(TIMEOUT_DEFAULT);
     Ok(Accepted {
+        host,
         deployment: Rc::clone(deployment),
         route: route.clone(),
         account,
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -77,7 +77,7 @@
         let fleet = self.state.fleet.borrow();
         endpoints.prefix_owner(now, &self.request.service.name, prefix_hash, |region| {
             is_shared_across_regions
-                && self.request.allows(region)
+                && self.allows(region)
                 && !fleet.ready_in(now, region).is_empty()
         })
     }
@@ -146,7 +146,7 @@
         now: Monotonic,
         prefix_owner: Option<PrefixOwner>,
     ) -> Result<Placement, NoPlacement> {
-        if !self.request.allows(self.state.settings.region) {
+        if !self.allows(self.state.settings.region) {
             return Err(NoPlacement::NoneListed);
         }
         self.place(now, &self.query(now, prefix_owner))
@@ -191,7 +191,7 @@
         let endpoints = self.state.endpoints.borrow();
         let remotes = topology.regions().filter(|region| {
             *region != self.state.settings.region
-                && self.request.allows(*region)
+                && self.allows(*region)
                 && !self.tried_regions.contains(region)
                 && endpoints.is_served_in(&self.request.service.name, *region)
         });
--- a/tests/behaviour/entry/stale_configurations.rs
+++ b/tests/behaviour/entry/stale_configurations.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use figramp::stand_in::deployment::EndpointFaults;
 use figramp::stand_in::deployment::StoreFault;
 use serde_json::json;
 
@@ -58,3 +59,24 @@
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     assert_eq!(status(&vm, "r1").await, 200);
 }
+
+#[tokio::test]
+async fn a_stream_is_not_resumed_outside_home_regions_that_came_into_force_since() {
+    let site = Site::launch(EAST).await;
+    let vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    for engine in &site.engines {
+        engine.set_faults(EndpointFaults {
+            truncated_event: Some(3),
+            pause: Duration::from_millis(700),
+            ..EndpointFaults::default()
+        });
+    }
+    let response = vm.post("/stream/x", "r1").send().await.expect("a head");
+    let mut homed = configuration(2, &[KEY]);
+    let routes = homed["routes"].as_array_mut().expect("routes");
+    let stream = routes.iter_mut().find(|route| route["name"] == "stream");
+    stream.expect("the route")["homeRegions"] = json!(["west"]);
+    site.store.put("op/config", homed.to_string());
+    assert!(response.text().await.is_err());
+    assert_eq!(site.runs("r1"), 1);
+}
