Stand-ins: endpoints that crash under a part of a prompt

On the platform a part of a prompt may crash each endpoint that begins to write an answer on it. No stand-in could play it, so that no test met endpoints which crash one after the other because of what they are sent.

EndpointFaults::crashing_part names such a part. The endpoint sends the head of the stream, every other time half an event, and then closes its listening socket and all its connections; `restart` brings it back at its address under another identifier. `crash` does the same without a request. It keeps the times of its crashes and of the requests with the part that reached it. The listener of the stand-ins now owns its connections, so that they end with it.

--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -21,6 +21,23 @@
     pub truncated_event: Option<u64>,
     /// Sends bytes that complete no event without end, this many at a time, in place of a stream.
     pub endless_bytes: Option<usize>,
+    /// The identifier of the prompt part that crashes the endpoint when it begins to write a stream,
+    /// unless it is the last part of the prompt.
+    pub crashing_part: Option<String>,
     /// The delay before each event and each plain answer.
     pub pause: Duration,
 }
+
+impl EndpointFaults {
+    /// Returns whether a prompt with these parts crashes the endpoint.
+    pub(super) fn crashes_under(&self, prompt_parts: &str) -> bool {
+        let Some((shared, _)) = prompt_parts.rsplit_once(',') else {
+            return false;
+        };
+        let mut ids = shared.split(',').map(|part| match part.split_once(':') {
+            Some((id, _)) => id.trim(),
+            None => part.trim(),
+        });
+        ids.any(|id| self.crashing_part.as_deref() == Some(id))
+    }
+}
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -7,9 +7,11 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures::stream;
+use futures::StreamExt;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -23,9 +25,9 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::json;
-use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use super::endpoint_process::EndpointProcess;
 use super::http_listener;
 use super::EndpointFaults;
 
@@ -35,13 +37,18 @@
 /// Requests whose path contains this are answered with a stream.
 const STREAM_PATH: &str = "stream";
 
+/// The delay between the head of an answer and the crash under it, in which the head is sent.
+const CRASH_DELAY: Duration = Duration::from_millis(10);
+
 type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error> + Send>>;
 
 #[derive(Debug, Default)]
 struct EndpointState {
+    process: EndpointProcess,
     faults: EndpointFaults,
     runs: HashMap<String, u32>,
     arrival_count: u32,
+    crashing_arrivals: Vec<Instant>,
     /// Each answer in progress holds a clone, so that the strong count gives their number.
     running: Arc<()>,
     last_headers: HeaderMap,
@@ -51,12 +58,10 @@
 /// An endpoint that counts how often it ran each request.
 #[derive(Debug)]
 pub struct EndpointServer {
-    id: String,
     zone: String,
     service: String,
     address: SocketAddr,
     state: Arc<Mutex<EndpointState>>,
-    task: JoinHandle<()>,
 }
 
 impl EndpointServer {
@@ -72,24 +77,48 @@
         zone: &str,
     ) -> io::Result<Self> {
         let state = Arc::new(Mutex::new(EndpointState::default()));
-        let (served, instance_id) = (Arc::clone(&state), id.to_owned());
-        let (address, task) = http_listener::serve(address, move |request| {
-            answer(Arc::clone(&served), instance_id.clone(), request)
-        })
-        .await?;
+        let address = start(&state, address, id).await?;
         Ok(Self {
-            id: id.to_owned(),
             zone: zone.to_owned(),
             service: service.to_owned(),
             address,
             state,
-            task,
         })
     }
 
+    /// Closes the listening socket and all connections, as the end of the process does.
+    pub fn crash(&self) {
+        self.state.lock().process.crash();
+    }
+
+    /// Starts again at the same address after a crash, under another identifier.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn restart(&self, id: &str) -> io::Result<()> {
+        start(&self.state, self.address, id).await?;
+        Ok(())
+    }
+
+    /// Returns whether it has not crashed since its last start.
+    pub fn is_running(&self) -> bool {
+        self.state.lock().process.is_running()
+    }
+
+    /// Returns the times of its crashes.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.lock().process.crashes().to_vec()
+    }
+
+    /// Returns the times at which it received the requests whose prompt crashes it.
+    pub fn crashing_arrivals(&self) -> Vec<Instant> {
+        self.state.lock().crashing_arrivals.clone()
+    }
+
     /// Returns the key under which the endpoint registers.
     pub fn key(&self) -> String {
-        format!("servers/{}", self.id)
+        format!("servers/{}", self.state.lock().process.id)
     }
 
     /// Returns the record to register in the store, with the address that the endpoint is bound to.
@@ -159,10 +188,24 @@
 
 impl Drop for EndpointServer {
     fn drop(&mut self) {
-        self.task.abort();
+        self.state.lock().process.stop();
     }
 }
 
+async fn start(
+    state: &Arc<Mutex<EndpointState>>,
+    address: SocketAddr,
+    id: &str,
+) -> io::Result<SocketAddr> {
+    let (served, instance_id) = (Arc::clone(state), id.to_owned());
+    let (address, task) = http_listener::serve(address, move |request| {
+        answer(Arc::clone(&served), instance_id.clone(), request)
+    })
+    .await?;
+    state.lock().process.start(id, task);
+    Ok(address)
+}
+
 async fn answer(
     state: Arc<Mutex<EndpointState>>,
     instance_id: String,
@@ -181,21 +224,27 @@
         return Ok(empty(StatusCode::MISDIRECTED_REQUEST));
     }
     let request_id = header("request-id").unwrap_or_default();
-    let (faults, running) = {
+    let prompt_parts = header("prefix-hash").unwrap_or_default();
+    let (faults, crashes, running) = {
         let mut state = state.lock();
         state.last_headers.clone_from(&parts.headers);
         state.arrival_count += 1;
+        let crashes = state.faults.crashes_under(&prompt_parts);
+        if crashes {
+            state.crashing_arrivals.push(Instant::now());
+        }
         if state.faults.is_full {
             return Ok(refusal(&state.faults));
         }
         *state.runs.entry(request_id.clone()).or_insert(0) += 1;
-        (state.faults.clone(), Arc::clone(&state.running))
+        (state.faults.clone(), crashes, Arc::clone(&state.running))
     };
     let first_event = header("last-event-id")
         .and_then(|last| last.parse::<u64>().ok())
         .map_or(1, |last| last + 1);
     let is_stream = parts.uri.path().contains(STREAM_PATH);
     let body = match is_stream {
+        true if crashes => crashing_stream(state, faults.pause, running),
         true => event_stream(first_event, &faults, running),
         false => plain_body(&faults, running),
     };
@@ -281,6 +330,24 @@
     Box::pin(StreamBody::new(frames))
 }
 
+/// Crashes the endpoint within its first event, every other time before its first byte.
+fn crashing_stream(
+    state: Arc<Mutex<EndpointState>>,
+    pause: Duration,
+    running: Arc<()>,
+) -> AnswerBody {
+    let has_partial_event = state.lock().process.crashes().len().is_multiple_of(2);
+    let partial_event =
+        has_partial_event.then(|| Ok(Frame::data(Bytes::from_static(b"id: 1\nda"))));
+    let crash = stream::once(async move {
+        sleep(pause.max(CRASH_DELAY)).await;
+        state.lock().process.crash();
+        drop(running);
+        Err(connection_reset())
+    });
+    Box::pin(StreamBody::new(stream::iter(partial_event).chain(crash)))
+}
+
 fn connection_reset() -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionReset, "reset by a simulated fault")
 }
--- a/src/stand_in/deployment/http_listener.rs
+++ b/src/stand_in/deployment/http_listener.rs
@@ -16,9 +16,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 
-/// Answers requests to `address` with `answer` until the returned task is aborted; also returns the
-/// bound address.
+/// Answers requests to `address` with `answer` until the returned task is aborted, which closes the
+/// listening socket and all connections; also returns the bound address.
 pub(super) async fn serve<F, A, B>(
     address: SocketAddr,
     answer: A,
@@ -33,9 +34,11 @@
     let address = listener.local_addr()?;
     let answer = Arc::new(answer);
     let task = tokio::spawn(async move {
+        let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
             let answer = Arc::clone(&answer);
-            tokio::spawn(async move {
+            while connections.try_join_next().is_some() {}
+            connections.spawn(async move {
                 let service = service_fn(move |request| answer(request));
                 let connection =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), service);
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the users' deployment: the platform's store and the endpoints that register in it.
 
 mod endpoint_faults;
+mod endpoint_process;
 mod endpoint_server;
 mod http_listener;
 mod store_server;
