Tests: prompts that crash endpoints one after the other, known to fail

Requests with a part that crashes endpoints are sent to endpoint after endpoint by each VM, new ones, repeats and resumed streams alike: a VM learns nothing about the part from the crashes under it.

Seven tests with three VMs of two regions and eight engines that are back 1.5 s after a crash.

--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -1,5 +1,7 @@
 //! Whole daemons on loopback, with stand-ins for the platform.
 
+mod crash_site;
+mod crashing_prompts;
 mod disconnects;
 mod endless_answers;
 mod endpoint_faults;
--- a/tests/behaviour/entry/support.rs
+++ b/tests/behaviour/entry/support.rs
@@ -82,9 +82,9 @@
                    "control": format!("{ip}:8229"), "directory": format!("{ip}:8220")},
         "portRange": [7600, 7615], "seeds": seeds,
         "limits": {"memoryMb": 182, "maxFds": 2870}, "heartbeatMs": 1200,
-        "bounds": {"revokeMs": 5000, "graceS": 8, "ttl_max_s": 5, "coldOverage": 1.5,
-                   "coldSlack": 3, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
-                   "budgetSlack": 113},
+        "bounds": {"revokeMs": 5000, "graceS": 8, "stableWindowMs": 5000, "ttl_max_s": 5,
+                   "coldOverage": 1.5, "coldSlack": 3, "retryBudgetRatio": 0.2,
+                   "budgetWindowS": 10, "budgetSlack": 113},
         "platform": {"address": store},
         "an unknown field": {},
     })
