Soak: prompts that crash endpoints, beside sound ones

FIGRAMP_SOAK_CRASHES=1 adds three clients whose prompts hold a part that crashes each endpoint that begins to answer, new and repeated ones, at any daemon, and six whose sound prompts share their key and, every second one, their other parts. Endpoints are back 0.5 to 1.5 s after a crash under another identifier. A run begins with 2 s without faults and goes on with crashing prompts after the last fault, until the bounds have held for 4 s. Two checks more, where all daemons are in touch, which is 5 s after the last fault of a daemon, of the store or of a link: - more than three requests with the part reach endpoints later than 5 s after the fifth crash; - from 10 s after it sound streams of a route begin less than half as often as before the crashes. Without the variable faults and clients are drawn as before.

--- a/tests/behaviour/entry/crash_site.rs
+++ b/tests/behaviour/entry/crash_site.rs
@@ -20,12 +20,12 @@
 use super::support::WEST;
 
 /// The bound of the platform that times of crashes are measured by, as in the daemons' settings.
-pub(super) const STABLE_WINDOW: Duration = Duration::from_millis(5_000);
+pub(crate) const STABLE_WINDOW: Duration = Duration::from_millis(5_000);
 
 /// The number of crashes after which a part may reach only a few endpoints more.
-const CRASH_LIMIT: usize = 5;
+pub(crate) const CRASH_LIMIT: usize = 5;
 
-const CRASHING_PART: &str = "bad0c4a5";
+pub(crate) const CRASHING_PART: &str = "bad0c4a5";
 const ENGINES_PER_ZONE: usize = 4;
 const POLL_PERIOD: Duration = Duration::from_millis(5);
 
@@ -159,8 +159,25 @@
 /// requests with the crashing part have.
 pub(super) const SOUND_CLASS_COUNT: usize = 4;
 
-/// Builds the request with this number that holds the crashing part, at each position in turn; every
-/// fourth repeats an earlier one under another identifier.
+/// Returns the parts of a prompt that holds the crashing one, at each position in turn.
+pub(crate) fn crashing_parts(name: &str, prompt: usize) -> String {
+    let mut parts = vec!["5c1e07a2:800".to_owned(), "91bd3f06:410".to_owned()];
+    parts.insert(prompt % 3, format!("{CRASHING_PART}:640"));
+    parts.push(format!("{name}{prompt:x}:250"));
+    parts.join(",")
+}
+
+/// Returns the parts of a sound prompt; every second one shares parts with crashing ones.
+pub(crate) fn sound_parts(name: &str, prompt: usize) -> String {
+    let shared = match prompt % 2 {
+        0 => "5c1e07a2:800,91bd3f06:410",
+        _ => "77aa3e10:800,0f5b92cc:410",
+    };
+    format!("{shared},{name}{prompt:x}:250")
+}
+
+/// Builds the request with this number that holds the crashing part; every fourth repeats an earlier
+/// one under another identifier.
 pub(super) fn crashing_request(
     vm: &EntryVm,
     name: &str,
@@ -171,29 +188,22 @@
         3 => number - 2,
         _ => number,
     };
-    let mut parts = vec!["5c1e07a2:800".to_owned(), "91bd3f06:410".to_owned()];
-    parts.insert(prompt % 3, format!("{CRASHING_PART}:640"));
-    parts.push(format!("{name}{prompt:x}:250"));
     let path = STREAM_PATHS[prompt / 2 % STREAM_PATHS.len()];
     let request = vm
         .post(path, &id)
         .header("Token-Count", "2100,80")
-        .header("Prefix-Hash", parts.join(","));
+        .header("Prefix-Hash", crashing_parts(name, prompt));
     (id, request)
 }
 
 /// Sends the sound request with this number and reads its answer up to the first event.
 pub(super) async fn send_sound(vm: &EntryVm, name: &str, number: usize) -> SoundResult {
     let class = number % SOUND_CLASS_COUNT;
-    let shared = match class / STREAM_PATHS.len() {
-        0 => "5c1e07a2:800,91bd3f06:410",
-        _ => "77aa3e10:800,0f5b92cc:410",
-    };
-    let path = STREAM_PATHS[class % STREAM_PATHS.len()];
+    let path = STREAM_PATHS[class / 2];
     let request = vm
         .post(path, &format!("{name}-{number}"))
         .header("Token-Count", "1460,80")
-        .header("Prefix-Hash", format!("{shared},{name}{number:x}:250"));
+        .header("Prefix-Hash", sound_parts(name, number));
     let sent_at = Instant::now();
     let mut result = SoundResult {
         sent_at,
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -1,6 +1,6 @@
 //! Whole daemons on loopback, with stand-ins for the platform.
 
-mod crash_site;
+pub(crate) mod crash_site;
 mod crashing_prompts;
 mod disconnects;
 mod endless_answers;
--- a/tests/behaviour/soak/clients.rs
+++ b/tests/behaviour/soak/clients.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use super::history::Exchange;
+use super::history::Prompt;
 use super::history::Received;
 use super::history::RequestKind;
 use super::world::World;
@@ -37,42 +38,61 @@
         let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
         let key = world.key(rng.random_range(0..8));
         let id = format!("{seed:x}-{client}-{number}");
-        let exchange = send_once(&world, &http, vm, kind, key, id).await;
-        world.history.lock().exchanges.push(exchange);
+        let request = Request {
+            id,
+            kind,
+            prompt: Prompt::Undeclared,
+            parts: None,
+            key,
+            vm,
+        };
+        send_once(&world, &http, request).await;
         sleep(Duration::from_millis(rng.random_range(0..PAUSE_MAX_MS))).await;
     }
 }
 
-async fn send_once(
-    world: &World,
-    http: &reqwest::Client,
-    vm: usize,
-    kind: RequestKind,
-    key: String,
-    id: String,
-) -> Exchange {
-    let slot = &world.vms[vm];
+/// A request to send to a VM.
+pub(super) struct Request {
+    pub(super) id: String,
+    pub(super) kind: RequestKind,
+    pub(super) prompt: Prompt,
+    /// The parts of the prompt, if they are declared.
+    pub(super) parts: Option<String>,
+    pub(super) key: String,
+    pub(super) vm: usize,
+}
+
+/// Sends a request and adds its result to the history.
+pub(super) async fn send_once(world: &World, http: &reqwest::Client, request: Request) {
+    let slot = &world.vms[request.vm];
     let start_count = *slot.start_count.lock();
-    let request = http
-        .post(format!("http://{}:8221{}", slot.ip, kind.path()))
+    let mut message = http
+        .post(format!("http://{}:8221{}", slot.ip, request.kind.path()))
         .header("Host", "test.example")
-        .header("Request-Id", &id)
+        .header("Request-Id", &request.id)
         .header("Timeout-Ms", TIMEOUT_MS.to_string())
-        .header("Authorization", format!("Bearer {key}"))
+        .header("Authorization", format!("Bearer {}", request.key))
         .body("ask");
+    if let Some(parts) = request.parts {
+        message = message
+            .header("Token-Count", "2100,80")
+            .header("Prefix-Hash", parts);
+    }
     let sent_at = Instant::now();
-    let received = receive(request).await;
+    let received = receive(message).await;
     let end_count = *slot.start_count.lock();
-    Exchange {
-        id,
-        kind,
-        key,
-        vm,
+    let exchange = Exchange {
+        id: request.id,
+        kind: request.kind,
+        prompt: request.prompt,
+        key: request.key,
+        vm: request.vm,
         starts: (start_count, end_count),
         sent_at,
         ended_at: Instant::now(),
         received,
-    }
+    };
+    world.history.lock().exchanges.push(exchange);
 }
 
 async fn receive(request: reqwest::RequestBuilder) -> Received {
--- a/tests/behaviour/soak/faults.rs
+++ b/tests/behaviour/soak/faults.rs
@@ -123,8 +123,32 @@
 
     async fn run(self, world: Arc<World>) {
         let from = Instant::now();
+        let is_disruption = self.is_disruption();
+        self.play(&world, from).await;
+        if is_disruption {
+            world.record_disruption(from);
+        }
+    }
+
+    /// Returns whether VMs are not in touch during the fault and for some time after it.
+    const fn is_disruption(&self) -> bool {
+        match self {
+            Self::Pause { .. }
+            | Self::Kill { .. }
+            | Self::Terminate { .. }
+            | Self::StoreLink { .. }
+            | Self::Store { .. }
+            | Self::EndpointLink { .. } => true,
+            Self::Reload { .. }
+            | Self::Endpoint { .. }
+            | Self::Deregister { .. }
+            | Self::RotateKey => false,
+        }
+    }
+
+    async fn play(self, world: &Arc<World>, from: Instant) {
         match self {
-            Self::Pause { vm, time } => pause(&world, vm, time).await,
+            Self::Pause { vm, time } => pause(world, vm, time).await,
             Self::Kill { vm, down } => {
                 let Some(process) = world.vms[vm].process.lock().await.take() else {
                     return;
@@ -135,7 +159,7 @@
                 world.start(vm).await;
                 world.record_vm_fault(vm, from);
             }
-            Self::Terminate { vm } => terminate(&world, vm).await,
+            Self::Terminate { vm } => terminate(world, vm).await,
             Self::Reload { vm } => {
                 let slot = &world.vms[vm];
                 if let Some(process) = &*slot.process.lock().await {
--- a/tests/behaviour/soak/history.rs
+++ b/tests/behaviour/soak/history.rs
@@ -50,6 +50,17 @@
     }
 }
 
+/// The prompt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Prompt {
+    /// Its parts are not declared.
+    Undeclared,
+    /// It crashes no endpoint, but may share parts with prompts that do.
+    Sound,
+    /// It crashes each endpoint that begins to answer.
+    Crashing,
+}
+
 /// What a client received in response to its request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Received {
@@ -66,6 +77,7 @@
 pub(super) struct Exchange {
     pub(super) id: String,
     pub(super) kind: RequestKind,
+    pub(super) prompt: Prompt,
     pub(super) key: String,
     pub(super) vm: usize,
     /// How often the VM's process had started when the request was sent and when it ended.
@@ -87,6 +99,11 @@
     pub(super) fn overlaps(&self, exchange: &Exchange, effects_max: Duration) -> bool {
         self.from <= exchange.ended_at && exchange.sent_at <= self.until + effects_max
     }
+
+    /// Returns whether the span overlaps the time before an instant.
+    pub(super) fn overlaps_before(&self, instant: Instant, time: Duration) -> bool {
+        self.from <= instant && instant <= self.until + time
+    }
 }
 
 /// The time at which a key was revoked in the store.
@@ -105,6 +122,8 @@
     pub(super) vm_faults: Vec<(usize, Span)>,
     /// All faults that may interrupt an answer on its way from an endpoint.
     pub(super) endpoint_faults: Vec<Span>,
+    /// All faults after which VMs are not in touch.
+    pub(super) disruptions: Vec<Span>,
     /// Descriptions of the injected faults, printed if the run fails.
     pub(super) actions: Vec<String>,
 }
--- a/tests/behaviour/soak/mod.rs
+++ b/tests/behaviour/soak/mod.rs
@@ -2,11 +2,13 @@
 //! endpoints run.
 //!
 //! `FIGRAMP_SOAK_SEEDS=100-149` runs more seeds by hand, `FIGRAMP_SOAK_VMS=60` with more daemons;
-//! `FIGRAMP_SOAK_RESTORATIONS=1` also restores the store from backups;
+//! `FIGRAMP_SOAK_RESTORATIONS=1` also restores the store from backups, `FIGRAMP_SOAK_CRASHES=1`
+//! sends prompts that crash endpoints;
 //! `FIGRAMP_TEST_LOGS` names a directory for the logs of the daemons.
 
 mod checks;
 mod clients;
+mod crashing_prompts;
 mod faults;
 mod history;
 mod loopback_proxy;
--- a/tests/behaviour/soak/restorations.rs
+++ b/tests/behaviour/soak/restorations.rs
@@ -24,8 +24,10 @@
         let mut pause = |range| sleep(Duration::from_millis(rng.random_range(range)));
         pause(BACKUP_AGE_MS).await;
         world.record_action(format!("{} ms: restore", started.elapsed().as_millis()));
+        let from = Instant::now();
         world.store.restore(&backup);
         pause(REWRITE_DELAY_MS).await;
         world.repeat_writes();
+        world.record_disruption(from);
     }
 }
--- a/tests/behaviour/soak/runs.rs
+++ b/tests/behaviour/soak/runs.rs
@@ -12,6 +12,8 @@
 
 use super::checks::violations;
 use super::clients::send_requests;
+use super::crashing_prompts;
+use super::crashing_prompts::CrashingPrompts;
 use super::faults::inject;
 use super::history::Exchange;
 use super::history::Received;
@@ -34,6 +36,9 @@
 /// check of their revocation.
 const FAULT_TIME: Duration = Duration::from_secs(9);
 
+/// The shorter time of faults in a run that goes on with crashing prompts after them.
+const SHORT_FAULT_TIME: Duration = Duration::from_secs(3);
+
 /// The time within which all VMs must be ready after the last fault, as the users require.
 const RECOVERY_MAX: Duration = Duration::from_secs(12);
 
@@ -49,24 +54,53 @@
 /// The smallest number of requests that makes a run meaningful.
 const EXCHANGES_MIN: usize = 300;
 
-async fn run(seed: u64, vm_count: usize, has_restorations: bool) {
+/// What a run does.
+#[derive(Clone, Copy, Debug)]
+struct RunPlan {
+    vm_count: usize,
+    fault_time: Duration,
+    has_restorations: bool,
+    has_crashing_prompts: bool,
+}
+
+impl Default for RunPlan {
+    fn default() -> Self {
+        Self {
+            vm_count: VM_COUNT,
+            fault_time: FAULT_TIME,
+            has_restorations: false,
+            has_crashing_prompts: false,
+        }
+    }
+}
+
+async fn run(seed: u64, plan: RunPlan) {
     let started = Instant::now();
-    let world = World::launch(vm_count).await;
+    let world = World::launch(plan.vm_count).await;
     let (over, is_over) = watch::channel(false);
     let mut clients = JoinSet::new();
     for client in 0..CLIENT_COUNT {
         clients.spawn(send_requests(world.clone(), client, seed, is_over.clone()));
     }
-    let restorations = has_restorations.then(|| {
+    let mut crashing_prompts = None;
+    if plan.has_crashing_prompts {
+        crashing_prompts::start_sound(&mut clients, &world, seed, &is_over);
+        crashing_prompts = Some(CrashingPrompts::start(&world, seed).await);
+    }
+    let restorations = plan.has_restorations.then(|| {
         let rng = StdRng::seed_from_u64(!seed);
-        tokio::spawn(restorations::inject(world.clone(), rng, FAULT_TIME))
+        tokio::spawn(restorations::inject(world.clone(), rng, plan.fault_time))
     });
-    inject(&world, StdRng::seed_from_u64(seed), FAULT_TIME).await;
+    inject(&world, StdRng::seed_from_u64(seed), plan.fault_time).await;
     if let Some(restorations) = restorations {
         restorations.await.expect("the restorations end");
     }
     world.clear_faults();
     let is_ready = timeout(RECOVERY_MAX, world.wait_until_ready()).await;
+    let mut found = match crashing_prompts {
+        Some(crashing_prompts) => crashing_prompts.finish().await,
+        None => Vec::new(),
+    };
     sleep(ENDPOINT_RECOVERY_TIME).await;
     let final_from = Instant::now();
     sleep(FINAL_TIME).await;
@@ -75,7 +109,7 @@
         ended.expect("a client ends");
     }
     let history = world.history.lock();
-    let mut found = violations(&world, &history);
+    found.extend(violations(&world, &history));
     if is_ready.is_err() {
         found.push("not all VMs were ready in time".to_owned());
     }
@@ -115,11 +149,22 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_short_run() {
-    run(1, VM_COUNT, false).await;
+    run(1, RunPlan::default()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_prompts_that_crash_endpoints() {
+    let plan = RunPlan {
+        fault_time: SHORT_FAULT_TIME,
+        has_crashing_prompts: true,
+        ..RunPlan::default()
+    };
+    run(2, plan).await;
 }
 
 /// Runs the seeds that `FIGRAMP_SOAK_SEEDS` names; none without it. `FIGRAMP_SOAK_VMS` sets the
-/// number of daemons, `FIGRAMP_SOAK_RESTORATIONS` restores the store as well.
+/// number of daemons, `FIGRAMP_SOAK_RESTORATIONS` restores the store as well, and
+/// `FIGRAMP_SOAK_CRASHES` sends prompts that crash endpoints.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_by_hand() {
     let Ok(seeds) = std::env::var("FIGRAMP_SOAK_SEEDS") else {
@@ -127,19 +172,20 @@
     };
     let (first, last) = seeds.split_once('-').expect("two numbers");
     let bound = |text: &str| text.parse::<u64>().expect("a number");
-    let vm_count = std::env::var("FIGRAMP_SOAK_VMS")
-        .map_or(VM_COUNT, |count| count.parse().expect("a number"));
-    let has_restorations = std::env::var("FIGRAMP_SOAK_RESTORATIONS").is_ok();
+    let plan = RunPlan {
+        vm_count: std::env::var("FIGRAMP_SOAK_VMS")
+            .map_or(VM_COUNT, |count| count.parse().expect("a number")),
+        has_restorations: std::env::var("FIGRAMP_SOAK_RESTORATIONS").is_ok(),
+        has_crashing_prompts: std::env::var("FIGRAMP_SOAK_CRASHES").is_ok(),
+        ..RunPlan::default()
+    };
     let mut failed = Vec::new();
     for seed in REGRESSION_SEEDS
         .into_iter()
         .chain(bound(first)..=bound(last))
     {
         // Each run is a task of its own, so that a failed one does not end the others.
-        if tokio::spawn(run(seed, vm_count, has_restorations))
-            .await
-            .is_err()
-        {
+        if tokio::spawn(run(seed, plan)).await.is_err() {
             failed.push(seed);
         }
     }
--- a/tests/behaviour/soak/world.rs
+++ b/tests/behaviour/soak/world.rs
@@ -16,6 +16,7 @@
 use super::history::Revocation;
 use super::history::Span;
 use super::loopback_proxy::LoopbackProxy;
+use crate::entry::crash_site::CRASHING_PART;
 use crate::entry::support::any_port;
 use crate::entry::support::configuration;
 use crate::entry::support::new_ip;
@@ -50,6 +51,8 @@
     pub(super) vms: Vec<VmSlot>,
     pub(super) history: Mutex<History>,
     keys: Mutex<Keys>,
+    /// The store keys of endpoints that crashed.
+    expired_endpoints: Mutex<Vec<String>>,
 }
 
 struct Keys {
@@ -96,6 +99,7 @@
                 valid: vec![KEY.to_owned()],
                 issued: Vec::new(),
             }),
+            expired_endpoints: Mutex::default(),
         });
         world.clear_faults();
         world.rotate_spare_key();
@@ -119,6 +123,16 @@
         self.store.put(&endpoint.server.key(), record);
     }
 
+    /// Starts an endpoint again after a crash, under another identifier.
+    pub(super) async fn restart_endpoint(&self, endpoint: &EndpointSlot, id: &str) {
+        let expired = endpoint.server.key();
+        self.store.remove(&expired);
+        self.expired_endpoints.lock().push(expired);
+        let restarted = endpoint.server.restart(id).await;
+        restarted.expect("the endpoint restarts");
+        self.register(endpoint, "ready");
+    }
+
     /// Revokes the spare key and publishes another.
     pub(super) fn rotate_spare_key(&self) {
         let mut keys = self.keys.lock();
@@ -135,8 +149,8 @@
         self.history.lock().revocations.extend(revocations);
     }
 
-    /// Publishes the newest configuration again, and registers the endpoints that are not in the
-    /// store.
+    /// Publishes the newest configuration again, registers the endpoints that are not in the store,
+    /// and removes those that crashed.
     pub(super) fn repeat_writes(&self) {
         let keys = self.keys.lock();
         let valid: Vec<&str> = keys.valid.iter().map(String::as_str).collect();
@@ -145,6 +159,9 @@
         for endpoint in &self.endpoints {
             self.register(endpoint, "ready");
         }
+        for expired in &*self.expired_endpoints.lock() {
+            self.store.remove(expired);
+        }
     }
 
     /// Returns the spare key with this index, revoked or not, or the key that is never revoked if
@@ -197,6 +214,15 @@
         self.history.lock().endpoint_faults.push(span);
     }
 
+    /// Records a fault after which VMs are not in touch.
+    pub(super) fn record_disruption(&self, from: Instant) {
+        let span = Span {
+            from,
+            until: Instant::now(),
+        };
+        self.history.lock().disruptions.push(span);
+    }
+
     /// Returns how often a request ran in all, and how often in the eastern region.
     pub(super) fn runs(&self, request_id: &str) -> (u32, u32) {
         let count = |zone: Option<&str>| {
@@ -219,6 +245,7 @@
 
 pub(super) fn no_faults() -> EndpointFaults {
     EndpointFaults {
+        crashing_part: Some(CRASHING_PART.to_owned()),
         pause: WORK_TIME,
         ..EndpointFaults::default()
     }
