Soak: streams that end with their connection

FIGRAMP_SOAK_UNFRAMED=1 puts the proxy for such answers before each engine, with its three framings: HTTP/1.1 with and without a header that announces the end, and HTTP/1.0. The checks are as before; as the proxy passes an answer on once it has all of it, slow endpoints count as faults that may interrupt it. Not for use together with crashes, which may cut such a stream between two events. Without the variable nothing changes.

Streams that end after the head without an event do not occur here.

--- a/tests/behaviour/soak/faults.rs
+++ b/tests/behaviour/soak/faults.rs
@@ -195,9 +195,12 @@
                 faults,
                 time,
             } => {
-                let server = &world.endpoints[endpoint].server;
-                // Slow and full endpoints do not interrupt answers.
-                let is_interrupting = faults.loses_answers
+                let slot = &world.endpoints[endpoint];
+                let server = &slot.server;
+                // Full endpoints do not interrupt answers, and slow ones only if answers are passed
+                // on once they are complete.
+                let is_interrupting = slot.buffers_answers()
+                    || faults.loses_answers
                     || faults.mislabels_answers
                     || faults.truncated_event.is_some();
                 server.set_faults(faults);
--- a/tests/behaviour/soak/mod.rs
+++ b/tests/behaviour/soak/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! `FIGRAMP_SOAK_SEEDS=100-149` runs more seeds by hand, `FIGRAMP_SOAK_VMS=60` with more daemons;
 //! `FIGRAMP_SOAK_RESTORATIONS=1` also restores the store from backups, `FIGRAMP_SOAK_CRASHES=1`
-//! sends prompts that crash endpoints;
+//! sends prompts that crash endpoints, `FIGRAMP_SOAK_UNFRAMED=1` ends streams with their connection;
 //! `FIGRAMP_TEST_LOGS` names a directory for the logs of the daemons.
 
 mod checks;
--- a/tests/behaviour/soak/runs.rs
+++ b/tests/behaviour/soak/runs.rs
@@ -61,6 +61,7 @@
     fault_time: Duration,
     has_restorations: bool,
     has_crashing_prompts: bool,
+    has_unframed_streams: bool,
 }
 
 impl Default for RunPlan {
@@ -70,13 +71,14 @@
             fault_time: FAULT_TIME,
             has_restorations: false,
             has_crashing_prompts: false,
+            has_unframed_streams: false,
         }
     }
 }
 
 async fn run(seed: u64, plan: RunPlan) {
     let started = Instant::now();
-    let world = World::launch(plan.vm_count).await;
+    let world = World::launch(plan.vm_count, plan.has_unframed_streams).await;
     let (over, is_over) = watch::channel(false);
     let mut clients = JoinSet::new();
     for client in 0..CLIENT_COUNT {
@@ -162,9 +164,19 @@
     run(2, plan).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_streams_that_end_with_their_connection() {
+    let plan = RunPlan {
+        has_unframed_streams: true,
+        ..RunPlan::default()
+    };
+    run(747, plan).await;
+}
+
 /// Runs the seeds that `FIGRAMP_SOAK_SEEDS` names; none without it. `FIGRAMP_SOAK_VMS` sets the
 /// number of daemons, `FIGRAMP_SOAK_RESTORATIONS` restores the store as well, and
-/// `FIGRAMP_SOAK_CRASHES` sends prompts that crash endpoints.
+/// `FIGRAMP_SOAK_CRASHES` sends prompts that crash endpoints. With `FIGRAMP_SOAK_UNFRAMED` streams
+/// end with their connection; a crash between two events then looks like the end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_by_hand() {
     let Ok(seeds) = std::env::var("FIGRAMP_SOAK_SEEDS") else {
@@ -177,6 +189,7 @@
             .map_or(VM_COUNT, |count| count.parse().expect("a number")),
         has_restorations: std::env::var("FIGRAMP_SOAK_RESTORATIONS").is_ok(),
         has_crashing_prompts: std::env::var("FIGRAMP_SOAK_CRASHES").is_ok(),
+        has_unframed_streams: std::env::var("FIGRAMP_SOAK_UNFRAMED").is_ok(),
         ..RunPlan::default()
     };
     let mut failed = Vec::new();
--- a/tests/behaviour/soak/world.rs
+++ b/tests/behaviour/soak/world.rs
@@ -5,9 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use figramp::stand_in::deployment::AnswerFraming;
 use figramp::stand_in::deployment::EndpointFaults;
 use figramp::stand_in::deployment::EndpointServer;
 use figramp::stand_in::deployment::StoreServer;
+use figramp::stand_in::deployment::UnframedAnswers;
+use figramp::stand_in::deployment::UnframedProxy;
 use parking_lot::Mutex;
 use tokio::sync::Mutex as AsyncMutex;
 
@@ -25,6 +28,13 @@
 use crate::entry::support::KEY;
 use crate::entry::support::WEST;
 
+/// The framings of streams that end with their connection.
+const FRAMINGS: [AnswerFraming; 3] = [
+    AnswerFraming::UntilClose,
+    AnswerFraming::AnnouncedClose,
+    AnswerFraming::Http10,
+];
+
 /// The delay of events and plain answers without a fault.
 const WORK_TIME: Duration = Duration::from_millis(10);
 
@@ -42,6 +52,39 @@
     pub(super) server: EndpointServer,
     pub(super) link: LoopbackProxy,
     pub(super) zone: &'static str,
+    /// Passes streams on without a length and chunks.
+    unframed: Option<UnframedProxy>,
+}
+
+impl EndpointSlot {
+    /// Starts an endpoint whose answers have this framing.
+    async fn launch(zone: &'static str, service: &str, id: &str, framing: AnswerFraming) -> Self {
+        let server = EndpointServer::launch(any_port(), id, service, zone).await;
+        let server = server.expect("an endpoint");
+        let mut address = server.address();
+        let mut unframed = None;
+        if framing != AnswerFraming::Length {
+            let proxy = UnframedProxy::launch(any_port(), address).await;
+            let proxy = proxy.expect("a proxy");
+            proxy.set_answers(UnframedAnswers {
+                framing,
+                ..UnframedAnswers::default()
+            });
+            address = proxy.address();
+            unframed = Some(proxy);
+        }
+        Self {
+            server,
+            link: LoopbackProxy::launch(address).await,
+            zone,
+            unframed,
+        }
+    }
+
+    /// Returns whether its answers arrive only once they are complete.
+    pub(super) const fn buffers_answers(&self) -> bool {
+        self.unframed.is_some()
+    }
 }
 
 /// The store, the endpoints, the daemons and the proxies of a run.
@@ -63,18 +106,19 @@
 
 impl World {
     /// Starts the store, the endpoints, the proxies and the daemons; every other daemon is in the
-    /// western region.
-    pub(super) async fn launch(vm_count: usize) -> Arc<Self> {
+    /// western region. With `has_unframed_streams`, streams end with their connection.
+    pub(super) async fn launch(vm_count: usize, has_unframed_streams: bool) -> Arc<Self> {
         let store = StoreServer::launch(any_port()).await.expect("a store");
         let mut endpoints = Vec::new();
         for zone in [EAST, WEST] {
             for service in ["plain", "engine"] {
                 for number in 0..2 {
                     let id = format!("{service}-{zone}-{number}");
-                    let server = EndpointServer::launch(any_port(), &id, service, zone).await;
-                    let server = server.expect("an endpoint");
-                    let link = LoopbackProxy::launch(server.address()).await;
-                    endpoints.push(EndpointSlot { server, link, zone });
+                    let framing = match has_unframed_streams && service == "engine" {
+                        true => FRAMINGS[endpoints.len() % FRAMINGS.len()],
+                        false => AnswerFraming::Length,
+                    };
+                    endpoints.push(EndpointSlot::launch(zone, service, &id, framing).await);
                 }
             }
         }
