--- a/tests/behaviour/soak/faults.rs
+++ b/tests/behaviour/soak/faults.rs
@@ -119,8 +119,32 @@
 
     async fn run(self, world: Arc<World>) {
         let from = Instant::now();
+        let is_disruption = self.is_disruption();
+        self.play(&world, from).await;
+        if is_disruption {
+            world.record_disruption(from);
+        }
+    }
+
+    /// Returns whether VMs are not in touch during the fault and for some time after it.
+    const fn is_disruption(&self) -> bool {
+        match self {
+            Self::Pause { .. }
+            | Self::Kill { .. }
+            | Self::Terminate { .. }
+            | Self::StoreLink { .. }
+            | Self::Store { .. }
+            | Self::EndpointLink { .. } => true,
+            Self::Reload { .. }
+            | Self::Endpoint { .. }
+            | Self::Deregister { .. }
+            | Self::RotateKey => false,
+        }
+    }
+
+    async fn play(self, world: &Arc<World>, from: Instant) {
         match self {
-            Self::Pause { vm, time } => pause(&world, vm, time).await,
+            Self::Pause { vm, time } => pause(world, vm, time).await,
             Self::Kill { vm, down } => {
                 let Some(process) = world.take(vm).await else {
                     return;
@@ -131,7 +155,7 @@
                 world.start(vm).await;
                 world.record_vm_fault(vm, from);
             }
-            Self::Terminate { vm } => terminate(&world, vm).await,
+            Self::Terminate { vm } => terminate(world, vm).await,
             Self::Reload { vm } => {
                 if let Some(process) = &*world.vms[vm].process.lock().await {
                     process.wait_for_signal_handlers().await;
@@ -167,8 +191,10 @@
                 time,
             } => {
                 let slot = &world.endpoints[endpoint];
-                // Slow and full endpoints do not interrupt answers.
-                let is_interrupting = faults.loses_answers
+                // Full endpoints do not interrupt answers, and slow ones only if answers are passed
+                // on once they are complete.
+                let is_interrupting = slot.buffers_answers()
+                    || faults.loses_answers
                     || faults.mislabels_answers
                     || faults.truncated_event.is_some();
                 slot.set_faults(faults);
--- a/tests/behaviour/soak/runs.rs
+++ b/tests/behaviour/soak/runs.rs
@@ -13,6 +13,8 @@
 
 use super::checks::violations;
 use super::clients::send_requests;
+use super::crashing_prompts;
+use super::crashing_prompts::CrashingPrompts;
 use super::faults::inject;
 use super::history::Exchange;
 use super::history::Received;
@@ -37,6 +39,9 @@
 /// check of their revocation.
 const FAULT_TIME: Duration = Duration::from_secs(9);
 
+/// The shorter time of faults in a run that goes on with crashing prompts after them.
+const SHORT_FAULT_TIME: Duration = Duration::from_secs(3);
+
 /// The time within which all VMs must be ready after the last fault, as the users require.
 const RECOVERY_MAX: Duration = Duration::from_secs(12);
 
@@ -56,28 +61,37 @@
 #[derive(Clone, Copy, Debug)]
 struct RunOptions {
     vm_count: usize,
+    fault_time: Duration,
     has_restorations: bool,
     has_notices: bool,
+    has_crashing_prompts: bool,
+    has_unframed_streams: bool,
 }
 
 impl Default for RunOptions {
     fn default() -> Self {
         Self {
             vm_count: VM_COUNT,
+            fault_time: FAULT_TIME,
             has_restorations: false,
             has_notices: false,
+            has_crashing_prompts: false,
+            has_unframed_streams: false,
         }
     }
 }
 
 impl RunOptions {
     fn from_environment() -> Self {
-        let vm_count = std::env::var("FIGRAMP_SOAK_VMS")
-            .map_or(VM_COUNT, |count| count.parse().expect("a number"));
+        let is_set = |name: &str| std::env::var(name).is_ok();
         Self {
-            vm_count,
-            has_restorations: std::env::var("FIGRAMP_SOAK_RESTORATIONS").is_ok(),
-            has_notices: std::env::var("FIGRAMP_SOAK_NOTICES").is_ok(),
+            vm_count: std::env::var("FIGRAMP_SOAK_VMS")
+                .map_or(VM_COUNT, |count| count.parse().expect("a number")),
+            has_restorations: is_set("FIGRAMP_SOAK_RESTORATIONS"),
+            has_notices: is_set("FIGRAMP_SOAK_NOTICES"),
+            has_crashing_prompts: is_set("FIGRAMP_SOAK_CRASHES"),
+            has_unframed_streams: is_set("FIGRAMP_SOAK_UNFRAMED"),
+            ..Self::default()
         }
     }
 }
@@ -85,21 +99,26 @@
 /// Runs a seed; returns a text with what failed and what was done, if anything failed.
 async fn run(seed: u64, options: RunOptions) -> Result<(), String> {
     let started = Instant::now();
-    let world = World::launch(options.vm_count).await;
+    let world = World::launch(options.vm_count, options.has_unframed_streams).await;
     let (over, is_over) = watch::channel(false);
     let mut clients = JoinSet::new();
     for client in 0..CLIENT_COUNT {
         clients.spawn(send_requests(world.clone(), client, seed, is_over.clone()));
     }
+    let mut crashing_prompts = None;
+    if options.has_crashing_prompts {
+        crashing_prompts::start_sound(&mut clients, &world, seed, &is_over);
+        crashing_prompts = Some(CrashingPrompts::start(&world, seed).await);
+    }
     let restorations = options.has_restorations.then(|| {
         let rng = StdRng::seed_from_u64(!seed);
-        tokio::spawn(restorations::inject(world.clone(), rng, FAULT_TIME))
+        tokio::spawn(restorations::inject(world.clone(), rng, options.fault_time))
     });
     let notices = options.has_notices.then(|| {
         let rng = StdRng::seed_from_u64(seed.reverse_bits());
-        tokio::spawn(notices::inject(world.clone(), rng, FAULT_TIME))
+        tokio::spawn(notices::inject(world.clone(), rng, options.fault_time))
     });
-    inject(&world, StdRng::seed_from_u64(seed), FAULT_TIME).await;
+    inject(&world, StdRng::seed_from_u64(seed), options.fault_time).await;
     if let Some(restorations) = restorations {
         restorations.await.expect("the restorations end");
     }
@@ -108,6 +127,10 @@
     }
     world.clear_faults();
     let is_ready = timeout(RECOVERY_MAX, world.wait_until_ready()).await;
+    let mut found = match crashing_prompts {
+        Some(crashing_prompts) => crashing_prompts.finish().await,
+        None => Vec::new(),
+    };
     sleep(ENDPOINT_RECOVERY_TIME).await;
     let final_from = Instant::now();
     sleep(FINAL_TIME).await;
@@ -117,7 +140,7 @@
     }
     world.check_all_running().await;
     let history = world.history.lock();
-    let mut found = violations(&world, &history);
+    found.extend(violations(&world, &history));
     found.extend(notice_checks::violations(&world, &history));
     found.extend(history.wrong_exits.iter().cloned());
     if is_ready.is_err() {
@@ -186,9 +209,34 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_prompts_that_crash_endpoints() {
+    let options = RunOptions {
+        fault_time: SHORT_FAULT_TIME,
+        has_crashing_prompts: true,
+        ..RunOptions::default()
+    };
+    if let Err(failure) = run(2, options).await {
+        panic!("{failure}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_streams_that_end_with_their_connection() {
+    let options = RunOptions {
+        has_unframed_streams: true,
+        ..RunOptions::default()
+    };
+    if let Err(failure) = run(747, options).await {
+        panic!("{failure}");
+    }
+}
+
 /// Runs the seeds that `FIGRAMP_SOAK_SEEDS` names; none without it. `FIGRAMP_SOAK_VMS` sets the
 /// number of daemons, `FIGRAMP_SOAK_RESTORATIONS` restores the store as well, and
 /// `FIGRAMP_SOAK_NOTICES` lets endpoints announce that they stop or want no requests.
+/// `FIGRAMP_SOAK_CRASHES` sends prompts that crash endpoints. With `FIGRAMP_SOAK_UNFRAMED` streams
+/// end with their connection; a crash between two events then looks like the end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_by_hand() {
     let Ok(seeds) = std::env::var("FIGRAMP_SOAK_SEEDS") else {
--- a/tests/behaviour/soak/world.rs
+++ b/tests/behaviour/soak/world.rs
@@ -6,9 +6,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use figramp::stand_in::deployment::AnswerFraming;
 use figramp::stand_in::deployment::EndpointFaults;
 use figramp::stand_in::deployment::EndpointServer;
 use figramp::stand_in::deployment::StoreServer;
+use figramp::stand_in::deployment::UnframedAnswers;
+use figramp::stand_in::deployment::UnframedProxy;
 use parking_lot::Mutex;
 use tokio::sync::Mutex as AsyncMutex;
 
@@ -18,6 +21,7 @@
 use super::history::Span;
 use super::loopback_proxy::LoopbackProxy;
 use super::notices::Notice;
+use crate::entry::crash_site::CRASHING_PART;
 use crate::entry::support::any_port;
 use crate::entry::support::configuration;
 use crate::entry::support::new_ip;
@@ -26,6 +30,13 @@
 use crate::entry::support::KEY;
 use crate::entry::support::WEST;
 
+/// The framings of streams that end with their connection.
+const FRAMINGS: [AnswerFraming; 3] = [
+    AnswerFraming::UntilClose,
+    AnswerFraming::AnnouncedClose,
+    AnswerFraming::Http10,
+];
+
 /// The delay of events and plain answers without a fault.
 const WORK_TIME: Duration = Duration::from_millis(10);
 
@@ -45,9 +56,42 @@
     pub(super) zone: &'static str,
     faults: Mutex<EndpointFaults>,
     notice: Mutex<Notice>,
+    /// Passes streams on without a length and chunks.
+    unframed: Option<UnframedProxy>,
 }
 
 impl EndpointSlot {
+    /// Starts an endpoint whose answers have this framing.
+    async fn launch(zone: &'static str, service: &str, id: &str, framing: AnswerFraming) -> Self {
+        let server = EndpointServer::launch(any_port(), id, service, zone).await;
+        let server = server.expect("an endpoint");
+        let mut address = server.address();
+        let mut unframed = None;
+        if framing != AnswerFraming::Length {
+            let proxy = UnframedProxy::launch(any_port(), address).await;
+            let proxy = proxy.expect("a proxy");
+            proxy.set_answers(UnframedAnswers {
+                framing,
+                ..UnframedAnswers::default()
+            });
+            address = proxy.address();
+            unframed = Some(proxy);
+        }
+        Self {
+            server,
+            link: LoopbackProxy::launch(address).await,
+            zone,
+            faults: Mutex::default(),
+            notice: Mutex::default(),
+            unframed,
+        }
+    }
+
+    /// Returns whether its answers arrive only once they are complete.
+    pub(super) const fn buffers_answers(&self) -> bool {
+        self.unframed.is_some()
+    }
+
     /// Replaces the simulated faults; the notice in force stays.
     pub(super) fn set_faults(&self, faults: EndpointFaults) {
         let notice = self.notice.lock();
@@ -71,6 +115,8 @@
     pub(super) vms: Vec<VmSlot>,
     pub(super) history: Mutex<History>,
     keys: Mutex<Keys>,
+    /// The store keys of endpoints that crashed.
+    expired_endpoints: Mutex<Vec<String>>,
 }
 
 struct Keys {
@@ -81,24 +127,19 @@
 
 impl World {
     /// Starts the store, the endpoints, the proxies and the daemons; every other daemon is in the
-    /// western region.
-    pub(super) async fn launch(vm_count: usize) -> Arc<Self> {
+    /// western region. With `has_unframed_streams`, streams end with their connection.
+    pub(super) async fn launch(vm_count: usize, has_unframed_streams: bool) -> Arc<Self> {
         let store = StoreServer::launch(any_port()).await.expect("a store");
         let mut endpoints = Vec::new();
         for zone in [EAST, WEST] {
             for service in ["plain", "engine"] {
                 for number in 0..2 {
                     let id = format!("{service}-{zone}-{number}");
-                    let server = EndpointServer::launch(any_port(), &id, service, zone).await;
-                    let server = server.expect("an endpoint");
-                    let link = LoopbackProxy::launch(server.address()).await;
-                    endpoints.push(EndpointSlot {
-                        server,
-                        link,
-                        zone,
-                        faults: Mutex::default(),
-                        notice: Mutex::default(),
-                    });
+                    let framing = match has_unframed_streams && service == "engine" {
+                        true => FRAMINGS[endpoints.len() % FRAMINGS.len()],
+                        false => AnswerFraming::Length,
+                    };
+                    endpoints.push(EndpointSlot::launch(zone, service, &id, framing).await);
                 }
             }
         }
@@ -123,6 +164,7 @@
                 valid: vec![KEY.to_owned()],
                 issued: Vec::new(),
             }),
+            expired_endpoints: Mutex::default(),
         });
         world.clear_faults();
         world.rotate_spare_key();
@@ -147,6 +189,16 @@
         self.store.put(&endpoint.server.key(), record);
     }
 
+    /// Starts an endpoint again after a crash, under another identifier.
+    pub(super) async fn restart_endpoint(&self, endpoint: &EndpointSlot, id: &str) {
+        let expired = endpoint.server.key();
+        self.store.remove(&expired);
+        self.expired_endpoints.lock().push(expired);
+        let restarted = endpoint.server.restart(id).await;
+        restarted.expect("the endpoint restarts");
+        self.register(endpoint, "ready");
+    }
+
     /// Revokes the spare key and publishes another.
     pub(super) fn rotate_spare_key(&self) {
         let mut keys = self.keys.lock();
@@ -163,8 +215,8 @@
         self.history.lock().revocations.extend(revocations);
     }
 
-    /// Publishes the newest configuration again, and registers the endpoints that are not in the
-    /// store.
+    /// Publishes the newest configuration again, registers the endpoints that are not in the store,
+    /// and removes those that crashed.
     pub(super) fn repeat_writes(&self) {
         let keys = self.keys.lock();
         let valid: Vec<&str> = keys.valid.iter().map(String::as_str).collect();
@@ -173,6 +225,9 @@
         for endpoint in &self.endpoints {
             self.register(endpoint, "ready");
         }
+        for expired in &*self.expired_endpoints.lock() {
+            self.store.remove(expired);
+        }
     }
 
     /// Returns the spare key with this index, revoked or not, or the key that is never revoked if
@@ -266,6 +321,15 @@
         self.history.lock().link_faults.push((endpoint, span));
     }
 
+    /// Records a fault after which VMs are not in touch.
+    pub(super) fn record_disruption(&self, from: Instant) {
+        let span = Span {
+            from,
+            until: Instant::now(),
+        };
+        self.history.lock().disruptions.push(span);
+    }
+
     /// Returns how often a request ran in all, and how often in the eastern region.
     pub(super) fn runs(&self, request_id: &str) -> (u32, u32) {
         let count = |zone: Option<&str>| {
@@ -288,6 +352,7 @@
 
 pub(super) fn no_faults() -> EndpointFaults {
     EndpointFaults {
+        crashing_part: Some(CRASHING_PART.to_owned()),
         pause: WORK_TIME,
         ..EndpointFaults::default()
     }
