--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -13,7 +13,7 @@
   listing @4 :Listing;
   # Answers that broke off between their head and their first event.
   crashes @5 :List(Crash);
-  # The parts of these crashes that were in requests with whole answers.
+  # The parts of these crashes that were answered.
   answeredParts @6 :List(AnsweredPart);
 }
 
--- a/src/fleet/message_crashes.rs
+++ b/src/fleet/message_crashes.rs
@@ -28,7 +28,7 @@
 pub struct MessageAnsweredPart {
     /// The part.
     pub part: PartHash,
-    /// The time from the end of the answer to the sending of the message.
+    /// The time from the first event of the answer to the sending of the message.
     pub age: Duration,
 }
 
@@ -37,7 +37,7 @@
 pub struct MessageCrashes {
     /// The crashes.
     pub crashes: Vec<MessageCrash>,
-    /// The parts of these crashes that were in requests with whole answers.
+    /// The parts of these crashes that were answered.
     pub answered: Vec<MessageAnsweredPart>,
 }
 
--- a/src/quarantine/prompt_quarantine.rs
+++ b/src/quarantine/prompt_quarantine.rs
@@ -54,8 +54,8 @@
 pub struct PromptQuarantine {
     crashes: Vec<CrashReport>,
     instants: CrashInstants,
-    answered: LatestTimes<PartHash>,
-    answering: LatestTimes<InstanceHash>,
+    part_answers: LatestTimes<PartHash>,
+    instance_answers: LatestTimes<InstanceHash>,
     /// The parts that were blamed and answered, with the time they were last blamed.
     exonerated: BTreeMap<PartHash, EventTime>,
     quarantined: Vec<BTreeSet<PartHash>>,
@@ -98,12 +98,12 @@
     ) -> bool {
         let mut is_changed = false;
         if let Some(endpoint) = endpoint {
-            self.answering.record(endpoint, EventTime::from(now));
+            self.instance_answers.record(endpoint, EventTime::from(now));
             is_changed |= self.crashes.iter().any(|crash| self.has_survived(crash));
         }
         for part in parts {
             is_changed |= self.is_suspect(part);
-            self.answered.record(part, EventTime::from(now));
+            self.part_answers.record(part, EventTime::from(now));
         }
         is_changed && self.update(now)
     }
@@ -114,7 +114,7 @@
         let mut is_changed = false;
         for AnsweredPart { part, answered_at } in reports.answered {
             is_changed |= self.is_suspect(part);
-            self.answered.record(part, answered_at);
+            self.part_answers.record(part, answered_at);
         }
         for report in reports.crashes {
             is_changed |= self.add(now, report);
@@ -135,7 +135,7 @@
             .collect();
         parts.extend(crashes.iter().flat_map(|crash| crash.parts.iter().copied()));
         let answered = parts.into_iter().filter_map(|part| {
-            let answered_at = self.answered.get(part)?;
+            let answered_at = self.part_answers.get(part)?;
             Some(AnsweredPart { part, answered_at })
         });
         CrashReports {
@@ -205,13 +205,13 @@
 
     /// Returns whether an instance answered after it seemed to have crashed.
     fn has_survived(&self, crash: &CrashReport) -> bool {
-        let answered_at = self.answering.get(crash.endpoint);
+        let answered_at = self.instance_answers.get(crash.endpoint);
         answered_at.is_some_and(|at| at.is_later_by(SURVIVAL_DELAY, crash.crashed_at))
     }
 
     /// Returns whether a part was answered since a crash, or shortly before it.
     fn is_exonerated(&self, part: PartHash, crashed_at: EventTime) -> bool {
-        let answered_at = self.answered.get(part);
+        let answered_at = self.part_answers.get(part);
         answered_at.is_some_and(|at| !crashed_at.is_later_by(EXONERATION_LEAD, at))
     }
 
--- a/src/quarantine/reports.rs
+++ b/src/quarantine/reports.rs
@@ -8,6 +8,6 @@
 pub struct CrashReports {
     /// The crashes.
     pub crashes: Vec<CrashReport>,
-    /// The parts of these crashes that were in requests with whole answers.
+    /// The parts of these crashes that were answered.
     pub answered: Vec<AnsweredPart>,
 }
