Stand-in: endpoints that fall silent for a time and go on

No stand-in could play a sound endpoint that sends nothing for a second or so. Answers in progress and new ones send no byte until the time is over; connections are accepted meanwhile.

--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -26,6 +26,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use super::endpoint_process::EndpointProcess;
 use super::http_listener;
@@ -58,6 +59,8 @@
     last_headers: HeaderMap,
     sequence: u64,
     replaced_count: u64,
+    /// Until when no byte is sent.
+    silent_until: Option<Instant>,
 }
 
 impl EndpointState {
@@ -179,6 +182,11 @@
         self.state.lock().faults = faults;
     }
 
+    /// Sends no byte for a time; requests are accepted and run meanwhile.
+    pub fn fall_silent(&self, duration: Duration) {
+        self.state.lock().silent_until = Some(Instant::now() + duration);
+    }
+
     /// Puts another instance in place of the endpoint; its records say so from now on.
     pub fn replace(&self) {
         self.state.lock().replaced_count += 1;
@@ -238,6 +246,17 @@
     Ok(address)
 }
 
+/// Waits while the endpoint is silent.
+async fn wait_for_silence(state: &Mutex<EndpointState>) {
+    loop {
+        let silent_until = state.lock().silent_until;
+        match silent_until.filter(|until| Instant::now() < *until) {
+            Some(until) => sleep_until(until.into()).await,
+            None => return,
+        }
+    }
+}
+
 async fn answer(
     state: Arc<Mutex<EndpointState>>,
     instance_id: String,
@@ -276,10 +295,11 @@
         .and_then(|last| last.parse::<u64>().ok())
         .map_or(1, |last| last + 1);
     let is_stream = parts.uri.path().contains(STREAM_PATH);
+    wait_for_silence(&state).await;
     let body = match is_stream {
         true if crashes => crashing_stream(state, faults.pause, running),
-        true => event_stream(first_event, &faults, running),
-        false => plain_body(&faults, running),
+        true => event_stream(state, first_event, &faults, running),
+        false => plain_body(state, &faults, running),
     };
     let mut response = Response::new(body);
     let answer_id = match faults.mislabels_answers {
@@ -313,10 +333,15 @@
     }
 }
 
-fn plain_body(faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
+fn plain_body(
+    state: Arc<Mutex<EndpointState>>,
+    faults: &EndpointFaults,
+    running: Arc<()>,
+) -> AnswerBody {
     let (pause, loses_answers) = (faults.pause, faults.loses_answers);
     let frames = stream::once(async move {
         sleep(pause).await;
+        wait_for_silence(&state).await;
         drop(running);
         match loses_answers {
             true => Err(connection_reset()),
@@ -338,18 +363,24 @@
     Box::pin(StreamBody::new(frames))
 }
 
-fn event_stream(first_event: u64, faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
+fn event_stream(
+    state: Arc<Mutex<EndpointState>>,
+    first_event: u64,
+    faults: &EndpointFaults,
+    running: Arc<()>,
+) -> AnswerBody {
     if let Some(chunk_bytes) = faults.endless_bytes {
         return endless_body(chunk_bytes, faults.pause, running);
     }
     let (pause, truncated_event) = (faults.pause, faults.truncated_event);
     let frames = stream::unfold(
-        (Some(first_event), running),
-        move |(next, running)| async move {
+        (Some(first_event), state, running),
+        move |(next, state, running)| async move {
             let id = next.filter(|id| *id <= EVENT_COUNT)?;
             sleep(pause.max(Duration::from_millis(1))).await;
+            wait_for_silence(&state).await;
             if truncated_event.is_some_and(|truncated_event| id > truncated_event) {
-                return Some((Err(connection_reset()), (None, running)));
+                return Some((Err(connection_reset()), (None, state, running)));
             }
             let event = format!("id: {id}\ndata: part {id}\n\n");
             let length = match truncated_event == Some(id) {
@@ -357,7 +388,7 @@
                 false => event.len(),
             };
             let bytes = Bytes::from(event).slice(..length);
-            Some((Ok(Frame::data(bytes)), (Some(id + 1), running)))
+            Some((Ok(Frame::data(bytes)), (Some(id + 1), state, running)))
         },
     );
     Box::pin(StreamBody::new(frames))
