--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -11,6 +11,7 @@
 mod large_listings;
 mod requests;
 mod restored_store;
+mod silent_endpoints;
 mod stale_configurations;
 mod stopping;
 pub(crate) mod support;
