Log why a stream was not resumed

The refusal of the attempt that should have resumed a stream was dropped, so the log could not tell a missing endpoint from a used-up retry budget.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -252,8 +252,16 @@
         }
         self.splitter.drop_partial();
         let resume_after = self.splitter.last_id();
-        let Ok(answer) = self.attempts.next_answer(resume_after).await else {
-            return Err(error);
+        let answer = match self.attempts.next_answer(resume_after).await {
+            Ok(answer) => answer,
+            Err(refusal) => {
+                log::info!(
+                    request = &*self.attempts.request.head.request_id,
+                    reason = refusal.kind.as_str();
+                    "stream not resumed"
+                );
+                return Err(error);
+            }
         };
         if !answer.parts.status.is_success() {
             return Err(error);
