Do not fail a connection while a sound endpoint leaves a body unread

Callers saw 502 for requests with long bodies after 1.5 s, although the endpoint would have read on a second later.

Cause: TCP_USER_TIMEOUT of 1.5 s. The kernel also applies it to a peer whose receive window stays closed, as that of an endpoint that is silent does once a body no longer fits. It is the same class as the silence before an event: a wait that is shorter than the silence of a sound endpoint ends the attempt.

An endpoint that is gone is noticed by the waits for heads and events, and by the connect timeout.

Evidence: entry::unread_bodies (60 kB to an endpoint that reads nothing for 2.5 s) got 502 before and 200 now.

--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -16,9 +16,9 @@
 use super::UpstreamError;
 use crate::clock::Monotonic;
 
-/// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the connection fails. A
-/// round trip takes 110 ms at most, and a lost packet is retransmitted within 200 ms.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_500);
+/// `TCP_USER_TIMEOUT`: how long the peer may acknowledge or take nothing before the connection fails.
+/// It is longer than the silence of a sound endpoint, which may leave a long body unread.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(4);
 
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEP_ALIVE_PAUSE: Duration = Duration::from_secs(1);
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -17,3 +17,4 @@
 pub(crate) mod support;
 mod two_regions;
 mod unframed_answers;
+mod unread_bodies;
