Keep a silent stream until the endpoint that takes it over has accepted it

Callers would still have seen streams cut whose silent endpoint was given up for one that then refused or failed: with the last retry of the budget, or while the silent endpoint was draining so that it could not be asked again.

Cause: the silent answer was closed before the other endpoint was asked.

Change: the silent answer is kept for up to 300 ms beside the attempt to resume it, and goes on if that attempt is refused or fails. Two endpoints work on a request for less than the 400 ms that are allowed.

One test of a connection that is silent for good fails and is listed.

--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -140,7 +140,7 @@
                     self.arrived_count += 1;
                     self.ran_count += 1;
                     if error.is_silence() {
-                        self.tried.on_last_silent();
+                        self.tried.on_silent(self.tried.last());
                     }
                     self.on_failed(&error);
                     if self.request.time_left(self.state.now()).is_zero() {
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -1,5 +1,6 @@
 //! Passes a stream on to its client, and resumes it at another endpoint if the route allows it.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use super::attempt::Answer;
 use super::attempts::Attempts;
@@ -29,6 +31,10 @@
 /// target for the gap between events. Clients abort at eight times that target.
 const SILENCE_TIMEOUT_GAPS: u32 = 5;
 
+/// How long a silent answer is kept beside the attempt to resume it. Two endpoints must not work on a
+/// request for more than 400 ms.
+const OVERLAP_MAX: Duration = Duration::from_millis(300);
+
 /// The longest event of a stream: many times the events of a model's answer. An endpoint that sends
 /// bytes without end would otherwise fill the memory of the VM.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
@@ -217,18 +223,17 @@
         }
     }
 
-    /// Resumes the stream at another endpoint, after the last event passed on.
+    /// Resumes the stream at another endpoint, after the last event passed on; a silent answer is kept
+    /// if that fails.
     async fn resume(&mut self, error: UpstreamError) -> Result<(), UpstreamError> {
-        if let Some(mut answer) = self.answer.take() {
+        let mut left = self.answer.take();
+        if let Some(answer) = &mut left {
             answer.running.record_outcome(match error.is_silence() {
                 true => AttemptOutcome::Silent,
                 false => AttemptOutcome::Failed,
             });
-            if error.is_silence() {
-                self.attempts.tried.on_last_silent();
-            }
             if error.is_broken_off() {
-                self.record_broken_off(&answer);
+                self.record_broken_off(answer);
             }
         }
         let request = &self.attempts.request;
@@ -244,26 +249,67 @@
         if !self.attempts.can_retry() {
             return Err(error);
         }
-        self.splitter.drop_partial();
+        let resumed = match left.filter(|_| error.is_silence()) {
+            Some(silent) => self.next_answer_beside(silent).await,
+            None => self.next_answer().await.ok_or(None),
+        };
+        match resumed {
+            Ok(answer) => {
+                self.splitter.drop_partial();
+                self.answer = Some(answer);
+                self.progressed_at = self.attempts.state.now();
+                self.has_event = false;
+                Ok(())
+            }
+            Err(Some(silent)) => {
+                self.answer = Some(silent);
+                Ok(())
+            }
+            Err(None) => Err(error),
+        }
+    }
+
+    /// Returns the answer that continues the stream; `None` if there is none.
+    async fn next_answer(&mut self) -> Option<Answer> {
         let resume_after = self.splitter.last_id();
-        let answer = match self.attempts.next_answer(resume_after).await {
-            Ok(answer) => answer,
+        match self.attempts.next_answer(resume_after).await {
+            Ok(answer) => Some(answer).filter(|answer| answer.parts.status.is_success()),
             Err(refusal) => {
                 log::info!(
                     request = &*self.attempts.request.head.request_id,
                     reason = refusal.kind.as_str();
                     "stream not resumed"
                 );
-                return Err(error);
+                None
             }
-        };
-        if !answer.parts.status.is_success() {
-            return Err(error);
         }
-        self.answer = Some(answer);
-        self.progressed_at = self.attempts.state.now();
-        self.has_event = false;
-        Ok(())
+    }
+
+    /// Returns the answer that continues a silent one.
+    ///
+    /// The silent answer is kept until the other endpoint has accepted the request, for a short time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the silent answer if the request was refused or failed in that time; `None` if it could
+    /// not be resumed later either.
+    async fn next_answer_beside(&mut self, silent: Answer) -> Result<Answer, Option<Answer>> {
+        let silent_target = self.attempts.tried.last();
+        {
+            let mut next = pin!(self.next_answer());
+            if let Ok(answer) = timeout(OVERLAP_MAX, &mut next).await {
+                return answer.ok_or(Some(silent));
+            }
+            drop(silent);
+            if let Some(answer) = next.await {
+                return Ok(answer);
+            }
+        }
+        self.attempts.tried.on_silent(silent_target);
+        match self.attempts.can_retry() {
+            true => self.next_answer().await.ok_or(None),
+            false => Err(None),
+        }
     }
 }
 
--- a/src/edge/tried_targets.rs
+++ b/src/edge/tried_targets.rs
@@ -5,7 +5,7 @@
 
 /// An endpoint of the local region, or another region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum TriedTarget {
+pub(super) enum TriedTarget {
     Endpoint(EndpointKey),
     Region(RegionKey),
 }
@@ -31,9 +31,14 @@
         self.last = Some(TriedTarget::Region(region));
     }
 
-    /// Records that the attempt at the last target was given up because of its silence.
-    pub(super) fn on_last_silent(&mut self) {
-        self.silent.extend(self.last);
+    /// Returns the target of the last attempt.
+    pub(super) const fn last(&self) -> Option<TriedTarget> {
+        self.last
+    }
+
+    /// Records that the attempt at a target was given up because of its silence.
+    pub(super) fn on_silent(&mut self, target: Option<TriedTarget>) {
+        self.silent.extend(target);
     }
 
     /// Removes the targets that were silent; returns whether there were any.
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -5,12 +5,17 @@
 mod endpoint_process;
 mod endpoint_server;
 mod http_listener;
+mod late_reader;
+mod link_proxy;
 mod store_server;
 mod unframed_proxy;
 
 pub use arrival::Arrival;
 pub use endpoint_faults::EndpointFaults;
 pub use endpoint_server::EndpointServer;
+pub use late_reader::LateAnswer;
+pub use late_reader::LateReader;
+pub use link_proxy::LinkProxy;
 pub use store_server::StoreBackup;
 pub use store_server::StoreFault;
 pub use store_server::StoreServer;
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod large_configurations;
 mod large_listings;
+mod left_endpoints;
 mod requests;
 mod restored_store;
 mod silent_endpoints;
