Stand-in: endpoints that crash under a whole request

The stand-in could only crash under a part of a prompt, between the head and the first event of a stream.

EndpointFaults has the requests (path and body) that crash an endpoint; the crash comes before the head, after it, or after the first event of a stream, in turn.

--- /dev/null
+++ b/src/stand_in/deployment/answer_body.rs
@@ -0,0 +1,86 @@
+//! The bodies of an endpoint stand-in's answers.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::StreamBody;
+use hyper::body::Body;
+use hyper::body::Frame;
+use tokio::time::sleep;
+
+use super::EndpointFaults;
+
+/// The number of events in a complete stream.
+const EVENT_COUNT: u64 = 6;
+
+/// The body of an answer.
+pub(super) type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error> + Send>>;
+
+/// Returns the body of a plain answer; `running` is held until its end.
+pub(super) fn plain_body(faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
+    let (pause, loses_answers) = (faults.pause, faults.loses_answers);
+    let frames = stream::once(async move {
+        sleep(pause).await;
+        drop(running);
+        match loses_answers {
+            true => Err(connection_reset()),
+            false => Ok(Frame::data(Bytes::from_static(b"done"))),
+        }
+    });
+    Box::pin(StreamBody::new(frames))
+}
+
+fn endless_body(chunk_bytes: usize, pause: Duration, running: Arc<()>) -> AnswerBody {
+    let chunk = Bytes::from(vec![b'x'; chunk_bytes]);
+    let frames = stream::unfold(running, move |running| {
+        let chunk = chunk.clone();
+        async move {
+            sleep(pause).await;
+            Some((Ok(Frame::data(chunk)), running))
+        }
+    });
+    Box::pin(StreamBody::new(frames))
+}
+
+/// Returns a stream from an event on; `running` is held until its end.
+pub(super) fn event_stream(
+    first_event: u64,
+    faults: &EndpointFaults,
+    running: Arc<()>,
+) -> AnswerBody {
+    if let Some(chunk_bytes) = faults.endless_bytes {
+        return endless_body(chunk_bytes, faults.pause, running);
+    }
+    let (pause, truncated_event) = (faults.pause, faults.truncated_event);
+    let frames = stream::unfold(
+        (Some(first_event), running),
+        move |(next, running)| async move {
+            let id = next.filter(|id| *id <= EVENT_COUNT)?;
+            sleep(pause.max(Duration::from_millis(1))).await;
+            if truncated_event.is_some_and(|truncated_event| id > truncated_event) {
+                return Some((Err(connection_reset()), (None, running)));
+            }
+            let event = event(id);
+            let length = match truncated_event == Some(id) {
+                true => event.len() / 2,
+                false => event.len(),
+            };
+            let bytes = event.slice(..length);
+            Some((Ok(Frame::data(bytes)), (Some(id + 1), running)))
+        },
+    );
+    Box::pin(StreamBody::new(frames))
+}
+
+/// Returns the event with a number.
+pub(super) fn event(id: u64) -> Bytes {
+    Bytes::from(format!("id: {id}\ndata: part {id}\n\n"))
+}
+
+pub(super) fn connection_reset() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionReset, "reset by a simulated fault")
+}
--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -4,6 +4,8 @@
 
 use http::HeaderValue;
 
+use super::CrashingRequest;
+
 /// The faults that an endpoint stand-in simulates; the default simulates none.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EndpointFaults {
@@ -24,11 +26,20 @@
     /// The identifier of the prompt part that crashes the endpoint when it begins to write a stream,
     /// unless it is the last part of the prompt.
     pub crashing_part: Option<String>,
+    /// The requests that crash the endpoint when it runs them. How far the answer gets before depends
+    /// on the number of crashes.
+    pub crashing_requests: Vec<CrashingRequest>,
     /// The delay before each event and each plain answer.
     pub pause: Duration,
 }
 
 impl EndpointFaults {
+    /// Returns whether a request crashes the endpoint.
+    pub(super) fn crashes_at(&self, path: &str, body: &[u8]) -> bool {
+        let mut requests = self.crashing_requests.iter();
+        requests.any(|request| request.path == path && *request.body == *body)
+    }
+
     /// Returns whether a prompt with these parts crashes the endpoint.
     pub(super) fn crashes_under(&self, prompt_parts: &str) -> bool {
         let Some((shared, _)) = prompt_parts.rsplit_once(',') else {
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -20,21 +20,23 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::StreamBody;
-use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::time::sleep;
 
+use super::answer_body::connection_reset;
+use super::answer_body::event;
+use super::answer_body::event_stream;
+use super::answer_body::plain_body;
+use super::answer_body::AnswerBody;
+use super::crashing_request::CrashPoint;
 use super::endpoint_process::EndpointProcess;
 use super::http_listener;
 use super::Arrival;
 use super::EndpointFaults;
 
-/// The number of events in a complete stream.
-const EVENT_COUNT: u64 = 6;
-
 /// The time at which the first instance of an endpoint started.
 const FIRST_BORN_UNIX_MS: u64 = 1_000;
 
@@ -44,8 +46,6 @@
 /// The delay between the head of an answer and the crash under it, in which the head is sent.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 
-type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error> + Send>>;
-
 #[derive(Debug, Default)]
 struct EndpointState {
     process: EndpointProcess,
@@ -53,6 +53,7 @@
     runs: HashMap<String, u32>,
     arrivals: Vec<Arrival>,
     crashing_arrivals: Vec<Instant>,
+    crashing_request_arrivals: Vec<Instant>,
     /// Each answer in progress holds a clone, so that the strong count gives their number.
     running: Arc<()>,
     last_headers: HeaderMap,
@@ -61,6 +62,15 @@
 }
 
 impl EndpointState {
+    /// Returns where the next crash under a request comes.
+    fn next_crash_point(&self, is_stream: bool) -> CrashPoint {
+        let points: &[CrashPoint] = match is_stream {
+            true => &CrashPoint::OF_STREAMS,
+            false => &CrashPoint::OF_PLAIN_ANSWERS,
+        };
+        points[self.process.crashes().len() % points.len()]
+    }
+
     /// Describes a request that arrives now.
     fn arrival(&self, request_id: &str) -> Arrival {
         let retry_after = self.faults.retry_after.as_ref();
@@ -138,6 +148,11 @@
         self.state.lock().crashing_arrivals.clone()
     }
 
+    /// Returns the times at which it received the requests that crash it whatever their prompt.
+    pub fn crashing_request_arrivals(&self) -> Vec<Instant> {
+        self.state.lock().crashing_request_arrivals.clone()
+    }
+
     /// Returns the key under which the endpoint registers.
     pub fn key(&self) -> String {
         format!("servers/{}", self.state.lock().process.id)
@@ -244,9 +259,10 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let (parts, body) = request.into_parts();
-    if body.collect().await.is_err() {
+    let Ok(body) = body.collect().await else {
         return Ok(empty(StatusCode::BAD_REQUEST));
-    }
+    };
+    let body = body.to_bytes();
     let header = |name: &str| {
         let value = parts.headers.get(name)?;
         value.to_str().ok().map(str::to_owned)
@@ -257,7 +273,9 @@
     }
     let request_id = header("request-id").unwrap_or_default();
     let prompt_parts = header("prefix-hash").unwrap_or_default();
-    let (faults, crashes, running) = {
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let is_stream = parts.uri.path().contains(STREAM_PATH);
+    let (faults, crashes, crash_point, running) = {
         let mut state = state.lock();
         state.last_headers.clone_from(&parts.headers);
         let arrival = state.arrival(&request_id);
@@ -266,17 +284,32 @@
         if crashes {
             state.crashing_arrivals.push(Instant::now());
         }
+        let crashes_at = state.faults.crashes_at(path, &body);
+        if crashes_at {
+            state.crashing_request_arrivals.push(Instant::now());
+        }
         if state.faults.is_full {
             return Ok(refusal(&state.faults));
         }
+        let crash_point = crashes_at.then(|| state.next_crash_point(is_stream));
         *state.runs.entry(request_id.clone()).or_insert(0) += 1;
-        (state.faults.clone(), crashes, Arc::clone(&state.running))
+        let running = Arc::clone(&state.running);
+        (state.faults.clone(), crashes, crash_point, running)
     };
+    if crash_point == Some(CrashPoint::Head) {
+        crash_after(&state, faults.pause).await;
+        // The end of the process drops this task.
+        pending::<()>().await;
+    }
     let first_event = header("last-event-id")
         .and_then(|last| last.parse::<u64>().ok())
         .map_or(1, |last| last + 1);
-    let is_stream = parts.uri.path().contains(STREAM_PATH);
     let body = match is_stream {
+        _ if crash_point.is_some() => {
+            let has_event = crash_point == Some(CrashPoint::FirstEvent);
+            let sent = has_event.then(|| event(first_event));
+            crashing_body(state, sent, faults.pause, running)
+        }
         true if crashes => crashing_stream(state, faults.pause, running),
         true => event_stream(first_event, &faults, running),
         false => plain_body(&faults, running),
@@ -313,56 +346,6 @@
     }
 }
 
-fn plain_body(faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
-    let (pause, loses_answers) = (faults.pause, faults.loses_answers);
-    let frames = stream::once(async move {
-        sleep(pause).await;
-        drop(running);
-        match loses_answers {
-            true => Err(connection_reset()),
-            false => Ok(Frame::data(Bytes::from_static(b"done"))),
-        }
-    });
-    Box::pin(StreamBody::new(frames))
-}
-
-fn endless_body(chunk_bytes: usize, pause: Duration, running: Arc<()>) -> AnswerBody {
-    let chunk = Bytes::from(vec![b'x'; chunk_bytes]);
-    let frames = stream::unfold(running, move |running| {
-        let chunk = chunk.clone();
-        async move {
-            sleep(pause).await;
-            Some((Ok(Frame::data(chunk)), running))
-        }
-    });
-    Box::pin(StreamBody::new(frames))
-}
-
-fn event_stream(first_event: u64, faults: &EndpointFaults, running: Arc<()>) -> AnswerBody {
-    if let Some(chunk_bytes) = faults.endless_bytes {
-        return endless_body(chunk_bytes, faults.pause, running);
-    }
-    let (pause, truncated_event) = (faults.pause, faults.truncated_event);
-    let frames = stream::unfold(
-        (Some(first_event), running),
-        move |(next, running)| async move {
-            let id = next.filter(|id| *id <= EVENT_COUNT)?;
-            sleep(pause.max(Duration::from_millis(1))).await;
-            if truncated_event.is_some_and(|truncated_event| id > truncated_event) {
-                return Some((Err(connection_reset()), (None, running)));
-            }
-            let event = format!("id: {id}\ndata: part {id}\n\n");
-            let length = match truncated_event == Some(id) {
-                true => event.len() / 2,
-                false => event.len(),
-            };
-            let bytes = Bytes::from(event).slice(..length);
-            Some((Ok(Frame::data(bytes)), (Some(id + 1), running)))
-        },
-    );
-    Box::pin(StreamBody::new(frames))
-}
-
 /// Crashes the endpoint within its first event, every other time before its first byte.
 fn crashing_stream(
     state: Arc<Mutex<EndpointState>>,
@@ -370,19 +353,29 @@
     running: Arc<()>,
 ) -> AnswerBody {
     let has_partial_event = state.lock().process.crashes().len().is_multiple_of(2);
-    let partial_event =
-        has_partial_event.then(|| Ok(Frame::data(Bytes::from_static(b"id: 1\nda"))));
+    let partial_event = has_partial_event.then(|| Bytes::from_static(b"id: 1\nda"));
+    crashing_body(state, partial_event, pause, running)
+}
+
+/// Crashes the endpoint after these bytes.
+fn crashing_body(
+    state: Arc<Mutex<EndpointState>>,
+    sent: Option<Bytes>,
+    pause: Duration,
+    running: Arc<()>,
+) -> AnswerBody {
     let crash = stream::once(async move {
-        sleep(pause.max(CRASH_DELAY)).await;
-        state.lock().process.crash();
+        crash_after(&state, pause).await;
         drop(running);
         Err(connection_reset())
     });
-    Box::pin(StreamBody::new(stream::iter(partial_event).chain(crash)))
+    let sent = sent.map(|bytes| Ok(Frame::data(bytes)));
+    Box::pin(StreamBody::new(stream::iter(sent).chain(crash)))
 }
 
-fn connection_reset() -> io::Error {
-    io::Error::new(io::ErrorKind::ConnectionReset, "reset by a simulated fault")
+async fn crash_after(state: &Mutex<EndpointState>, pause: Duration) {
+    sleep(pause.max(CRASH_DELAY)).await;
+    state.lock().process.crash();
 }
 
 fn empty(status: StatusCode) -> Response<AnswerBody> {
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the users' deployment: the platform's store and the endpoints that register in it.
 
+mod answer_body;
 mod arrival;
+mod crashing_request;
 mod endpoint_faults;
 mod endpoint_process;
 mod endpoint_server;
@@ -9,6 +11,7 @@
 mod unframed_proxy;
 
 pub use arrival::Arrival;
+pub use crashing_request::CrashingRequest;
 pub use endpoint_faults::EndpointFaults;
 pub use endpoint_server::EndpointServer;
 pub use store_server::StoreBackup;
