Log a hash that the repeats of a request have in common

When several requests broke off with an endpoint, the log did not tell which of them had done so before: each repeat has an id of its own.

`attempt failed` and `stream interrupted` have `request_hash` now, computed once a request over host, method, path, account name and body.

--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -182,6 +182,7 @@
         self.state.metrics.on_failed_attempt();
         log::info!(
             request = &*self.request.head.request_id,
+            request_hash:% = self.request.fingerprint,
             attempts = self.ran_count,
             error:% = error;
             "attempt failed"
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -23,6 +23,7 @@
 use crate::platform::set_resume_position;
 use crate::platform::EndpointHeaders;
 use crate::platform::RequestHead;
+use crate::quarantine::PartHash;
 
 /// The lowest priority that a model engine supports; 0 is the highest.
 const PRIORITY_MAX: u8 = 9;
@@ -34,6 +35,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: RequestHead,
+    /// The hash that repeats of the request have in common.
+    pub(super) fingerprint: PartHash,
     pub(super) host: String,
     /// The version of the configuration by which the request was accepted.
     pub(super) configuration_version: u64,
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -240,6 +240,7 @@
         let request = &self.attempts.request;
         log::info!(
             request = &*request.head.request_id,
+            request_hash:% = request.fingerprint,
             after_event = self.splitter.last_id().unwrap_or(0),
             has_event = self.has_event,
             parts = request.head.prefix.to_string().as_str(),
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::header;
+use http::uri::PathAndQuery;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -20,6 +21,7 @@
 use super::EdgeBody;
 use super::Refusal;
 use super::RefusalKind;
+use crate::catalog::Name;
 use crate::clock::Monotonic;
 use crate::deployment::AccountPolicy;
 use crate::deployment::Deployment;
@@ -27,6 +29,8 @@
 use crate::entry::BodyPermit;
 use crate::entry::EntryState;
 use crate::platform::RequestHead;
+use crate::quarantine::PartHash;
+use crate::quarantine::RequestIdentity;
 
 /// The maximum age of the configuration for answering that a key or a path does not exist.
 const NOT_FOUND_AGE_MAX: Duration = Duration::from_millis(2_000);
@@ -76,12 +80,21 @@
     else {
         return refuse(&state, &head, Refusal::new(RefusalKind::NoEndpoint));
     };
+    let account_name = accepted.account.as_ref().map(|account| &account.name);
+    let fingerprint = PartHash::from(RequestIdentity {
+        method: parts.method.as_str(),
+        host: &accepted.host,
+        path: parts.uri.path_and_query().map_or("", PathAndQuery::as_str),
+        account: account_name.map(Name::as_str),
+        body: &body,
+    });
     let request = ClientRequest {
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
         body,
         head,
+        fingerprint,
         host: accepted.host,
         configuration_version: accepted.deployment.version(),
         route: accepted.route,
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -10,6 +10,7 @@
 mod part_hash;
 mod prompt_quarantine;
 mod reports;
+mod request_identity;
 
 pub use answered_part::AnsweredPart;
 pub use crash_report::CrashReport;
@@ -18,3 +19,4 @@
 pub use part_hash::PartHash;
 pub use prompt_quarantine::PromptQuarantine;
 pub use reports::CrashReports;
+pub use request_identity::RequestIdentity;
