Tests: a repeated request crashes one endpoint after the other

Three regions with one endpoint each, back 2 s after a crash; the same request comes every 200 ms at any VM, on each kind of route, beside sound ones with its path and key or its body.

--- a/tests/behaviour/entry/crash_site.rs
+++ b/tests/behaviour/entry/crash_site.rs
@@ -1,9 +1,10 @@
-//! Two regions with engines that crash under one part of a prompt.
+//! Regions with endpoints that crash under one part of a prompt or under one request.
 
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use figramp::stand_in::deployment::CrashingRequest;
 use figramp::stand_in::deployment::EndpointFaults;
 use figramp::stand_in::deployment::EndpointServer;
 use figramp::stand_in::deployment::StoreServer;
@@ -17,6 +18,7 @@
 use super::support::EntryVm;
 use super::support::EAST;
 use super::support::KEY;
+use super::support::NORTH;
 use super::support::WEST;
 
 /// The bound of the platform that times of crashes are measured by, as in the daemons' settings.
@@ -35,7 +37,7 @@
 /// The paths of a resumable stream and of one that is not.
 const STREAM_PATHS: [&str; 2] = ["/stream/x", "/tip-stream/x"];
 
-/// A store and the engines of two regions, which restart under new identifiers after a crash.
+/// A store and the endpoints of some regions, which restart under new identifiers after a crash.
 pub(super) struct CrashSite {
     pub(super) store: StoreServer,
     pub(super) engines: Vec<EndpointServer>,
@@ -43,22 +45,46 @@
 
 impl CrashSite {
     pub(super) async fn launch(event_pause: Duration, restart_delay: Duration) -> Arc<Self> {
+        let faults = EndpointFaults {
+            crashing_part: Some(CRASHING_PART.to_owned()),
+            pause: event_pause,
+            ..EndpointFaults::default()
+        };
+        let engines = [EAST, WEST].map(|zone| [(zone, "engine"); ENGINES_PER_ZONE]);
+        Self::launch_endpoints(engines.as_flattened(), &faults, restart_delay).await
+    }
+
+    /// Starts an endpoint of each service in each of three regions, which crash under some requests.
+    pub(super) async fn launch_three_regions(
+        crashing_requests: Vec<CrashingRequest>,
+        pause: Duration,
+        restart_delay: Duration,
+    ) -> Arc<Self> {
+        let faults = EndpointFaults {
+            crashing_requests,
+            pause,
+            ..EndpointFaults::default()
+        };
+        let endpoints = [EAST, WEST, NORTH].map(|zone| [(zone, "plain"), (zone, "engine")]);
+        Self::launch_endpoints(endpoints.as_flattened(), &faults, restart_delay).await
+    }
+
+    /// Starts endpoints in these zones, of these services.
+    async fn launch_endpoints(
+        endpoints: &[(&str, &str)],
+        faults: &EndpointFaults,
+        restart_delay: Duration,
+    ) -> Arc<Self> {
         let store = StoreServer::launch(any_port()).await.expect("a store");
         store.put("op/config", configuration(1, &[KEY]).to_string());
         let mut engines = Vec::new();
-        for zone in [EAST, WEST] {
-            for number in 0..ENGINES_PER_ZONE {
-                let id = format!("{zone}-{number}");
-                let engine = EndpointServer::launch(any_port(), &id, "engine", zone).await;
-                let engine = engine.expect("an engine");
-                engine.set_faults(EndpointFaults {
-                    crashing_part: Some(CRASHING_PART.to_owned()),
-                    pause: event_pause,
-                    ..EndpointFaults::default()
-                });
-                store.put(&engine.key(), engine.record("ready"));
-                engines.push(engine);
-            }
+        for (number, (zone, service)) in endpoints.iter().enumerate() {
+            let id = format!("{zone}-{number}");
+            let endpoint = EndpointServer::launch(any_port(), &id, service, zone).await;
+            let endpoint = endpoint.expect("an endpoint");
+            endpoint.set_faults(faults.clone());
+            store.put(&endpoint.key(), endpoint.record("ready"));
+            engines.push(endpoint);
         }
         let site = Arc::new(Self { store, engines });
         tokio::spawn(Arc::clone(&site).restart_crashed(restart_delay));
@@ -137,6 +163,14 @@
             .count()
     }
 
+    /// Returns the times at which endpoints received requests that crash them whatever their prompt.
+    pub(super) fn crashing_request_arrivals(&self) -> Vec<Instant> {
+        let engines = self.engines.iter();
+        engines
+            .flat_map(EndpointServer::crashing_request_arrivals)
+            .collect()
+    }
+
     /// Returns how often a request ran.
     pub(super) fn runs(&self, request_id: &str) -> u32 {
         let engines = self.engines.iter();
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod crash_site;
 mod crashing_prompts;
+mod crashing_requests;
 mod disconnects;
 mod endless_answers;
 mod endpoint_faults;
--- a/tests/behaviour/entry/support.rs
+++ b/tests/behaviour/entry/support.rs
@@ -22,6 +22,7 @@
 pub(crate) const ACCOUNT: &str = "nursery";
 pub(crate) const EAST: &str = "east-a";
 pub(crate) const WEST: &str = "west-a";
+pub(crate) const NORTH: &str = "north-a";
 
 const CLIENT_PORT: u16 = 8221;
 const READY_PORT: u16 = 8224;
@@ -81,7 +82,7 @@
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:8229")).collect();
     json!({
         "node": format!("vm-{ip}"), "ip": ip, "zone": zone,
-        "zones": {EAST: "east", WEST: "west"},
+        "zones": {EAST: "east", WEST: "west", NORTH: "north"},
         "listen": {"front": format!("{ip}:{CLIENT_PORT}"), "ready": format!("{ip}:{READY_PORT}"),
                    "control": format!("{ip}:8229"), "directory": format!("{ip}:8220")},
         "portRange": [7600, 7615], "seeds": seeds,
