Refuse a request that crashes the endpoints that run it

Cause: the quarantine knew parts of prompts only, on streams, between head and first event. Nothing related a break elsewhere to the request, and our retries took it to the next region.

A request has a fingerprint over host, method, path, account and body, which is one more suspect beside the parts of its prompt. Each answer that an endpoint breaks off is reported with it; a whole answer, or events more than a second after the first, clears it. A request under which two endpoints crashed is not retried. Messages hold more reports, first of what crashed several endpoints, as bystanders are reported too.

With whole answers alone to clear a fingerprint, sound_requests_are_not_refused_after_endpoints_crashed_for_other_reasons failed: three endpoints had stopped before a stream of 2.4 s could end.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -95,7 +95,7 @@
         has_arrived: bool,
         retry_after: Option<Duration>,
     },
-    /// The request did not run, and must not be sent on for this time, as its prompt is quarantined.
+    /// The request did not run, and must not be sent on for this time, as it is quarantined.
     Quarantined(Duration),
     /// The request may have run.
     MayHaveRun(UpstreamError),
@@ -121,8 +121,11 @@
     };
     let response = match timeout(response_timeout, running.connection_mut().send(message)).await {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(on_failed(running, error)),
-        Err(_) => return Err(on_failed(running, UpstreamError::Timeout(response_timeout))),
+        Ok(Err(error)) => return Err(on_failed(request, running, error)),
+        Err(_) => {
+            let error = UpstreamError::Timeout(response_timeout);
+            return Err(on_failed(request, running, error));
+        }
     };
     let (parts, body) = response.into_parts();
     let answer = Answer {
@@ -178,7 +181,11 @@
     }
 }
 
-fn on_failed(mut running: RunningRequest, error: UpstreamError) -> AttemptError {
+fn on_failed(
+    request: &ClientRequest,
+    mut running: RunningRequest,
+    error: UpstreamError,
+) -> AttemptError {
     if error.is_not_sent() {
         // The peer closed an idle connection, which does not mean that the endpoint is unreachable.
         return AttemptError::NotRun {
@@ -186,6 +193,9 @@
             retry_after: None,
         };
     }
+    if error.is_broken_off() {
+        running.record_crash(request.parts());
+    }
     running.discard_idle();
     running.record_outcome(AttemptOutcome::Unreachable);
     AttemptError::MayHaveRun(error)
@@ -199,6 +209,7 @@
     mut answer: Answer,
 ) -> Result<Answer, AttemptError> {
     let now = state.now();
+    answer.running.on_head(now);
     let head = AnswerHead::decode(&answer.parts);
     if let Some(keep_alive) = head.keep_alive {
         answer.running.connection_mut().on_keep_alive(keep_alive);
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -100,12 +100,12 @@
             if time_left.is_zero() {
                 return Err(self.deadline_refusal());
             }
-            if let Some(remaining) = self
-                .state
-                .quarantine_remaining(now, &self.request.head.prefix)
-            {
+            if let Some(remaining) = self.state.quarantine_remaining(now, self.request.parts()) {
                 return Err(self.quarantine_refusal(remaining));
             }
+            if self.ran_count > 0 && self.state.has_repeated_crashes(self.request.fingerprint) {
+                return Err(Refusal::new(RefusalKind::Failed));
+            }
             self.update_homes();
             let target = self.choose(now)?;
             if self.arrived_count > 0 && !self.try_take_retry(now) {
@@ -230,7 +230,7 @@
         })
     }
 
-    /// Returns the refusal for a prompt with parts that are quarantined for the `remaining` time.
+    /// Returns the refusal for a request that is quarantined for the `remaining` time.
     const fn quarantine_refusal(&self, remaining: Duration) -> Refusal {
         match self.ran_count {
             0 => Refusal::retry_after(RefusalKind::Quarantined, remaining),
@@ -258,14 +258,20 @@
         let body = match timeout(time_left, read_whole(&mut answer)).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
+                if error.is_broken_off() {
+                    answer.running.record_crash(self.request.parts());
+                }
                 answer.running.record_outcome(AttemptOutcome::Failed);
                 return Err(error);
             }
             Err(_) => return Err(UpstreamError::DeadlinePassed),
         };
+        let status = answer.parts.status;
+        let fingerprint = self.request.fingerprint;
+        answer.running.record_survived(fingerprint, status);
         answer.running.finish();
         let mut response = Response::new(whole(body));
-        *response.status_mut() = relay::client_status(&self.request, answer.parts.status);
+        *response.status_mut() = relay::client_status(&self.request, status);
         *response.headers_mut() = relay::client_headers(answer.parts.headers);
         Ok(response)
     }
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -68,6 +68,12 @@
             && account_homes.is_none_or(|homes| homes.allows(region))
     }
 
+    /// Returns the parts that may crash an endpoint, the fingerprint first.
+    pub(super) fn parts(&self) -> impl Iterator<Item = PartHash> + '_ {
+        let prompt_parts = self.head.prefix.shared_parts().map(PartHash::from);
+        std::iter::once(self.fingerprint).chain(prompt_parts)
+    }
+
     fn account_name(&self) -> Option<&Name> {
         self.account.as_ref().map(|account| &account.name)
     }
--- a/src/edge/forward_headers.rs
+++ b/src/edge/forward_headers.rs
@@ -10,7 +10,7 @@
 /// Marks an answer to a request that did not run.
 const NOT_RUN: HeaderName = HeaderName::from_static("figramp-not-run");
 
-/// The value of that mark for a quarantined prompt.
+/// The value of that mark for a quarantined request.
 const QUARANTINED: &str = "quarantined";
 
 /// The headers of a request forwarded by another VM; it is not forwarded again.
@@ -43,7 +43,7 @@
     headers.insert(NOT_RUN, HeaderValue::from_static(value));
 }
 
-/// Returns whether the request did not run because its prompt is quarantined, so that no endpoint may
+/// Returns whether the request did not run because it is quarantined, so that no endpoint may
 /// get it.
 pub(super) fn is_quarantined(headers: &HeaderMap) -> bool {
     headers.get(NOT_RUN) == Some(&HeaderValue::from_static(QUARANTINED))
--- a/src/edge/refusal.rs
+++ b/src/edge/refusal.rs
@@ -38,7 +38,7 @@
     TimedOut,
     /// The deadline passed before the request ran.
     TooLate,
-    /// A part of the prompt crashes endpoints.
+    /// The request, or a part of its prompt, crashes endpoints.
     Quarantined,
 }
 
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -30,6 +30,10 @@
 /// bytes without end would otherwise fill the memory of the VM.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
 
+/// How long after its first event a stream with more events shows that the request does not crash the
+/// endpoint. Until a long stream ends, its endpoint may stop for another reason.
+const SURVIVED_STREAM: Duration = Duration::from_millis(1_000);
+
 /// The headers of an answer that apply to a single connection.
 const HOP_BY_HOP_HEADERS: [&str; 6] = [
     "connection",
@@ -80,6 +84,7 @@
         splitter: EventSplitter::new(last_id),
         progressed_at,
         has_event: false,
+        first_event_at: progressed_at,
     };
     let frames = stream::try_unfold(relay, |mut relay| async move {
         let bytes = relay.next().await?;
@@ -106,6 +111,8 @@
     progressed_at: Monotonic,
     /// Whether the present answer has had a new event.
     has_event: bool,
+    /// When that event arrived.
+    first_event_at: Monotonic,
 }
 
 impl StreamRelay {
@@ -128,6 +135,9 @@
                 Ok(Chunk::End) => match self.check_end() {
                     Ok(()) => {
                         if let Some(answer) = self.answer.take() {
+                            let fingerprint = self.attempts.request.fingerprint;
+                            let status = answer.parts.status;
+                            answer.running.record_survived(fingerprint, status);
                             answer.running.finish();
                         }
                         return Ok(None);
@@ -203,29 +213,31 @@
 
     /// Records an event of the present answer: with the first one the endpoint has answered the prompt.
     fn on_event(&mut self) {
+        let Attempts { state, request, .. } = &self.attempts;
+        let now = state.now();
+        let answer = self.answer.as_ref();
         if std::mem::replace(&mut self.has_event, true) {
+            if now.since(self.first_event_at) >= SURVIVED_STREAM {
+                if let Some(answer) = answer {
+                    let status = answer.parts.status;
+                    answer.running.record_survived(request.fingerprint, status);
+                }
+            }
             return;
         }
-        let Attempts { state, request, .. } = &self.attempts;
-        let answer = self.answer.as_ref();
+        self.first_event_at = now;
         let instance = answer.and_then(|answer| answer.running.instance());
-        state.on_prompt_answered(state.now(), instance, &request.head.prefix);
+        state.on_prompt_answered(now, instance, &request.head.prefix);
     }
 
-    /// Records an answer that the endpoint broke off, which the prompt may have caused if the endpoint
-    /// had only begun it.
+    /// Records an answer that the endpoint broke off; after an event, a part of the prompt alone is not
+    /// the cause.
     fn record_broken_off(&self, answer: &Answer) {
-        let Attempts { state, request, .. } = &self.attempts;
-        let Some(instance) = answer.running.instance() else {
-            return;
-        };
-        let now = state.now();
+        let request = &self.attempts.request;
         if self.has_event {
-            state.quarantine.borrow_mut().on_broken_off(now, instance);
+            answer.running.record_crash([request.fingerprint]);
         } else {
-            // Until the first event this is when the head arrived.
-            let began_at = self.progressed_at;
-            state.on_prompt_crashed(now, instance, began_at, &request.head.prefix);
+            answer.running.record_crash(request.parts());
         }
     }
 
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -2,11 +2,15 @@
 
 use std::rc::Rc;
 
+use http::StatusCode;
+
 use super::pooled_connection::PooledConnection;
+use crate::clock::Monotonic;
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
 use crate::quarantine::InstanceHash;
+use crate::quarantine::PartHash;
 
 /// A request in flight; dropping it closes its connection, which cancels the work.
 pub(super) struct RunningRequest {
@@ -14,6 +18,7 @@
     placement: Option<Placement>,
     instance: Option<InstanceHash>,
     connection: Option<PooledConnection>,
+    began_at: Monotonic,
     is_outcome_recorded: bool,
 }
 
@@ -24,8 +29,8 @@
     /// connected: otherwise all requests that wait for connections would see the endpoint as free.
     pub(super) fn new(state: Rc<EntryState>, placement: Option<Placement>) -> Self {
         let mut instance = None;
+        let now = state.now();
         if let Some(placement) = &placement {
-            let now = state.now();
             let mut endpoints = state.endpoints.borrow_mut();
             endpoints.on_sent(now, placement);
             let endpoint = endpoints.get(placement.endpoint);
@@ -36,6 +41,7 @@
             placement,
             instance,
             connection: None,
+            began_at: now,
             is_outcome_recorded: false,
         }
     }
@@ -79,6 +85,30 @@
         self.is_outcome_recorded = true;
     }
 
+    /// Records that the head of the answer arrived.
+    pub(super) const fn on_head(&mut self, now: Monotonic) {
+        self.began_at = now;
+    }
+
+    /// Records that the endpoint broke off its answer, for which these parts of the request may be the
+    /// cause. What another VM passed on is recorded there.
+    pub(super) fn record_crash(&self, parts: impl IntoIterator<Item = PartHash>) {
+        if let Some(instance) = self.instance {
+            let now = self.state.now();
+            self.state
+                .on_endpoint_crashed(now, instance, self.began_at, parts);
+        }
+    }
+
+    /// Records that the endpoint survived the request, unless the answer may be another VM's own.
+    pub(super) fn record_survived(&self, fingerprint: PartHash, status: StatusCode) {
+        if self.instance.is_some() || status.is_success() {
+            let now = self.state.now();
+            self.state
+                .on_request_survived(now, self.instance, fingerprint);
+        }
+    }
+
     /// Drops the idle connections to the address that the request was sent to.
     pub(super) fn discard_idle(&self) {
         if let Some(connection) = &self.connection {
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -32,7 +32,7 @@
 use crate::quarantine::CrashReports;
 use crate::quarantine::InstanceHash;
 use crate::quarantine::PartHash;
-use crate::quarantine::PromptQuarantine;
+use crate::quarantine::RequestQuarantine;
 use crate::quota::QuotaLimiter;
 use crate::retry::FleetRetryBudget;
 use crate::telemetry::EntryGauges;
@@ -52,8 +52,8 @@
     pub fleet: RefCell<FleetView>,
     /// The endpoints of the local region, and which services other regions have.
     pub endpoints: RefCell<EndpointTable>,
-    /// The prompt parts that crash endpoints.
-    pub quarantine: RefCell<PromptQuarantine>,
+    /// The requests and prompt parts that crash endpoints.
+    pub quarantine: RefCell<RequestQuarantine>,
     /// The token buckets of the client accounts.
     pub quota: RefCell<QuotaLimiter>,
     /// The retry budgets, by service.
@@ -189,9 +189,18 @@
         })
     }
 
-    /// Returns how long requests with this prompt prefix stay quarantined; `None` if they are not.
-    pub fn quarantine_remaining(&self, now: Monotonic, prefix: &PromptPrefix) -> Option<Duration> {
-        self.quarantine.borrow().remaining(now, part_hashes(prefix))
+    /// Returns how long requests with these parts stay quarantined; `None` if they are not.
+    pub fn quarantine_remaining(
+        &self,
+        now: Monotonic,
+        parts: impl IntoIterator<Item = PartHash>,
+    ) -> Option<Duration> {
+        self.quarantine.borrow().remaining(now, parts)
+    }
+
+    /// Returns whether several endpoints crashed under requests with this fingerprint.
+    pub fn has_repeated_crashes(&self, fingerprint: PartHash) -> bool {
+        self.quarantine.borrow().has_repeated_crashes(fingerprint)
     }
 
     /// Records the first event of the answer to a request with this prompt prefix; `instance` is `None`
@@ -203,22 +212,37 @@
         prefix: &PromptPrefix,
     ) {
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.on_answered(now, instance, part_hashes(prefix)) {
+        let parts = prefix.shared_parts().map(PartHash::from);
+        if quarantine.on_answered(now, instance, parts) {
+            log_quarantine(&quarantine);
+        }
+    }
+
+    /// Records that a request with this fingerprint did not crash the endpoint that ran it; `instance` is
+    /// `None` if another VM passed the answer on.
+    pub fn on_request_survived(
+        &self,
+        now: Monotonic,
+        instance: Option<InstanceHash>,
+        fingerprint: PartHash,
+    ) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.on_survived(now, instance, fingerprint) {
             log_quarantine(&quarantine);
         }
     }
 
-    /// Records that an endpoint broke off its answer to a request with this prompt prefix before the
-    /// first event; the head of the answer had arrived at `began_at`.
-    pub fn on_prompt_crashed(
+    /// Records that an endpoint broke off its answer to a request with these parts, begun at
+    /// `began_at`.
+    pub fn on_endpoint_crashed(
         &self,
         now: Monotonic,
         instance: InstanceHash,
         began_at: Monotonic,
-        prefix: &PromptPrefix,
+        parts: impl IntoIterator<Item = PartHash>,
     ) {
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.on_crashed(now, instance, began_at, part_hashes(prefix)) {
+        if quarantine.on_crashed(now, instance, began_at, parts) {
             log_quarantine(&quarantine);
         }
     }
@@ -256,15 +280,11 @@
     }
 }
 
-fn part_hashes(prefix: &PromptPrefix) -> impl Iterator<Item = PartHash> + '_ {
-    prefix.shared_parts().map(PartHash::from)
-}
-
-fn log_quarantine(quarantine: &PromptQuarantine) {
+fn log_quarantine(quarantine: &RequestQuarantine) {
     let sets = quarantine.quarantined().iter().map(|set| {
         let parts: Vec<String> = set.iter().map(ToString::to_string).collect();
         parts.join("+")
     });
     let sets: Vec<String> = sets.collect();
-    log::warn!(parts = sets.join(",").as_str(); "the quarantined prompt parts changed");
+    log::warn!(parts = sets.join(",").as_str(); "the quarantined parts of requests changed");
 }
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -112,7 +112,7 @@
                 listing: has_listing.then(|| belief.listing().as_ref().clone()),
                 crashes: {
                     let quarantine = self.state.quarantine.borrow();
-                    MessageCrashes::new(&quarantine.reports(&mut *rng), now)
+                    MessageCrashes::new(&quarantine.reports(now, &mut *rng), now)
                 },
             }
         };
--- a/src/fleet/message_crashes.rs
+++ b/src/fleet/message_crashes.rs
@@ -15,11 +15,11 @@
 pub struct MessageCrash {
     /// The instance of the endpoint.
     pub endpoint: InstanceHash,
-    /// The time from the head of the answer to the sending of the message.
+    /// The time from the start of the request or its answer to the sending of the message.
     pub began_age: Duration,
     /// The time from the break of the connection to the sending.
     pub crashed_age: Duration,
-    /// The shared parts of the prompt.
+    /// The parts of the request that may be the cause.
     pub parts: Vec<PartHash>,
 }
 
@@ -28,7 +28,7 @@
 pub struct MessageAnsweredPart {
     /// The part.
     pub part: PartHash,
-    /// The time from the first event of the answer to the sending of the message.
+    /// The time from the answer to the sending of the message.
     pub age: Duration,
 }
 
--- a/src/quarantine/culprits.rs
+++ b/src/quarantine/culprits.rs
@@ -1,4 +1,4 @@
-//! Which prompt parts explain a series of crashes.
+//! Which parts of requests explain a series of crashes.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/src/quarantine/part_hash.rs
+++ b/src/quarantine/part_hash.rs
@@ -1,10 +1,11 @@
-//! The identity of a prompt part.
+//! The identity of a part of a request.
 
 use std::fmt;
 
 use crate::placement::PromptPart;
 
-/// The hash that identifies a prompt part on all VMs.
+/// The hash that identifies a part of a request on all VMs: a shared part of its prompt, or the whole
+/// request as its fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PartHash(pub u64);
 
--- a/src/quarantine/reports.rs
+++ b/src/quarantine/reports.rs
@@ -3,7 +3,7 @@
 use super::AnsweredPart;
 use super::CrashReport;
 
-/// Crashes of endpoints, and answers that exonerate prompt parts.
+/// Crashes of endpoints, and answers that exonerate parts of requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashReports {
     /// The crashes.
--- a/src/quarantine/prompt_quarantine.rs
+++ b/src/quarantine/request_quarantine.rs
@@ -1,4 +1,4 @@
-//! The prompt parts that crash endpoints, as known from all VMs.
+//! The requests and prompt parts that crash endpoints, as known from all VMs.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -8,6 +8,8 @@
 use rand::Rng;
 
 use super::crash_instants::CrashInstants;
+use super::crash_selection::draw_for_message;
+use super::crash_selection::RepeatedParts;
 use super::culprits::find_culprits;
 use super::culprits::Evidence;
 use super::latest_times::LatestTimes;
@@ -42,33 +44,43 @@
 /// The largest number of exonerated parts that are told to others.
 const EXONERATED_MAX: usize = 256;
 
-/// The largest number of crashes and of exonerated parts in a message to another VM.
-const MESSAGE_ITEMS_MAX: usize = 12;
+/// The largest number of exonerated parts in a message to another VM that it does not blame.
+const MESSAGE_EXONERATED_MAX: usize = 12;
 
-/// Finds the prompt parts that crash each endpoint that begins to answer a request with them.
+/// The number of endpoints that crashed under a request from which on it is not sent again.
+const REPEATED_CRASHES: usize = 2;
+
+/// Finds the requests that crash each endpoint that runs them, and the prompt parts that do so in any
+/// request.
 ///
-/// It answers requests that share such a part and come at any VM, while sound requests share their
-/// other parts: only a part without any answer is the cause. Endpoints that crash together do so for
+/// The parts of a request are its fingerprint, which its repeats have in common, and the shared parts
+/// of its prompt. Requests with a culprit come at any VM, while sound requests share their other
+/// parts: only a part without any answer is the cause. Endpoints that crash together do so for
 /// another reason. Crashes and answers are shared by gossip, since one VM sees few of them.
 #[derive(Debug, Default)]
-pub struct PromptQuarantine {
+pub struct RequestQuarantine {
     crashes: Vec<CrashReport>,
     instants: CrashInstants,
+    /// The answers to prompt parts and what other VMs tell.
     part_answers: LatestTimes<PartHash>,
+    /// The answers to requests, of which there are many more.
+    request_answers: LatestTimes<PartHash>,
     instance_answers: LatestTimes<InstanceHash>,
     /// The parts that were blamed and answered, with the time they were last blamed.
     exonerated: BTreeMap<PartHash, EventTime>,
     quarantined: Vec<BTreeSet<PartHash>>,
 }
 
-impl PromptQuarantine {
-    /// Records that an endpoint broke off an answer after its first event.
+impl RequestQuarantine {
+    /// Records that an endpoint broke off an answer.
     pub fn on_broken_off(&mut self, now: Monotonic, endpoint: InstanceHash) {
         self.instants.record(endpoint, EventTime::from(now));
     }
 
-    /// Records an answer that broke off between its head and its first event; returns whether that
+    /// Records that an endpoint broke off the answer to a request with these parts; returns whether that
     /// changes what is quarantined.
+    ///
+    /// `began_at` is when the head of the answer arrived or, without one, when the request was sent.
     pub fn on_crashed(
         &mut self,
         now: Monotonic,
@@ -98,8 +110,7 @@
     ) -> bool {
         let mut is_changed = false;
         if let Some(endpoint) = endpoint {
-            self.instance_answers.record(endpoint, EventTime::from(now));
-            is_changed |= self.crashes.iter().any(|crash| self.has_survived(crash));
+            is_changed |= self.on_alive(now, endpoint);
         }
         for part in parts {
             is_changed |= self.is_suspect(part);
@@ -108,6 +119,32 @@
         is_changed && self.update(now)
     }
 
+    /// Records that a request did not crash the endpoint that ran it; returns whether that changes what
+    /// is quarantined.
+    ///
+    /// `endpoint` is `None` if another VM passed the answer on.
+    pub fn on_survived(
+        &mut self,
+        now: Monotonic,
+        endpoint: Option<InstanceHash>,
+        fingerprint: PartHash,
+    ) -> bool {
+        let mut is_changed = self.is_suspect(fingerprint);
+        if let Some(endpoint) = endpoint {
+            is_changed |= self.on_alive(now, endpoint);
+        }
+        self.request_answers
+            .record(fingerprint, EventTime::from(now));
+        is_changed && self.update(now)
+    }
+
+    /// Records that an instance answered; returns whether that voids a report.
+    fn on_alive(&mut self, now: Monotonic, endpoint: InstanceHash) -> bool {
+        self.instance_answers.record(endpoint, EventTime::from(now));
+        let mut crashes = self.crashes.iter();
+        crashes.any(|crash| crash.endpoint == endpoint && self.has_survived(crash))
+    }
+
     /// Adds what another VM reported, with times by the local clock; returns whether that changes
     /// what is quarantined.
     pub fn merge(&mut self, now: Monotonic, reports: CrashReports) -> bool {
@@ -123,19 +160,18 @@
     }
 
     /// Returns a sample of what is known, for another VM.
-    pub fn reports(&self, rng: &mut impl Rng) -> CrashReports {
+    pub fn reports(&self, now: Monotonic, rng: &mut impl Rng) -> CrashReports {
         let (evident, others): (Vec<&CrashReport>, Vec<&CrashReport>) =
             self.crashes.iter().partition(|crash| self.supports(crash));
-        let mut crashes = evident.into_iter().sample(rng, MESSAGE_ITEMS_MAX / 2);
-        crashes.extend(others.into_iter().sample(rng, MESSAGE_ITEMS_MAX / 2));
+        let crashes = draw_for_message(now, evident, others, rng);
         let exonerated = self.exonerated.keys().copied();
         let mut parts: BTreeSet<PartHash> = exonerated
-            .sample(rng, MESSAGE_ITEMS_MAX)
+            .sample(rng, MESSAGE_EXONERATED_MAX)
             .into_iter()
             .collect();
         parts.extend(crashes.iter().flat_map(|crash| crash.parts.iter().copied()));
         let answered = parts.into_iter().filter_map(|part| {
-            let answered_at = self.part_answers.get(part)?;
+            let answered_at = self.answered_at(part)?;
             Some(AnsweredPart { part, answered_at })
         });
         CrashReports {
@@ -157,7 +193,7 @@
         let culprits = self.quarantined.iter().filter(|set| set.is_subset(&parts));
         let crashes = culprits.flat_map(|set| {
             let crashes = self.crashes.iter();
-            crashes.filter(|crash| set.iter().all(|part| crash.parts.contains(part)))
+            crashes.filter(|crash| crash.has_all(set))
         });
         crashes
             .map(|crash| RETENTION.saturating_sub(crash.crashed_at.age(now)))
@@ -165,6 +201,23 @@
             .filter(|remaining| !remaining.is_zero())
     }
 
+    /// Returns whether several endpoints crashed under a part, for no other known reason.
+    pub fn has_repeated_crashes(&self, part: PartHash) -> bool {
+        let culprits = self.quarantined.iter().filter(|set| !set.contains(&part));
+        let explained: BTreeSet<InstanceHash> = culprits
+            .flat_map(|set| self.crashes.iter().filter(|crash| crash.has_all(set)))
+            .map(|crash| crash.endpoint)
+            .collect();
+        let crashes = self.crashes.iter().filter(|crash| {
+            crash.parts.contains(&part)
+                && !explained.contains(&crash.endpoint)
+                && !self.is_exonerated(part, crash.crashed_at)
+                && !self.instants.is_outage(crash.crashed_at, &self.crashes)
+        });
+        let endpoints: BTreeSet<InstanceHash> = crashes.map(|crash| crash.endpoint).collect();
+        endpoints.len() >= REPEATED_CRASHES
+    }
+
     /// Returns the quarantined sets of parts.
     pub fn quarantined(&self) -> &[BTreeSet<PartHash>] {
         &self.quarantined
@@ -209,9 +262,14 @@
         answered_at.is_some_and(|at| at.is_later_by(SURVIVAL_DELAY, crash.crashed_at))
     }
 
+    fn answered_at(&self, part: PartHash) -> Option<EventTime> {
+        let answered_at = self.part_answers.get(part);
+        answered_at.max(self.request_answers.get(part))
+    }
+
     /// Returns whether a part was answered since a crash, or shortly before it.
     fn is_exonerated(&self, part: PartHash, crashed_at: EventTime) -> bool {
-        let answered_at = self.part_answers.get(part);
+        let answered_at = self.answered_at(part);
         answered_at.is_some_and(|at| !crashed_at.is_later_by(EXONERATION_LEAD, at))
     }
 
@@ -222,13 +280,14 @@
 
     fn is_suspect(&self, part: PartHash) -> bool {
         let mut crashes = self.crashes.iter();
-        crashes.any(|crash| self.suspects(crash).any(|suspect| suspect == part))
+        crashes
+            .any(|crash| crash.parts.contains(&part) && !self.is_exonerated(part, crash.crashed_at))
     }
 
     /// Returns whether a quarantine rests on a crash.
     fn supports(&self, crash: &CrashReport) -> bool {
         let mut sets = self.quarantined.iter();
-        sets.any(|set| set.iter().all(|part| crash.parts.contains(part)))
+        sets.any(|set| crash.has_all(set))
     }
 
     /// Removes crashes that count no longer and finds the culprits anew; returns whether they changed.
@@ -260,9 +319,16 @@
     }
 
     fn evidence(&self) -> Vec<Evidence<'_>> {
+        // Many requests break off with an endpoint at the same time.
+        let mut outages: BTreeMap<EventTime, bool> = BTreeMap::new();
         let crashes = self.crashes.iter();
         crashes
-            .filter(|crash| !self.instants.is_outage(crash.crashed_at, &self.crashes))
+            .filter(|crash| {
+                let is_outage = outages
+                    .entry(crash.crashed_at)
+                    .or_insert_with(|| self.instants.is_outage(crash.crashed_at, &self.crashes));
+                !*is_outage
+            })
             .map(|crash| Evidence {
                 crash,
                 suspects: self.suspects(crash).collect(),
@@ -270,9 +336,14 @@
             .collect()
     }
 
-    /// Removes the oldest crashes that no quarantine rests on.
+    /// Removes the oldest crashes, first those under parts that crashed no other endpoint and last those
+    /// that a quarantine rests on.
     fn remove_oldest(&self, crashes: &mut Vec<CrashReport>) {
-        crashes.sort_by_key(|crash| (self.supports(crash), crash.crashed_at));
+        let repeated = RepeatedParts::new(crashes.iter());
+        crashes.sort_by_cached_key(|crash| {
+            let is_evident = self.supports(crash);
+            (is_evident, repeated.are_in(crash), crash.crashed_at)
+        });
         crashes.drain(..crashes.len() - CRASHES_MAX);
     }
 }
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -97,7 +97,7 @@
         let opened = self.opened_connections.clone();
         registry.register("opened_connections", "Connections opened", opened);
         let parts = self.quarantined_parts.clone();
-        registry.register("quarantined_parts", "Prompt parts not sent on", parts);
+        registry.register("quarantined_parts", "Request parts not sent on", parts);
     }
 
     /// Counts an answer whose head arrived `latency` after the request.
--- a/tests/behaviour/quarantine/bystanders.rs
+++ b/tests/behaviour/quarantine/bystanders.rs
@@ -2,7 +2,7 @@
 
 use figramp::quarantine::InstanceHash;
 use figramp::quarantine::PartHash;
-use figramp::quarantine::PromptQuarantine;
+use figramp::quarantine::RequestQuarantine;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::RngExt;
@@ -19,7 +19,7 @@
 
 #[test]
 fn outages_of_many_endpoints_quarantine_nothing() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for outage in 0..5 {
         for endpoint in 0..20 {
             for part in SOUND_PARTS {
@@ -37,7 +37,7 @@
 fn parts_in_use_are_not_quarantined_by_the_crashes_of_others() {
     for seed in 0..50 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         let mut endpoint = 0;
         for ms in (1_000..60_000).step_by(50) {
             if rng.random_bool(0.04) {
@@ -60,7 +60,7 @@
 #[test]
 fn a_bystander_with_a_part_of_the_culprits_does_not_take_the_blame_alone() {
     for (shared, culprit) in [(20, 30), (30, 20)] {
-        let mut quarantine = PromptQuarantine::default();
+        let mut quarantine = RequestQuarantine::default();
         crash(&mut quarantine, 1_000, 1, &[shared, culprit]);
         crash(&mut quarantine, 1_000, 1, &[shared]);
         crash(&mut quarantine, 2_000, 2, &[shared, culprit]);
@@ -72,7 +72,7 @@
 
 #[test]
 fn an_endpoint_that_broke_answers_off_and_lives_on_has_not_crashed() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
         crash(&mut quarantine, ms, endpoint, &[10]);
         let later = at(ms + 700);
@@ -83,7 +83,7 @@
 
 #[test]
 fn broken_connections_long_before_a_crash_do_not_make_it_an_outage() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for endpoint in 1..=5 {
         quarantine.on_broken_off(at(1_000), InstanceHash(endpoint));
     }
@@ -95,7 +95,7 @@
 
 #[test]
 fn broken_connections_long_before_an_outage_do_not_hide_it() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 5_000), (3, 9_000)] {
         crash(&mut quarantine, ms, endpoint, &[11]);
         answer(&mut quarantine, ms + 100, &[11]);
--- a/tests/behaviour/quarantine/culprits.rs
+++ b/tests/behaviour/quarantine/culprits.rs
@@ -1,6 +1,6 @@
 //! The part that crashes endpoints is found, and no other.
 
-use figramp::quarantine::PromptQuarantine;
+use figramp::quarantine::RequestQuarantine;
 
 use super::support::answer;
 use super::support::crash;
@@ -9,7 +9,7 @@
 
 #[test]
 fn a_part_is_quarantined_after_three_crashes_one_after_the_other() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 1_500), (3, 2_000)] {
         assert!(!is_quarantined(&quarantine, ms, &[CULPRIT]));
         crash(&mut quarantine, ms, endpoint, &[CULPRIT]);
@@ -21,7 +21,7 @@
 
 #[test]
 fn crashes_of_many_requests_at_a_time_are_enough_if_they_are_not_one_outage() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 1_020), (3, 3_000), (4, 3_020), (5, 5_000)] {
         crash(&mut quarantine, ms, endpoint, &[CULPRIT]);
     }
@@ -30,7 +30,7 @@
 
 #[test]
 fn parts_that_sound_requests_share_are_not_quarantined_with_the_culprit() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000), (4, 4_000)] {
         crash(&mut quarantine, ms, endpoint, &[20, CULPRIT]);
         answer(&mut quarantine, ms + 100, &[20]);
@@ -41,7 +41,7 @@
 
 #[test]
 fn parts_that_only_occurred_together_are_quarantined_together_until_one_is_answered() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
         crash(&mut quarantine, ms, endpoint, &[20, CULPRIT]);
     }
@@ -54,7 +54,7 @@
 
 #[test]
 fn a_whole_answer_ends_the_quarantine_of_a_part() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
         crash(&mut quarantine, ms, endpoint, &[CULPRIT]);
     }
@@ -64,7 +64,7 @@
 
 #[test]
 fn a_quarantine_outlasts_minutes_without_such_requests_and_ends_at_last() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
         crash(&mut quarantine, ms, endpoint, &[CULPRIT]);
     }
@@ -74,7 +74,7 @@
 
 #[test]
 fn crashes_under_other_parts_do_not_push_out_those_of_a_quarantine() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
         crash(&mut quarantine, ms, endpoint, &[CULPRIT]);
     }
@@ -92,7 +92,7 @@
 
 #[test]
 fn pairs_of_crashes_in_quick_succession_are_no_outage() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 1_000), (3, 1_110), (5, 1_220)] {
         crash(&mut quarantine, ms, endpoint, &[CULPRIT]);
         crash(&mut quarantine, ms + 33, endpoint + 1, &[CULPRIT]);
--- a/tests/behaviour/quarantine/fleet.rs
+++ b/tests/behaviour/quarantine/fleet.rs
@@ -2,7 +2,7 @@
 
 use figramp::clock::Monotonic;
 use figramp::fleet::MessageCrashes;
-use figramp::quarantine::PromptQuarantine;
+use figramp::quarantine::RequestQuarantine;
 use rand::rngs::StdRng;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -18,20 +18,20 @@
 
 /// Sends what one VM knows to another, whose clock is `ahead_ms` ahead.
 fn send(
-    from: &PromptQuarantine,
-    to: &mut PromptQuarantine,
+    from: &RequestQuarantine,
+    to: &mut RequestQuarantine,
     now: Monotonic,
     received_at: Monotonic,
 ) {
     let mut rng = StdRng::seed_from_u64(now.as_ms());
-    let message = MessageCrashes::new(&from.reports(&mut rng), now);
+    let message = MessageCrashes::new(&from.reports(now, &mut rng), now);
     to.merge(received_at, message.received(received_at));
 }
 
 #[test]
 fn each_vm_quarantines_a_part_of_which_it_saw_one_crash_or_none() {
     let mut rng = StdRng::seed_from_u64(4);
-    let mut vms: Vec<PromptQuarantine> = (0..24).map(|_| PromptQuarantine::default()).collect();
+    let mut vms: Vec<RequestQuarantine> = (0..24).map(|_| RequestQuarantine::default()).collect();
     for (vm, ms) in [(0, 1_000), (7, 1_600), (13, 2_200)] {
         crash(&mut vms[vm], ms, vm as u32, &[CULPRIT]);
     }
@@ -39,7 +39,7 @@
         let now = at(2_500 + round * ROUND_MS);
         for from in 0..vms.len() {
             let to = rng.random_range(0..vms.len());
-            let message = MessageCrashes::new(&vms[from].reports(&mut rng), now);
+            let message = MessageCrashes::new(&vms[from].reports(now, &mut rng), now);
             vms[to].merge(now, message.received(now));
         }
     }
@@ -51,18 +51,18 @@
 
 #[test]
 fn a_vm_that_started_after_the_crashes_quarantines_the_part() {
-    let mut old = PromptQuarantine::default();
+    let mut old = RequestQuarantine::default();
     for (endpoint, ms) in [(1, 100_000), (2, 110_000), (3, 120_000)] {
         crash(&mut old, ms, endpoint, &[CULPRIT]);
     }
-    let mut new = PromptQuarantine::default();
+    let mut new = RequestQuarantine::default();
     send(&old, &mut new, at(130_000), at(200));
     assert!(is_quarantined(&new, 201, &[CULPRIT]));
 }
 
 #[test]
 fn an_answer_that_another_vm_got_clears_a_part() {
-    let (mut crashed, mut answered) = (PromptQuarantine::default(), PromptQuarantine::default());
+    let (mut crashed, mut answered) = (RequestQuarantine::default(), RequestQuarantine::default());
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
         crash(&mut crashed, ms, endpoint, &[20, CULPRIT]);
     }
@@ -78,7 +78,7 @@
 
 #[test]
 fn a_report_that_comes_back_on_another_way_counts_once() {
-    let mut vms = [PromptQuarantine::default(), PromptQuarantine::default()];
+    let mut vms = [RequestQuarantine::default(), RequestQuarantine::default()];
     for (endpoint, ms) in [(1, 1_000), (2, 1_500)] {
         crash(&mut vms[0], ms, endpoint, &[CULPRIT]);
     }
@@ -96,7 +96,7 @@
 
 #[test]
 fn a_vm_that_blames_a_part_is_told_of_an_answer_that_another_has_forgotten_the_crashes_for() {
-    let (mut crashed, mut answered) = (PromptQuarantine::default(), PromptQuarantine::default());
+    let (mut crashed, mut answered) = (RequestQuarantine::default(), RequestQuarantine::default());
     for (endpoint, ms) in [(1, 1_000), (2, 1_500), (3, 2_000)] {
         crash(&mut crashed, ms, endpoint, &[20]);
     }
@@ -112,7 +112,7 @@
 
 #[test]
 fn a_report_that_waited_on_its_way_is_dated_by_a_later_one_that_did_not() {
-    let (mut from, mut to) = (PromptQuarantine::default(), PromptQuarantine::default());
+    let (mut from, mut to) = (RequestQuarantine::default(), RequestQuarantine::default());
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
         crash(&mut from, ms, endpoint, &[20]);
     }
@@ -120,7 +120,7 @@
     send(&from, &mut to, at(8_200), at(8_200));
     answer(&mut to, 8_300, &[30]);
     assert!(is_quarantined(&to, 8_300, &[20]));
-    let mut answered = PromptQuarantine::default();
+    let mut answered = RequestQuarantine::default();
     answer(&mut answered, 5_000, &[20]);
     send(&to, &mut answered, at(8_300), at(8_300));
     send(&answered, &mut to, at(8_400), at(8_400));
@@ -129,7 +129,7 @@
 
 #[test]
 fn reports_that_waited_for_a_stopped_vm_together_are_no_outage() {
-    let (mut from, mut stopped) = (PromptQuarantine::default(), PromptQuarantine::default());
+    let (mut from, mut stopped) = (RequestQuarantine::default(), RequestQuarantine::default());
     let resumed_at = at(9_000);
     for (endpoint, ms) in [(1, 1_000), (2, 2_000), (3, 3_000), (4, 4_000)] {
         crash(&mut from, ms, endpoint, &[CULPRIT]);
--- a/tests/behaviour/quarantine/mod.rs
+++ b/tests/behaviour/quarantine/mod.rs
@@ -1,6 +1,7 @@
-//! Quarantine of the prompt parts that crash endpoints, in virtual time.
+//! Quarantine of the requests and prompt parts that crash endpoints, in virtual time.
 
 mod bystanders;
 mod culprits;
+mod fingerprints;
 mod fleet;
 mod support;
--- a/tests/behaviour/quarantine/support.rs
+++ b/tests/behaviour/quarantine/support.rs
@@ -3,7 +3,7 @@
 use figramp::clock::Monotonic;
 use figramp::quarantine::InstanceHash;
 use figramp::quarantine::PartHash;
-use figramp::quarantine::PromptQuarantine;
+use figramp::quarantine::RequestQuarantine;
 
 /// The part that crashes endpoints.
 pub(super) const CULPRIT: u64 = 1;
@@ -20,15 +20,15 @@
 }
 
 /// Records that an endpoint crashed 40 ms after it began to answer a prompt with these parts.
-pub(super) fn crash(quarantine: &mut PromptQuarantine, ms: u64, endpoint: u32, parts: &[u64]) {
+pub(super) fn crash(quarantine: &mut RequestQuarantine, ms: u64, endpoint: u32, parts: &[u64]) {
     let began_at = at(ms - BEGUN_MS);
     quarantine.on_crashed(at(ms), InstanceHash(endpoint), began_at, hashes(parts));
 }
 
-pub(super) fn answer(quarantine: &mut PromptQuarantine, ms: u64, parts: &[u64]) {
+pub(super) fn answer(quarantine: &mut RequestQuarantine, ms: u64, parts: &[u64]) {
     quarantine.on_answered(at(ms), None, hashes(parts));
 }
 
-pub(super) fn is_quarantined(quarantine: &PromptQuarantine, ms: u64, parts: &[u64]) -> bool {
+pub(super) fn is_quarantined(quarantine: &RequestQuarantine, ms: u64, parts: &[u64]) -> bool {
     quarantine.remaining(at(ms), hashes(parts)).is_some()
 }
