Blame a request after three crashes that did not all come together

Repeats that overlap at three endpoints crashed them without being recognised, as fewer than three began one after the other; five crashed endpoints were needed then.

A fingerprint needs three endpoints, as one request has it where many share a part of a prompt; its highest bit tells it from them.

--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -74,6 +74,13 @@
         std::iter::once(self.fingerprint).chain(prompt_parts)
     }
 
+    /// Returns the hashes of the shared parts of the prompt, for logs.
+    pub(super) fn prompt_parts_text(&self) -> String {
+        let parts = self.head.prefix.shared_parts().map(PartHash::from);
+        let parts: Vec<String> = parts.map(|part| part.to_string()).collect();
+        parts.join(",")
+    }
+
     fn account_name(&self) -> Option<&Name> {
         self.account.as_ref().map(|account| &account.name)
     }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -255,7 +255,7 @@
             request_hash:% = request.fingerprint,
             after_event = self.splitter.last_id().unwrap_or(0),
             has_event = self.has_event,
-            parts = request.head.prefix.to_string().as_str(),
+            parts = request.prompt_parts_text().as_str(),
             can_resume = self.attempts.can_retry(),
             error:% = error;
             "stream interrupted"
--- a/src/placement/prompt_prefix.rs
+++ b/src/placement/prompt_prefix.rs
@@ -1,7 +1,5 @@
 //! The prefix of a prompt that other requests share.
 
-use std::fmt;
-
 /// The fraction of a prefix that a cached part must cover, with the parts before it, to decide where
 /// requests with that prefix go.
 const COVERED_FRACTION: f64 = 0.8;
@@ -52,14 +50,3 @@
         part.map(|part| part.hash)
     }
 }
-
-/// Writes the hashes of the shared parts, for logs.
-impl fmt::Display for PromptPrefix {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, part) in self.shared_parts().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{:016x}", part.hash)?;
-        }
-        Ok(())
-    }
-}
--- a/src/quarantine/culprits.rs
+++ b/src/quarantine/culprits.rs
@@ -12,9 +12,12 @@
 /// the cause.
 const SEQUENTIAL_CRASHES: usize = 3;
 
-/// The number of crashed endpoints that makes a part the cause if not all crashed at once.
+/// The number of crashed endpoints that makes a prompt part the cause if not all crashed at once.
 const CRASHED_ENDPOINTS: usize = 5;
 
+/// The same for a fingerprint, which fewer requests have in common.
+const FINGERPRINT_CRASHED_ENDPOINTS: usize = 3;
+
 /// A crash with the parts that may be its cause: those without an answer since.
 #[derive(Clone, Debug)]
 pub(super) struct Evidence<'a> {
@@ -42,9 +45,13 @@
         }
     }
 
-    const fn shows_cause(self) -> bool {
+    const fn shows_cause(self, part: PartHash) -> bool {
+        let endpoints_min = match part.is_fingerprint() {
+            true => FINGERPRINT_CRASHED_ENDPOINTS,
+            false => CRASHED_ENDPOINTS,
+        };
         self.sequential >= SEQUENTIAL_CRASHES
-            || (self.sequential > 1 && self.endpoints >= CRASHED_ENDPOINTS)
+            || (self.sequential > 1 && self.endpoints >= endpoints_min)
     }
 }
 
@@ -96,7 +103,7 @@
     by_part
         .into_iter()
         .map(|(part, spans)| (Record::new(&spans), part, spans))
-        .filter(|(record, _, _)| record.shows_cause())
+        .filter(|(record, part, _)| record.shows_cause(*part))
         .map(|(record, part, spans)| {
             let cause = Cause {
                 parts: parts_with(part, evidence),
--- a/src/quarantine/request_identity.rs
+++ b/src/quarantine/request_identity.rs
@@ -30,6 +30,6 @@
             hasher.update(&field.len().to_le_bytes());
             hasher.update(field);
         }
-        Self(hasher.digest())
+        Self::of_request(hasher.digest())
     }
 }
--- a/tests/behaviour/quarantine/fingerprints.rs
+++ b/tests/behaviour/quarantine/fingerprints.rs
@@ -83,6 +83,26 @@
     assert!(!is_quarantined(&quarantine, 4_001, &[10]));
 }
 
+#[test]
+fn repeats_that_overlap_at_three_endpoints_are_enough_unless_all_began_together() {
+    for (last_began_ms, is_culprit) in [(1_120, true), (1_090, false)] {
+        let mut quarantine = RequestQuarantine::default();
+        let fingerprint = PartHash::from(IDENTITY);
+        for (endpoint, began_ms, crashed_ms) in [
+            (1, 1_000, 1_100),
+            (2, 1_060, 1_160),
+            (3, last_began_ms, 1_220),
+        ] {
+            let endpoint = InstanceHash(endpoint);
+            quarantine.on_crashed(at(crashed_ms), endpoint, at(began_ms), [fingerprint]);
+        }
+        assert_eq!(
+            is_quarantined(&quarantine, 1_221, &[fingerprint.0]),
+            is_culprit
+        );
+    }
+}
+
 #[test]
 fn an_event_of_the_prompt_does_not_exonerate_the_request() {
     let mut quarantine = RequestQuarantine::default();
