Find the common parts of the clearest causes only

Each report of a crash runs the analysis anew, and now each bystander is reported. For every cause the parts in common were computed, though only those of the clearest decide.

--- a/src/quarantine/culprits.rs
+++ b/src/quarantine/culprits.rs
@@ -100,19 +100,20 @@
             *first = span.min(*first);
         }
     }
-    by_part
+    let causes: Vec<(Record, PartHash, CrashSpans)> = by_part
         .into_iter()
         .map(|(part, spans)| (Record::new(&spans), part, spans))
         .filter(|(record, part, _)| record.shows_cause(*part))
-        .map(|(record, part, spans)| {
-            let cause = Cause {
-                parts: parts_with(part, evidence),
-                endpoints: spans.into_keys().collect(),
-            };
-            (record, cause)
+        .collect();
+    let clearest = causes.iter().map(|(record, _, _)| *record).max()?;
+    causes
+        .into_iter()
+        .filter(|(record, _, _)| *record == clearest)
+        .map(|(_, part, spans)| Cause {
+            parts: parts_with(part, evidence),
+            endpoints: spans.into_keys().collect(),
         })
-        .max_by_key(|(record, cause)| (*record, cause.parts.len()))
-        .map(|(_, cause)| cause)
+        .max_by_key(|cause| cause.parts.len())
 }
 
 /// Returns the largest number of spans (end, start) that do not overlap: taking the one that ends
