--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -23,6 +23,7 @@
 use crate::platform::set_resume_position;
 use crate::platform::EndpointHeaders;
 use crate::platform::RequestHead;
+use crate::quarantine::PartHash;
 
 /// The lowest priority that a model engine supports; 0 is the highest.
 const PRIORITY_MAX: u8 = 9;
@@ -34,6 +35,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) head: RequestHead,
+    /// The hash that repeats of the request have in common.
+    pub(super) fingerprint: PartHash,
     pub(super) host: String,
     /// The version of the configuration by which the request was accepted.
     pub(super) configuration_version: u64,
@@ -65,6 +68,19 @@
             && account_homes.is_none_or(|homes| homes.allows(region))
     }
 
+    /// Returns the parts that may crash an endpoint, the fingerprint first.
+    pub(super) fn parts(&self) -> impl Iterator<Item = PartHash> + '_ {
+        let prompt_parts = self.head.prefix.shared_parts().map(PartHash::from);
+        std::iter::once(self.fingerprint).chain(prompt_parts)
+    }
+
+    /// Returns the hashes of the shared parts of the prompt, for logs.
+    pub(super) fn prompt_parts_text(&self) -> String {
+        let parts = self.head.prefix.shared_parts().map(PartHash::from);
+        let parts: Vec<String> = parts.map(|part| part.to_string()).collect();
+        parts.join(",")
+    }
+
     fn account_name(&self) -> Option<&Name> {
         self.account.as_ref().map(|account| &account.name)
     }
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -1,16 +1,20 @@
 //! Stand-ins for the users' deployment: the platform's store and the endpoints that register in it.
 
+mod answer_body;
 mod arrival;
+mod crashing_request;
 mod endpoint_faults;
 mod endpoint_process;
 mod endpoint_server;
 mod http_listener;
 mod late_reader;
 mod link_proxy;
+mod silence;
 mod store_server;
 mod unframed_proxy;
 
 pub use arrival::Arrival;
+pub use crashing_request::CrashingRequest;
 pub use endpoint_faults::EndpointFaults;
 pub use endpoint_server::EndpointServer;
 pub use late_reader::LateAnswer;
