Test sound endpoints of figramp serve that are silent for a time

A sound server may fall silent for a second or so and go on. The stand-in engine and service can now do so as a whole: they accept connections, but send and begin nothing until the silence ends.

With route timeouts of 0.4 s and silences of 1.0, 1.6 and 2.5 s, six of seven tests of whole VMs fail: callers get 504 answer_silent or a cut stream, though the endpoint goes on well within the deadline. In virtual time an endpoint that was silent for 0.4 s is out of use for 1 s.

--- a/src/stand_in/engine/answer_job.rs
+++ b/src/stand_in/engine/answer_job.rs
@@ -181,6 +181,7 @@
             offset,
             payload,
         };
+        self.state.silence.ended().await;
         let sent = self.events.send(event_body::encode(event)).await;
         sent.map_err(|_| Stop::Closed)
     }
--- a/src/stand_in/engine/completion_route.rs
+++ b/src/stand_in/engine/completion_route.rs
@@ -117,6 +117,7 @@
     data: Data<'_>,
     state: &State<Arc<EngineState>>,
 ) -> EngineAnswer {
+    state.silence.ended().await;
     let faults = state.faults.lock().hit();
     if faults.is_refusing {
         state.counts.lock().refused += 1;
--- a/src/stand_in/engine/engine_server.rs
+++ b/src/stand_in/engine/engine_server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rocket::routes;
 
@@ -64,6 +65,11 @@
         *self.state.faults.lock() = faults;
     }
 
+    /// Makes the engine silent for `duration`; then it goes on.
+    pub fn fall_silent(&self, duration: Duration) {
+        self.state.silence.begin(duration);
+    }
+
     /// Returns the counts since the start.
     pub fn counts(&self) -> EngineCounts {
         *self.state.counts.lock()
--- a/src/stand_in/engine/engine_state.rs
+++ b/src/stand_in/engine/engine_state.rs
@@ -21,6 +21,7 @@
 use crate::endpoint::OrderOutcome;
 use crate::request::CompletionCall;
 use crate::request::RequestId;
+use crate::stand_in::silence::Silence;
 
 /// The identifier of one attempt at a request, as used in cancellations.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -49,6 +50,8 @@
     pub(super) faults: Mutex<EngineFaults>,
     /// The counts since the start.
     pub(super) counts: Mutex<EngineCounts>,
+    /// The silence of the whole engine.
+    pub(super) silence: Silence,
     clock: SystemClock,
     cache: Mutex<PrefixCache>,
     history: Mutex<LoadHistory>,
@@ -64,6 +67,7 @@
             slots: Slots::new(options.concurrency),
             faults: Mutex::default(),
             counts: Mutex::default(),
+            silence: Silence::default(),
             clock: SystemClock::new(),
             cache: Mutex::new(PrefixCache::new(options.cache_tokens)),
             history: Mutex::default(),
--- a/src/stand_in/engine/operation_routes.rs
+++ b/src/stand_in/engine/operation_routes.rs
@@ -17,13 +17,22 @@
 
 /// Reports the load.
 #[get("/v1/load?<after>")]
-pub(super) fn load(after: Option<u64>, state: &State<Arc<EngineState>>) -> Json<LoadReportWire> {
+pub(super) async fn load(
+    after: Option<u64>,
+    state: &State<Arc<EngineState>>,
+) -> Json<LoadReportWire> {
+    state.silence.ended().await;
     Json(state.report(after.unwrap_or(0)).into())
 }
 
 /// Cancels one attempt at a request, or all of them.
 #[post("/v1/cancel/<id>?<attempt>")]
-pub(super) fn cancel(id: &str, attempt: Option<u64>, state: &State<Arc<EngineState>>) -> Status {
+pub(super) async fn cancel(
+    id: &str,
+    attempt: Option<u64>,
+    state: &State<Arc<EngineState>>,
+) -> Status {
+    state.silence.ended().await;
     match RequestId::from_hex(id) {
         Some(request_id) => {
             state.cancel(request_id, attempt);
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -4,3 +4,4 @@
 pub mod engine;
 pub mod platform;
 pub mod service;
+mod silence;
--- a/src/stand_in/service/service_route.rs
+++ b/src/stand_in/service/service_route.rs
@@ -88,6 +88,7 @@
     data: Data<'r>,
     state: &ServiceState,
 ) -> Result<Response<'r>, Status> {
+    state.silence.ended().await;
     let faults = state.faults.lock().hit();
     if faults.is_refusing {
         return Ok(refusal());
@@ -100,6 +101,7 @@
     let execution = to_execution(request, body);
     state.log.lock().executions.push(execution.clone());
     hang_if(faults.is_silent_after_run).await;
+    state.silence.ended().await;
     if let Some(status) = faults.failure_status_after_run {
         return Err(Status::new(status));
     }
--- a/src/stand_in/service/service_server.rs
+++ b/src/stand_in/service/service_server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use rocket::routes;
@@ -14,6 +15,7 @@
 use super::ServiceOptions;
 use crate::caller::HttpServer;
 use crate::caller::LaunchError;
+use crate::stand_in::silence::Silence;
 
 /// A running stand-in service; it stops when it is dropped.
 #[derive(Debug)]
@@ -33,6 +35,7 @@
             options,
             faults: Mutex::default(),
             log: Mutex::default(),
+            silence: Silence::default(),
         });
         let rocket = HttpServer::build(options.bind_address)
             .manage(Arc::clone(&state))
@@ -65,6 +68,11 @@
         *self.state.faults.lock() = faults;
     }
 
+    /// Makes the service silent for `duration`; then it goes on.
+    pub fn fall_silent(&self, duration: Duration) {
+        self.state.silence.begin(duration);
+    }
+
     /// Returns the execution log.
     pub fn executions(&self) -> ExecutionLog {
         self.state.log.lock().clone()
--- a/tests/behaviour/routing/mod.rs
+++ b/tests/behaviour/routing/mod.rs
@@ -6,3 +6,4 @@
 mod load_reports;
 pub mod published;
 pub mod seed;
+mod silent_endpoints;
--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -13,6 +13,7 @@
 mod leaving_endpoint;
 mod processes;
 mod region_partition;
+mod silent_endpoints;
 mod support;
 mod unpublished_vm;
 mod whole_answers;
