Serve: end a silent attempt only once its successor is chosen

Callers got 504 answer_silent, or a stream that was cut after its head, from an endpoint that was silent for longer than first_event_timeout_ms or silence_timeout_ms of its route and went on well before the deadline. Bookings got 504 as well, with an unknown outcome on record.

Cause: the HTTP client of endpoints ended the attempt at the time-out, and only then was it decided whether a retry was allowed and where it could go. With no other endpoint free, after three attempts, without retries in the budget, and for non-idempotent calls always, nothing was left to wait for.

The time-outs now belong to the call task, which follows the answer with a silence watch. At a time-out it counts a failure of the endpoint, has later calls use new connections, and looks for a successor: a free endpoint or a VM of another region before the first chunk, the same engine on another connection after it, if the engine has reported its load since the last event. The attempt ends once the successor is chosen and a retry taken from the budget; otherwise it waits until the deadline of the call. An endpoint that was only silent may be chosen again if its successor fails. An event after the silence counts as a success. Refused and broken connections end an attempt as before.

--- a/src/endpoint/endpoint_client.rs
+++ b/src/endpoint/endpoint_client.rs
@@ -29,6 +29,9 @@
         call: EndpointCall,
     ) -> Result<AnswerStream, GatewayError>;
 
+    /// Makes later calls use new connections, as one to the endpoint is silent.
+    fn discard_connections(&self, endpoint: &Endpoint);
+
     /// Cancels all attempts of `request` at an engine; a failure is only logged.
     async fn cancel(&self, endpoint: &Endpoint, request: RequestId);
 
--- a/src/endpoint/http_endpoint_client.rs
+++ b/src/endpoint/http_endpoint_client.rs
@@ -154,6 +154,10 @@
         }
     }
 
+    fn discard_connections(&self, endpoint: &Endpoint) {
+        self.pools.discard(endpoint.address);
+    }
+
     async fn cancel(&self, endpoint: &Endpoint, request: RequestId) {
         send_cancel(Arc::clone(&self.pools), endpoint.address, request, None).await;
     }
--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -19,6 +19,7 @@
     pub(super) work_tokens: u64,
     pub(super) prefix_hashes: Vec<u64>,
     pub(super) is_probe: bool,
+    pub(super) is_silent: bool,
 }
 
 impl Attempt {
--- a/src/routing/endpoint_load.rs
+++ b/src/routing/endpoint_load.rs
@@ -36,6 +36,7 @@
     service_times: ObservedServiceTimes,
     cache_sequence: AtomicU64,
     report: ArcSwapOption<ReportedLoad>,
+    reported_at_us: AtomicU64,
     history: InFlightHistory,
     breaker: Breaker,
     prefixes: PrefixTable,
@@ -70,6 +71,7 @@
             work_tokens: ahead + prompt_tokens,
             prefix_hashes,
             is_probe,
+            is_silent: false,
         }
     }
 
@@ -88,6 +90,29 @@
         self.breaker.on_success()
     }
 
+    /// Records an event of an answer.
+    pub fn on_event(&self, now: Monotonic, attempt: &mut Attempt) -> Option<EndpointEvent> {
+        if attempt.first_event_at.is_none() {
+            attempt.is_silent = false;
+            return self.on_first_event(now, attempt);
+        }
+        if std::mem::take(&mut attempt.is_silent) {
+            return self.breaker.on_success();
+        }
+        None
+    }
+
+    /// Records that no event of an answer came in time; the attempt may go on.
+    ///
+    /// Counts once until the next event.
+    pub fn on_silence(&self, now: Monotonic, attempt: &mut Attempt) -> Option<EndpointEvent> {
+        if std::mem::replace(&mut attempt.is_silent, true) {
+            return None;
+        }
+        let is_probe = std::mem::take(&mut attempt.is_probe);
+        self.breaker.on_failure(now, is_probe)
+    }
+
     /// Records the end of a complete answer.
     pub fn on_done(
         &self,
@@ -122,6 +147,7 @@
         }
         self.release(now, &attempt);
         match failure {
+            EndpointFailure::Silent if attempt.is_silent => None,
             EndpointFailure::Broken | EndpointFailure::Silent => {
                 self.breaker.on_failure(now, attempt.is_probe)
             }
@@ -138,6 +164,7 @@
     pub fn on_report(&self, now: Monotonic, report: &LoadReport) {
         let age_us = report.age_ms.saturating_mul(1_000);
         let taken_at = Monotonic::from_us(now.as_us().saturating_sub(age_us));
+        self.reported_at_us.store(now.as_us(), Ordering::Release);
         let is_older = self
             .report
             .load()
@@ -210,6 +237,11 @@
             .map(|report| **report)
     }
 
+    /// Returns when the latest load report arrived; zero before the first one.
+    pub fn reported_at(&self) -> Monotonic {
+        Monotonic::from_us(self.reported_at_us.load(Ordering::Acquire))
+    }
+
     /// Returns the measured service times, or `None` before the first complete answer.
     pub fn service_times(&self) -> Option<ServiceTimes> {
         self.service_times.get()
--- a/src/vm/attempts.rs
+++ b/src/vm/attempts.rs
@@ -37,13 +37,24 @@
     pub(super) excluded: Vec<EndpointKey>,
     /// The endpoint that the next attempt resumes the answer at, `None` to choose one.
     pub(super) resume_at: Option<EndpointKey>,
+    /// The place that takes over from the latest attempt, already chosen.
+    pub(super) successor: Option<Place>,
     /// The expected time from the start of the latest attempt to its first event.
     pub(super) expected_first_event: Duration,
+    /// The excluded endpoints that were only silent.
+    pub(super) silent: Vec<EndpointKey>,
     may_have_run: bool,
     endpoint_error: Option<GatewayError>,
 }
 
 impl Attempts {
+    /// Allows the endpoints that were only silent again; returns whether there are any.
+    pub(super) fn readmit_silent(&mut self) -> bool {
+        let silent = std::mem::take(&mut self.silent);
+        self.excluded.retain(|endpoint| !silent.contains(endpoint));
+        !silent.is_empty()
+    }
+
     /// Returns the error with run state `MayHaveRun` in place of `NotRun` if an earlier attempt may
     /// have run.
     pub(super) fn with_earlier_runs(&mut self, error: GatewayError) -> GatewayError {
--- a/src/vm/call_task.rs
+++ b/src/vm/call_task.rs
@@ -3,21 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use tokio::time::sleep;
+use futures::TryFutureExt;
 
 use super::attempts::Attempts;
 use super::attempts::Place;
 use super::attempts::RemotePlace;
 use super::call_end::endpoint_failure;
-use super::call_end::truncated;
 use super::call_end::AnswerSink;
 use super::call_end::CallEnd;
 use super::call_end::DisconnectPolicy;
 use super::call_trace::forwarded;
 use super::call_trace::weighed;
 use super::check_key;
+use super::forward_watch::ForwardWatch;
 use super::progress::Progress;
+use super::silence_watch::SilenceWatch;
 use super::RequestContext;
 use super::Slot;
 use crate::catalog::EndpointKey;
@@ -30,9 +30,6 @@
 use crate::errors::GatewayError;
 use crate::operator::StepEvent;
 use crate::peer::ForwardRequest;
-use crate::request::AnswerEvent;
-use crate::request::AnswerPayload;
-use crate::request::AnswerStream;
 use crate::request::Call;
 use crate::retry::AttemptFailure;
 use crate::retry::RetryDecision;
@@ -69,12 +66,16 @@
             };
             let error = attempts.with_earlier_runs(error);
             let kind = error.kind;
-            match self.decide(error, &attempts) {
-                RetryDecision::RetryElsewhere => attempts.resume_at = None,
-                RetryDecision::ResumeFrom(_) => {
-                    attempts.resume_at = attempts.excluded.pop();
+            if attempts.successor.is_none() {
+                match self.decide(error, &attempts) {
+                    RetryDecision::RetryElsewhere => attempts.resume_at = None,
+                    RetryDecision::ResumeFrom(_) => {
+                        attempts.resume_at = attempts.excluded.pop();
+                    }
+                    RetryDecision::Fail(error) => {
+                        return CallEnd::Failed(attempts.cause_of(error));
+                    }
                 }
-                RetryDecision::Fail(error) => return CallEnd::Failed(attempts.cause_of(error)),
             }
             self.trace(StepEvent::Retried { kind });
         }
@@ -85,7 +86,7 @@
         self.progress.trace.add(now, event);
     }
 
-    fn decide(&self, error: GatewayError, attempts: &Attempts) -> RetryDecision {
+    pub(super) fn decide(&self, error: GatewayError, attempts: &Attempts) -> RetryDecision {
         let is_model = matches!(self.call.body, crate::request::CallBody::Completion(_));
         let failure = AttemptFailure {
             error,
@@ -110,7 +111,7 @@
         match place {
             Place::Slot(slot) => {
                 attempts.excluded.push(slot.endpoint);
-                self.serve(slot).await
+                self.serve(slot, attempts).await
             }
             Place::Peer(remote) => {
                 attempts.excluded.push(remote.preferred_endpoint);
@@ -120,6 +121,9 @@
     }
 
     async fn place(&mut self, attempts: &mut Attempts) -> Result<Place, GatewayError> {
+        if let Some(place) = attempts.successor.take() {
+            return Ok(place);
+        }
         let catalog = self.context.blackboard.catalog.load_full();
         if self.progress.passed_chunks == 0 {
             // An answer that has begun is finished even if its key is revoked meanwhile.
@@ -135,7 +139,10 @@
             return self.slot_at(endpoint).map(Place::Slot);
         }
         let class = self.class();
-        let decision = self.choose(class, &attempts.excluded)?;
+        let decision = match self.choose(class, &attempts.excluded) {
+            Err(_) if attempts.readmit_silent() => self.choose(class, &attempts.excluded)?,
+            chosen => chosen?,
+        };
         attempts.expected_first_event = decision.expected_first_event;
         self.trace(weighed(&catalog, &decision));
         match decision.choice {
@@ -164,7 +171,7 @@
         }
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         class: WorkClass,
         excluded: &[EndpointKey],
@@ -186,13 +193,13 @@
         Ok(choose(now, &query, &mut self.context.rng())?)
     }
 
-    fn slot_at(&self, endpoint: EndpointKey) -> Result<Slot, GatewayError> {
+    pub(super) fn slot_at(&self, endpoint: EndpointKey) -> Result<Slot, GatewayError> {
         let load = self.load_of(endpoint)?;
         let attempt = load.on_sent(self.context.clock.now(), &self.call);
         Ok(Slot { endpoint, attempt })
     }
 
-    fn load_of(&self, endpoint: EndpointKey) -> Result<Arc<EndpointLoad>, GatewayError> {
+    pub(super) fn load_of(&self, endpoint: EndpointKey) -> Result<Arc<EndpointLoad>, GatewayError> {
         let loads = self.context.blackboard.endpoint_loads.load();
         loads
             .get(endpoint)
@@ -201,9 +208,9 @@
     }
 
     /// Sends the call to an endpoint and relays the answer.
-    async fn serve(&mut self, slot: Slot) -> CallEnd {
+    async fn serve(&mut self, slot: Slot, attempts: &mut Attempts) -> CallEnd {
         let catalog = self.context.blackboard.catalog.load_full();
-        let Some(endpoint) = catalog.endpoints.get(slot.endpoint) else {
+        let Some(endpoint) = catalog.endpoints.get(slot.endpoint).cloned() else {
             let error = GatewayError::new(ErrorKind::NoEndpoint, "the endpoint was removed");
             return CallEnd::Failed(error);
         };
@@ -215,19 +222,13 @@
         self.trace(StepEvent::Sent {
             endpoint: endpoint.name.clone(),
         });
-        let context = Arc::clone(&self.context);
-        let mut attempt = slot.attempt;
-        let end = match context.endpoints.call(endpoint, call).await {
-            Ok(stream) => {
-                let on_first = |now: Monotonic| {
-                    let event = load.on_first_event(now, &mut attempt);
-                    context.audit_endpoint(slot.endpoint, event);
-                };
-                self.relay(stream, on_first).await
-            }
-            Err(error) => CallEnd::Failed(error),
-        };
-        self.release(slot.endpoint, &load, attempt, &end);
+        let mut watch = self.silence_watch(endpoint.clone(), slot, load, attempts);
+        let endpoints = Arc::clone(&self.context.endpoints);
+        let stream = async move { endpoints.call(&endpoint, call).await };
+        let stream = Box::pin(stream.try_flatten_stream());
+        let end = self.relay(stream, &mut watch).await;
+        let SilenceWatch { slot, load, .. } = watch;
+        self.release(slot.endpoint, &load, slot.attempt, &end);
         end
     }
 
@@ -250,14 +251,16 @@
             Err(error) => return CallEnd::Failed(error),
         };
         let now = self.context.clock.now();
-        let mut attempt = load.on_forwarded(now, &self.call, remote.network_time);
-        let context = Arc::clone(&self.context);
-        let on_first = |now: Monotonic| {
-            let event = load.on_first_event(now, &mut attempt);
-            context.audit_endpoint(endpoint, event);
+        let attempt = load.on_forwarded(now, &self.call, remote.network_time);
+        let mut watch = ForwardWatch::Counted {
+            endpoint,
+            load,
+            attempt,
         };
-        let end = self.forward(remote.vm, Some(endpoint), on_first).await;
-        self.release(endpoint, &load, attempt, &end);
+        let end = self.forward(remote.vm, Some(endpoint), &mut watch).await;
+        if let ForwardWatch::Counted { load, attempt, .. } = watch {
+            self.release(endpoint, &load, attempt, &end);
+        }
         end
     }
 
@@ -266,7 +269,7 @@
         &mut self,
         to: VmKey,
         preferred_endpoint: Option<EndpointKey>,
-        on_first: impl FnMut(Monotonic),
+        watch: &mut ForwardWatch,
     ) -> CallEnd {
         let catalog = self.context.blackboard.catalog.load_full();
         let local_vm = self.context.blackboard.membership.load().local_vm;
@@ -288,64 +291,12 @@
         }
         let peers = Arc::clone(&self.context.peers);
         match peers.forward(to, request).await {
-            Ok(stream) => self.relay(stream, on_first).await,
+            Ok(stream) => self.relay(stream, watch).await,
             Err(error) => CallEnd::Failed(error),
         }
     }
 
-    async fn relay(
-        &mut self,
-        mut stream: AnswerStream,
-        mut on_first: impl FnMut(Monotonic),
-    ) -> CallEnd {
-        let context = Arc::clone(&self.context);
-        let sink = self.sink.clone();
-        let expiry = sleep(self.remaining());
-        tokio::pin!(expiry);
-        let mut is_first = true;
-        loop {
-            let item = tokio::select! {
-                item = stream.next() => item,
-                () = sink.closed(), if self.on_disconnect == DisconnectPolicy::Cancel => {
-                    return CallEnd::Disconnected;
-                }
-                () = &mut expiry => return CallEnd::Failed(self.deadline_error()),
-            };
-            let event = match item {
-                Some(Ok(event)) => event,
-                Some(Err(error)) => return CallEnd::Failed(error),
-                None => return CallEnd::Failed(truncated()),
-            };
-            let now = context.clock.now();
-            if std::mem::take(&mut is_first) {
-                on_first(now);
-            }
-            if let Some(end) = self.pass_on(now, event).await {
-                return end;
-            }
-        }
-    }
-
-    async fn pass_on(&mut self, now: Monotonic, event: AnswerEvent) -> Option<CallEnd> {
-        if event.payload == AnswerPayload::KeepAlive && self.progress.passed_chunks == 0 {
-            // Sends nothing yet, so that a failure can still set the HTTP status.
-            return None;
-        }
-        self.progress.on_event(now, &event);
-        let usage = match &event.payload {
-            AnswerPayload::End(usage) => Some(*usage),
-            _ => None,
-        };
-        let is_delivered = self.sink.send(Ok(event)).await.is_ok();
-        if !is_delivered && self.on_disconnect == DisconnectPolicy::Cancel {
-            return Some(CallEnd::Disconnected);
-        }
-        usage.map(CallEnd::Completed)
-    }
-
     fn endpoint_call(&self, kind: EndpointKind) -> EndpointCall {
-        let catalog = self.context.blackboard.catalog.load();
-        let route = catalog.routes.get(self.call.route);
         let remaining = self.remaining();
         let resume_offset = match kind {
             EndpointKind::Engine => self.progress.passed_chunks,
@@ -356,17 +307,14 @@
             body: self.call.body.clone(),
             class: self.class(),
             resume_offset,
-            first_event_timeout: route.map_or(remaining, |route| {
-                Duration::from_millis(route.first_event_timeout_ms)
-            }),
-            silence_timeout: route.map_or(remaining, |route| {
-                Duration::from_millis(route.silence_timeout_ms)
-            }),
+            // The silence watch ends the attempt earlier if another endpoint can take it over.
+            first_event_timeout: remaining,
+            silence_timeout: remaining,
             remaining,
         }
     }
 
-    fn class(&self) -> WorkClass {
+    pub(super) fn class(&self) -> WorkClass {
         let catalog = self.context.blackboard.catalog.load();
         let route = catalog.routes.get(self.call.route);
         route.map_or(WorkClass::Long, |route| route.class)
@@ -383,11 +331,11 @@
         now + remaining.min(Duration::from_millis(first_event_ms))
     }
 
-    fn remaining(&self) -> Duration {
+    pub(super) fn remaining(&self) -> Duration {
         self.deadline.since(self.context.clock.now())
     }
 
-    fn deadline_error(&self) -> GatewayError {
+    pub(super) fn deadline_error(&self) -> GatewayError {
         GatewayError::new(ErrorKind::DeadlineExceeded, "the deadline has passed")
     }
 }
--- a/src/vm/coordinator.rs
+++ b/src/vm/coordinator.rs
@@ -8,6 +8,7 @@
 use super::call_end::CallEnd;
 use super::call_end::DisconnectPolicy;
 use super::call_task::CallTask;
+use super::forward_watch::ForwardWatch;
 use super::progress::AnswerStorage;
 use super::progress::Progress;
 use super::BeginReply;
@@ -175,7 +176,7 @@
             "no VM of the call's home region is reachable",
         ));
         for vm in self.home_vms(home, record_id) {
-            end = task.forward(vm, None, |_| {}).await;
+            end = task.forward(vm, None, &mut ForwardWatch::Uncounted).await;
             if !is_unreached(&end) {
                 break;
             }
--- a/tests/behaviour/vm/silent_endpoints.rs
+++ b/tests/behaviour/vm/silent_endpoints.rs
@@ -1,6 +1,7 @@
 //! Sound endpoints that are silent for longer than the timeouts of their routes, and then go on.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use figramp::catalog::TicketNumber;
 use figramp::demo::DeploymentPlan;
@@ -16,6 +17,7 @@
 use super::support::executions;
 use super::support::launch;
 use super::support::numbered_stream_body;
+use super::support::refusal;
 use super::support::streamed_text;
 use super::support::wait_until;
 use super::support::ExclusiveDeployment;
@@ -164,6 +166,20 @@
     drain.await.expect("the drain ends by itself");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_of_an_engine_that_stays_silent_ends_with_its_deadline() {
+    let mut deployment = launch_impatient(1).await;
+    let mut route = model_route(TIMEOUT_MS);
+    route["value"]["deadline_ms"] = json!(1_500);
+    publish(&mut deployment, vec![route]).await;
+    all_engines_fall_silent(&deployment, Duration::from_secs(60));
+    let sent_at = Instant::now();
+    let (response, _) = send(&deployment, 0, 1).await;
+    let expected = ("deadline_exceeded".to_owned(), "may_have_run".to_owned());
+    assert_eq!(refusal(response).await, expected);
+    assert!(sent_at.elapsed() < Duration::from_millis(2_500));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silent_engine_is_out_of_use_no_longer_than_its_silence() {
     let deployment = launch_impatient(2).await;
