Serve: keep a silent endpoint out of use no longer than its silence

Callers were refused, or sent to fewer endpoints, after an endpoint had been silent for a time and went on: in virtual time a silence of 0.4 s put it out of use for 1 s.

Cause: a time-out counted like a broken connection. Requests that timed out together each raised the count of failures, and the cool-down after a failed probe doubled with that count, up to 30 s.

After time-outs alone the cool-down is now the silence that was seen, from the latest event to the time-out, and does not grow: an endpoint that was silent for s is taken out after the time-out t at the earliest and is back at s + t at the latest. Time-outs and broken connections still add up to the three failures that open the breaker, and a breaker that broken connections have opened treats a silent probe as before.

--- a/src/routing/attempt.rs
+++ b/src/routing/attempt.rs
@@ -20,6 +20,7 @@
     pub(super) prefix_hashes: Vec<u64>,
     pub(super) is_probe: bool,
     pub(super) is_silent: bool,
+    pub(super) latest_event_at: Monotonic,
 }
 
 impl Attempt {
--- a/src/routing/endpoint_load.rs
+++ b/src/routing/endpoint_load.rs
@@ -72,6 +72,7 @@
             prefix_hashes,
             is_probe,
             is_silent: false,
+            latest_event_at: now,
         }
     }
 
@@ -92,6 +93,7 @@
 
     /// Records an event of an answer.
     pub fn on_event(&self, now: Monotonic, attempt: &mut Attempt) -> Option<EndpointEvent> {
+        attempt.latest_event_at = now;
         if attempt.first_event_at.is_none() {
             attempt.is_silent = false;
             return self.on_first_event(now, attempt);
@@ -110,7 +112,8 @@
             return None;
         }
         let is_probe = std::mem::take(&mut attempt.is_probe);
-        self.breaker.on_failure(now, is_probe)
+        let silence = now.since(attempt.latest_event_at);
+        self.breaker.on_silence(now, silence, is_probe)
     }
 
     /// Records the end of a complete answer.
@@ -136,7 +139,7 @@
     pub fn on_failed(
         &self,
         now: Monotonic,
-        attempt: Attempt,
+        mut attempt: Attempt,
         failure: EndpointFailure,
     ) -> Option<EndpointEvent> {
         if attempt.first_event_at.is_none() {
@@ -147,10 +150,8 @@
         }
         self.release(now, &attempt);
         match failure {
-            EndpointFailure::Silent if attempt.is_silent => None,
-            EndpointFailure::Broken | EndpointFailure::Silent => {
-                self.breaker.on_failure(now, attempt.is_probe)
-            }
+            EndpointFailure::Silent => self.on_silence(now, &mut attempt),
+            EndpointFailure::Broken => self.breaker.on_failure(now, attempt.is_probe),
             EndpointFailure::Refused | EndpointFailure::Unrelated => {
                 self.breaker.on_inconclusive(attempt.is_probe);
                 None
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -31,10 +31,12 @@
 /// A circuit breaker: consecutive failures open it, and a successful request closes it.
 ///
 /// After the cool-down it lets one probe through at a time; the cool-down doubles with each
-/// further failure, up to 30 s.
+/// further failure, up to 30 s. After silences alone the cool-down is as long as the silence that
+/// was seen, so a sound endpoint is out of use no longer than it was silent.
 #[derive(Debug, Default)]
 pub(super) struct Breaker {
     failures: AtomicU32,
+    silences: AtomicU32,
     open_until_us: AtomicU64,
     probe_sent_us: AtomicU64,
 }
@@ -84,6 +86,7 @@
     /// Records the first event or the end of an answer, and closes the breaker.
     pub(super) fn on_success(&self) -> Option<EndpointEvent> {
         self.failures.store(0, Ordering::Release);
+        self.silences.store(0, Ordering::Release);
         self.probe_sent_us.store(UNSET, Ordering::Release);
         let was_open = self.open_until_us.swap(UNSET, Ordering::AcqRel) != UNSET;
         was_open.then_some(EndpointEvent::TakenBack)
@@ -95,19 +98,49 @@
             .failures
             .fetch_add(1, Ordering::AcqRel)
             .saturating_add(1);
-        let is_open = self.open_until_us.load(Ordering::Acquire) != UNSET;
-        let must_open = is_probe || (!is_open && failures >= FAILURES_TO_OPEN);
-        if !must_open {
+        let counted = failures.saturating_add(self.silences.load(Ordering::Acquire));
+        if !is_probe && (self.is_open() || counted < FAILURES_TO_OPEN) {
             return None;
         }
-        let cool_down = cool_down(failures);
+        Some(self.open(now, failures, cool_down(failures)))
+    }
+
+    /// Records that an answer was silent for `silence`; returns an event if it opens the breaker.
+    pub(super) fn on_silence(
+        &self,
+        now: Monotonic,
+        silence: Duration,
+        is_probe: bool,
+    ) -> Option<EndpointEvent> {
+        let broken = self.failures.load(Ordering::Acquire);
+        if is_probe && broken >= FAILURES_TO_OPEN {
+            return self.on_failure(now, is_probe);
+        }
+        let silences = self.silences.fetch_add(1, Ordering::AcqRel);
+        let failures = broken.saturating_add(silences).saturating_add(1);
+        if !is_probe && (self.is_open() || failures < FAILURES_TO_OPEN) {
+            return None;
+        }
+        Some(self.open(now, failures, silence.min(COOL_DOWN_MAX)))
+    }
+
+    fn is_open(&self) -> bool {
+        self.open_until_us.load(Ordering::Acquire) != UNSET
+    }
+
+    fn open(
+        &self,
+        now: Monotonic,
+        consecutive_failures: u32,
+        cool_down: Duration,
+    ) -> EndpointEvent {
         self.open_until_us
             .store((now + cool_down).as_us().max(1), Ordering::Release);
         self.probe_sent_us.store(UNSET, Ordering::Release);
-        Some(EndpointEvent::TakenOut {
-            consecutive_failures: failures,
+        EndpointEvent::TakenOut {
+            consecutive_failures,
             cool_down_ms: cool_down.as_millis() as u64,
-        })
+        }
     }
 
     /// Allows another probe if one ended without a result about the endpoint's health.
--- a/tests/behaviour/routing/silent_endpoints.rs
+++ b/tests/behaviour/routing/silent_endpoints.rs
@@ -76,6 +76,23 @@
     }
 }
 
+#[test]
+fn silences_and_broken_connections_together_take_an_endpoint_out() {
+    let site = Site::new();
+    let load = site.load("north-tips-0");
+    for failure in [
+        EndpointFailure::Silent,
+        EndpointFailure::Silent,
+        EndpointFailure::Broken,
+    ] {
+        assert_eq!(load.health(SILENCE_START), Health::Up);
+        let attempt = load.on_sent(SILENCE_START, &site.call);
+        load.on_failed(SILENCE_START, attempt, failure);
+    }
+    let health = load.health(SILENCE_START);
+    assert!(matches!(health, Health::CoolingDown { .. }));
+}
+
 #[test]
 fn a_broken_endpoint_is_blamed_more_than_a_silent_one() {
     let cool_down = |failure| {
