Serve: check the key before a silent call is handed over

The key of a call is checked before each attempt as long as no chunk of the answer was passed on. The successor of a silent attempt, chosen ahead, went past that check since the silence watch. With a withdrawn key no successor is chosen, and the attempt that runs already goes on.

Found by reading; no test fails without this change. 13 tests of key revocation, silences, whole answers and retries pass.

--- a/src/vm/silence_watch.rs
+++ b/src/vm/silence_watch.rs
@@ -7,6 +7,7 @@
 use super::attempts::Place;
 use super::attempts::RemotePlace;
 use super::call_task::CallTask;
+use super::check_key;
 use super::relay::RelayWatch;
 use super::Slot;
 use crate::catalog::Endpoint;
@@ -70,8 +71,10 @@
         }
     }
 
-    /// Returns a place for a call whose answer has not begun, if one can take it now.
+    /// Returns a place for a call whose answer has not begun, if one can take it now and its key is
+    /// still valid.
     fn free_place(&self, attempts: &mut Attempts) -> Option<FreePlace> {
+        check_key(&self.context.blackboard.catalog.load(), &self.call).ok()?;
         let class = self.class();
         let decision = self.choose(class, &attempts.excluded).ok()?;
         let place = match decision.choice {
