--- a/src/routing/endpoint_load.rs
+++ b/src/routing/endpoint_load.rs
@@ -36,6 +36,7 @@
     service_times: ObservedServiceTimes,
     cache_sequence: AtomicU64,
     report: ArcSwapOption<ReportedLoad>,
+    reported_at_us: AtomicU64,
     history: InFlightHistory,
     breaker: Breaker,
     prefixes: PrefixTable,
@@ -70,6 +71,8 @@
             work_tokens: ahead + prompt_tokens,
             prefix_hashes,
             is_probe,
+            is_silent: false,
+            latest_event_at: now,
         }
     }
 
@@ -88,6 +91,31 @@
         self.breaker.on_success()
     }
 
+    /// Records an event of an answer.
+    pub fn on_event(&self, now: Monotonic, attempt: &mut Attempt) -> Option<EndpointEvent> {
+        attempt.latest_event_at = now;
+        if attempt.first_event_at.is_none() {
+            attempt.is_silent = false;
+            return self.on_first_event(now, attempt);
+        }
+        if std::mem::take(&mut attempt.is_silent) {
+            return self.breaker.on_success();
+        }
+        None
+    }
+
+    /// Records that no event of an answer came in time; the attempt may go on.
+    ///
+    /// Counts once until the next event.
+    pub fn on_silence(&self, now: Monotonic, attempt: &mut Attempt) -> Option<EndpointEvent> {
+        if std::mem::replace(&mut attempt.is_silent, true) {
+            return None;
+        }
+        let is_probe = std::mem::take(&mut attempt.is_probe);
+        let silence = now.since(attempt.latest_event_at);
+        self.breaker.on_silence(now, silence, is_probe)
+    }
+
     /// Records the end of a complete answer.
     pub fn on_done(
         &self,
@@ -111,7 +139,7 @@
     pub fn on_failed(
         &self,
         now: Monotonic,
-        attempt: Attempt,
+        mut attempt: Attempt,
         failure: EndpointFailure,
     ) -> Option<EndpointEvent> {
         if attempt.first_event_at.is_none() {
@@ -122,9 +150,8 @@
         }
         self.release(now, &attempt);
         match failure {
-            EndpointFailure::Broken | EndpointFailure::Silent => {
-                self.breaker.on_failure(now, attempt.is_probe)
-            }
+            EndpointFailure::Silent => self.on_silence(now, &mut attempt),
+            EndpointFailure::Broken => self.breaker.on_failure(now, attempt.is_probe),
             EndpointFailure::Refused | EndpointFailure::Unrelated => {
                 self.breaker.on_inconclusive(attempt.is_probe);
                 None
@@ -138,6 +165,7 @@
     pub fn on_report(&self, now: Monotonic, report: &LoadReport) {
         let age_us = report.age_ms.saturating_mul(1_000);
         let taken_at = Monotonic::from_us(now.as_us().saturating_sub(age_us));
+        self.reported_at_us.store(now.as_us(), Ordering::Release);
         let is_older = self
             .report
             .load()
@@ -210,6 +238,11 @@
             .map(|report| **report)
     }
 
+    /// Returns when the latest load report arrived; zero before the first one.
+    pub fn reported_at(&self) -> Monotonic {
+        Monotonic::from_us(self.reported_at_us.load(Ordering::Acquire))
+    }
+
     /// Returns the measured service times, or `None` before the first complete answer.
     pub fn service_times(&self) -> Option<ServiceTimes> {
         self.service_times.get()
