--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -97,7 +97,7 @@
         has_arrived: bool,
         retry_after: Option<Duration>,
     },
-    /// The request did not run, and must not be sent on for this time, as its prompt is quarantined.
+    /// The request did not run, and must not be sent on for this time, as it is quarantined.
     Quarantined(Duration),
     /// The request may have run.
     MayHaveRun(UpstreamError),
@@ -127,7 +127,7 @@
     let sent = wait_for(state, limits, sending, try_leave).await;
     let response = match sent.and_then(|response| response) {
         Ok(response) => response,
-        Err(error) => return Err(on_failed(running, error)),
+        Err(error) => return Err(on_failed(request, running, error)),
     };
     let (parts, body) = response.into_parts();
     let answer = Answer {
@@ -183,7 +183,11 @@
     }
 }
 
-fn on_failed(mut running: RunningRequest, error: UpstreamError) -> AttemptError {
+fn on_failed(
+    request: &ClientRequest,
+    mut running: RunningRequest,
+    error: UpstreamError,
+) -> AttemptError {
     if error.is_not_sent() {
         // The peer closed an idle connection, which does not mean that the endpoint is unreachable.
         return AttemptError::NotRun {
@@ -191,6 +195,9 @@
             retry_after: None,
         };
     }
+    if error.is_broken_off() {
+        running.record_crash(request.parts());
+    }
     // A new connection tells an endpoint that is silent from one that is gone.
     running.discard_idle();
     running.record_outcome(match error.is_silence() {
@@ -208,6 +215,7 @@
     mut answer: Answer,
 ) -> Result<Answer, AttemptError> {
     let now = state.now();
+    answer.running.on_head(now);
     let head = AnswerHead::decode(&answer.parts);
     if let Some(keep_alive) = head.keep_alive {
         answer.running.connection_mut().on_keep_alive(keep_alive);
