Soak: endpoints that fall silent, and requests that crash endpoints

Timeouts are longer than the silences. For all runs, the check of lost answers now looks only at faults of the VMs and endpoints that a request reached, not at any fault in the run, and a VM that neither failed nor was stopped must answer. Route timeouts change with each configuration.

FIGRAMP_SOAK_CRASHING_REQUESTS: a request of each service comes again at any VM. Later than 5 s after its third crash at most three arrive, and at least half as many sound ones begin as before.

--- a/tests/behaviour/soak/checks.rs
+++ b/tests/behaviour/soak/checks.rs
@@ -11,8 +11,11 @@
 /// The time after which a revoked key must not be accepted, as the settings of the daemons have it.
 const KEY_REVOCATION: Duration = Duration::from_millis(5_000);
 
-/// The time within which a request must be answered: its own timeout plus half a second.
-const ANSWER_MAX: Duration = Duration::from_millis(4_000);
+/// How much later than its timeout a request may be answered.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
+/// The time after which a daemon has accepted a request that was sent to it.
+const ACCEPT_TIME: Duration = Duration::from_millis(250);
 
 /// How long the effects of a fault may last after its end, until silent connections time out.
 const EFFECTS_MAX: Duration = Duration::from_millis(2_000);
@@ -46,9 +49,13 @@
                 "a revoked key was accepted again",
             ),
             (
-                is_lost(history, exchange, runs),
+                is_lost(world, history, exchange),
                 "no complete answer without a fault on its path",
             ),
+            (
+                is_unanswered(history, exchange),
+                "no answer from a VM that was in order",
+            ),
             (is_late(history, exchange), "not answered in time"),
         ];
         let violated = checks.iter().filter(|(is_violated, _)| *is_violated);
@@ -153,16 +160,46 @@
 }
 
 /// Returns whether a request that ran has no complete answer although no fault disturbed its path.
-/// Orderly stops, reloads, configuration changes and an unreachable store must not interrupt
-/// answers.
-fn is_lost(history: &History, exchange: &Exchange, runs: u32) -> bool {
+/// Orderly stops, reloads, configuration changes, silent endpoints and an unreachable store must not
+/// interrupt answers.
+fn is_lost(world: &World, history: &History, exchange: &Exchange) -> bool {
     let is_incomplete = matches!(
         exchange.received,
         Received::Nothing | Received::Truncated { .. }
     );
-    let vm_spans = history.vm_faults.iter().map(|(_, span)| span);
-    let mut spans = vm_spans.chain(&history.endpoint_faults);
-    runs > 0 && is_incomplete && !spans.any(|span| span.overlaps(exchange, EFFECTS_MAX))
+    let reached = world.reached(&exchange.id);
+    if !is_incomplete || reached.is_empty() {
+        return false;
+    }
+    // A VM of the endpoint's region forwarded the request if its client asked another region.
+    let may_have_served = |vm: usize| {
+        let zone = world.vms[vm].zone;
+        let own_zone = world.vms[exchange.vm].zone;
+        let mut zones = reached
+            .iter()
+            .map(|endpoint| world.endpoints[*endpoint].zone);
+        vm == exchange.vm || (zone != own_zone && zones.any(|reached| reached == zone))
+    };
+    let vm_faults = history.vm_faults.iter();
+    let vm_faults = vm_faults.filter(|(vm, _)| may_have_served(*vm));
+    let endpoint_faults = history.endpoint_faults.iter();
+    let endpoint_faults = endpoint_faults.filter(|(endpoint, _)| reached.contains(endpoint));
+    let mut spans = vm_faults.chain(endpoint_faults).map(|(_, span)| span);
+    !spans.any(|span| span.overlaps(exchange, EFFECTS_MAX))
+}
+
+/// Returns whether a VM did not answer at all, though it neither failed nor was stopped before it had
+/// accepted the request.
+fn is_unanswered(history: &History, exchange: &Exchange) -> bool {
+    let mut vm_faults = history.vm_faults.iter();
+    let has_failed =
+        vm_faults.any(|(vm, span)| *vm == exchange.vm && span.overlaps(exchange, EFFECTS_MAX));
+    let mut vm_stops = history.vm_stops.iter();
+    let is_stopped = vm_stops.any(|(vm, span)| {
+        let accepted_by = exchange.sent_at + ACCEPT_TIME;
+        *vm == exchange.vm && span.touches(exchange.sent_at, accepted_by, EFFECTS_MAX)
+    });
+    exchange.received == Received::Nothing && !has_failed && !is_stopped
 }
 
 fn is_late(history: &History, exchange: &Exchange) -> bool {
@@ -173,5 +210,5 @@
     let is_disturbed = faults_of_vm
         .map(|(_, span)| span)
         .any(|span| span.overlaps(exchange, EFFECTS_MAX));
-    !is_disturbed && exchange.ended_at - exchange.sent_at > ANSWER_MAX
+    !is_disturbed && exchange.ended_at - exchange.sent_at > exchange.timeout + ANSWER_SLACK
 }
--- a/tests/behaviour/soak/clients.rs
+++ b/tests/behaviour/soak/clients.rs
@@ -10,17 +10,19 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use super::crashing_requests::crashing_body;
 use super::history::Exchange;
 use super::history::Prompt;
 use super::history::Received;
 use super::history::RequestKind;
 use super::world::World;
+use crate::entry::support::KEY;
 
 /// The longest pause of a client between two requests.
 const PAUSE_MAX_MS: u64 = 40;
 
-/// The timeout that a client sets for each request.
-const TIMEOUT_MS: u64 = 3_500;
+/// A body that crashes no endpoint.
+pub(super) const SOUND_BODY: &str = "ask";
 
 /// Sends random kinds of requests to random VMs until `is_over` is true.
 pub(super) async fn send_requests(
@@ -36,13 +38,18 @@
         number += 1;
         let vm = rng.random_range(0..world.vms.len());
         let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
-        let key = world.key(rng.random_range(0..8));
+        let key = match rng.random() {
+            true => KEY.to_owned(),
+            false => world.key(rng.random_range(0..8)),
+        };
         let id = format!("{seed:x}-{client}-{number}");
         let request = Request {
             id,
             kind,
+            timeout: world.timeout(kind, number),
             prompt: Prompt::Undeclared,
             parts: None,
+            body: sound_body(&mut rng, kind),
             key,
             vm,
         };
@@ -51,13 +58,24 @@
     }
 }
 
+/// Draws a body that crashes no endpoint on the path of this kind.
+fn sound_body(rng: &mut StdRng, kind: RequestKind) -> String {
+    let other = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
+    match other == kind {
+        true => SOUND_BODY.to_owned(),
+        false => crashing_body(other),
+    }
+}
+
 /// A request to send to a VM.
 pub(super) struct Request {
     pub(super) id: String,
     pub(super) kind: RequestKind,
+    pub(super) timeout: Duration,
     pub(super) prompt: Prompt,
     /// The parts of the prompt, if they are declared.
     pub(super) parts: Option<String>,
+    pub(super) body: String,
     pub(super) key: String,
     pub(super) vm: usize,
 }
@@ -70,9 +88,9 @@
         .post(format!("http://{}:8221{}", slot.ip, request.kind.path()))
         .header("Host", "test.example")
         .header("Request-Id", &request.id)
-        .header("Timeout-Ms", TIMEOUT_MS.to_string())
+        .header("Timeout-Ms", request.timeout.as_millis().to_string())
         .header("Authorization", format!("Bearer {}", request.key))
-        .body("ask");
+        .body(request.body);
     if let Some(parts) = request.parts {
         message = message
             .header("Token-Count", "2100,80")
@@ -87,6 +105,7 @@
         prompt: request.prompt,
         key: request.key,
         vm: request.vm,
+        timeout: request.timeout,
         starts: (start_count, end_count),
         sent_at,
         ended_at: Instant::now(),
--- a/tests/behaviour/soak/crashing_prompts.rs
+++ b/tests/behaviour/soak/crashing_prompts.rs
@@ -13,6 +13,7 @@
 
 use super::clients::send_once;
 use super::clients::Request;
+use super::clients::SOUND_BODY;
 use super::history::Exchange;
 use super::history::History;
 use super::history::Prompt;
@@ -36,21 +37,21 @@
 const DOWN_MS: std::ops::Range<u64> = 500..1_500;
 
 /// The time before the first crash, without faults.
-const BASELINE_TIME: Duration = Duration::from_secs(2);
+pub(super) const BASELINE_TIME: Duration = Duration::from_secs(2);
 
 /// The time for which crashing prompts go on once the bounds hold.
-const CHECK_TIME: Duration = Duration::from_secs(4);
+pub(super) const CHECK_TIME: Duration = Duration::from_secs(4);
 
 /// The longest time for which crashing prompts go on after the last fault.
-const CRASHING_MAX: Duration = Duration::from_secs(20);
+pub(super) const CRASHING_MAX: Duration = Duration::from_secs(20);
 
-const POLL_PERIOD: Duration = Duration::from_millis(10);
+pub(super) const POLL_PERIOD: Duration = Duration::from_millis(10);
 
 /// The number of requests with a crashing part that may reach endpoints late.
 const LATE_ARRIVALS_MAX: usize = 3;
 
 /// The smallest number of sound requests that a fraction is computed from.
-const SOUND_MIN: usize = 20;
+pub(super) const SOUND_MIN: usize = 20;
 
 /// The crashing prompts of a run.
 pub(super) struct CrashingPrompts {
@@ -131,7 +132,7 @@
                 }
                 let vm = rng.random_range(0..world.vms.len());
                 let parts = sound_parts(&name, number);
-                let request = request(&name, number, vm, number / 2, Prompt::Sound, parts);
+                let request = request(&world, &name, number, vm, number / 2, Prompt::Sound, parts);
                 send_once(&world, &http, request).await;
                 sleep(Duration::from_millis(rng.random_range(SOUND_PAUSE_MS))).await;
             }
@@ -159,13 +160,22 @@
             _ => number,
         };
         let parts = crashing_parts(&name, prompt);
-        let request = request(&name, number, vm, prompt / 2, Prompt::Crashing, parts);
+        let request = request(
+            &world,
+            &name,
+            number,
+            vm,
+            prompt / 2,
+            Prompt::Crashing,
+            parts,
+        );
         send_once(&world, &http, request).await;
         sleep(Duration::from_millis(rng.random_range(CRASHING_PAUSE_MS))).await;
     }
 }
 
 fn request(
+    world: &World,
     name: &str,
     number: usize,
     vm: usize,
@@ -173,18 +183,21 @@
     prompt: Prompt,
     parts: String,
 ) -> Request {
+    let kind = [RequestKind::Stream, RequestKind::TipStream][kind % 2];
     Request {
         id: format!("{name}-{number}"),
-        kind: [RequestKind::Stream, RequestKind::TipStream][kind % 2],
+        kind,
+        timeout: world.timeout(kind, number),
         prompt,
         parts: Some(parts),
+        body: SOUND_BODY.to_owned(),
         key: KEY.to_owned(),
         vm,
     }
 }
 
 /// Restarts endpoints some time after each crash.
-async fn restart_crashed(world: Arc<World>, seed: u64) {
+pub(super) async fn restart_crashed(world: Arc<World>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed ^ 0xe0 << 32);
     let mut restarts = JoinSet::new();
     let mut restarting = vec![false; world.endpoints.len()];
@@ -208,7 +221,7 @@
                 let crashed_at = endpoint.server.crashes().last().copied();
                 sleep(down).await;
                 world.restart_endpoint(endpoint, &id).await;
-                world.record_endpoint_fault(crashed_at.expect("a crash"));
+                world.record_endpoint_fault(index, crashed_at.expect("a crash"));
                 index
             });
         }
@@ -232,10 +245,7 @@
     let Some(limit_reached_at) = limit_reached_at(world) else {
         return vec!["no crashing prompt reached an endpoint".to_owned()];
     };
-    let is_in_touch = |at: Instant| {
-        let mut disruptions = history.disruptions.iter();
-        !disruptions.any(|span| span.overlaps_before(at, STABLE_WINDOW))
-    };
+    let is_in_touch = |at: Instant| history.is_in_touch(at, STABLE_WINDOW);
     let mut found = Vec::new();
     let servers = world.endpoints.iter().map(|endpoint| &endpoint.server);
     let late = servers
@@ -273,7 +283,7 @@
     found
 }
 
-fn begun_fraction(exchanges: &[&Exchange]) -> f64 {
+pub(super) fn begun_fraction(exchanges: &[&Exchange]) -> f64 {
     let begun = exchanges.iter().filter(|exchange| has_begun(exchange));
     begun.count() as f64 / exchanges.len() as f64
 }
--- /dev/null
+++ b/tests/behaviour/soak/endpoint_slot.rs
@@ -0,0 +1,78 @@
+//! An endpoint of a run, with the proxies before it.
+
+use figramp::stand_in::deployment::AnswerFraming;
+use figramp::stand_in::deployment::EndpointFaults;
+use figramp::stand_in::deployment::EndpointServer;
+use figramp::stand_in::deployment::UnframedAnswers;
+use figramp::stand_in::deployment::UnframedProxy;
+use parking_lot::Mutex;
+
+use super::loopback_proxy::LoopbackProxy;
+use super::notices::Notice;
+use crate::entry::support::any_port;
+
+/// An endpoint, its simulated faults and the proxies before it.
+pub(super) struct EndpointSlot {
+    pub(super) server: EndpointServer,
+    pub(super) link: LoopbackProxy,
+    pub(super) service: &'static str,
+    pub(super) zone: &'static str,
+    faults: Mutex<EndpointFaults>,
+    notice: Mutex<Notice>,
+    /// Passes streams on without a length and chunks.
+    unframed: Option<UnframedProxy>,
+}
+
+impl EndpointSlot {
+    /// Starts an endpoint whose answers have this framing.
+    pub(super) async fn launch(
+        zone: &'static str,
+        service: &'static str,
+        id: &str,
+        framing: AnswerFraming,
+    ) -> Self {
+        let server = EndpointServer::launch(any_port(), id, service, zone).await;
+        let server = server.expect("an endpoint");
+        let mut address = server.address();
+        let mut unframed = None;
+        if framing != AnswerFraming::Length {
+            let proxy = UnframedProxy::launch(any_port(), address).await;
+            let proxy = proxy.expect("a proxy");
+            proxy.set_answers(UnframedAnswers {
+                framing,
+                ..UnframedAnswers::default()
+            });
+            address = proxy.address();
+            unframed = Some(proxy);
+        }
+        Self {
+            server,
+            link: LoopbackProxy::launch(address).await,
+            service,
+            zone,
+            faults: Mutex::default(),
+            notice: Mutex::default(),
+            unframed,
+        }
+    }
+
+    /// Returns whether its answers arrive only once they are complete.
+    pub(super) const fn buffers_answers(&self) -> bool {
+        self.unframed.is_some()
+    }
+
+    /// Replaces the simulated faults; the notice in force stays.
+    pub(super) fn set_faults(&self, faults: EndpointFaults) {
+        let notice = self.notice.lock();
+        *self.faults.lock() = faults.clone();
+        self.server.set_faults(notice.added_to(faults));
+    }
+
+    /// Replaces the notice in the answers; the simulated faults stay.
+    pub(super) fn set_notice(&self, new: Notice) {
+        let mut notice = self.notice.lock();
+        let faults = self.faults.lock().clone();
+        self.server.set_faults(new.added_to(faults));
+        *notice = new;
+    }
+}
--- a/tests/behaviour/soak/faults.rs
+++ b/tests/behaviour/soak/faults.rs
@@ -12,7 +12,6 @@
 use tokio::time::sleep;
 
 use super::loopback_proxy::LinkState;
-use super::world::no_faults;
 use super::world::World;
 
 /// The longest pause between the starts of two faults.
@@ -109,7 +108,7 @@
             },
             9 => Self::Endpoint {
                 endpoint,
-                faults: draw_endpoint_faults(rng),
+                faults: draw_endpoint_faults(rng, world),
                 time,
             },
             10 => Self::Deregister { endpoint, time },
@@ -182,7 +181,7 @@
                 proxy.set(link);
                 sleep(time).await;
                 proxy.set(LinkState::Open);
-                world.record_endpoint_fault(from);
+                world.record_endpoint_fault(endpoint, from);
                 world.record_link_fault(endpoint, from);
             }
             Self::Endpoint {
@@ -199,9 +198,9 @@
                     || faults.truncated_event.is_some();
                 slot.set_faults(faults);
                 sleep(time).await;
-                slot.set_faults(no_faults());
+                slot.set_faults(world.no_faults());
                 if is_interrupting {
-                    world.record_endpoint_fault(from);
+                    world.record_endpoint_fault(endpoint, from);
                 }
             }
             Self::Deregister { endpoint, time } => {
@@ -237,10 +236,12 @@
     // yet. `entry::stopping` tests stops during a start.
     process.wait_for_signal_handlers().await;
     let age = started_at.elapsed();
+    let from = Instant::now();
     process.signal("-TERM");
     let ended = tokio::task::spawn_blocking(move || process.wait_for_exit_status()).await;
     world.record_stop(vm, age, ended.expect("the process ends"));
     world.start(vm).await;
+    world.record_vm_stop(vm, from);
 }
 
 fn draw_link(rng: &mut StdRng) -> LinkState {
@@ -253,8 +254,8 @@
     }
 }
 
-fn draw_endpoint_faults(rng: &mut StdRng) -> EndpointFaults {
-    let mut faults = no_faults();
+fn draw_endpoint_faults(rng: &mut StdRng, world: &World) -> EndpointFaults {
+    let mut faults = world.no_faults();
     match rng.random_range(0..5) {
         0 => faults.is_full = true,
         1 => faults.loses_answers = true,
--- a/tests/behaviour/soak/history.rs
+++ b/tests/behaviour/soak/history.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    pub(super) const fn service(self) -> &'static str {
+        match self.is_stream() {
+            true => "engine",
+            false => "plain",
+        }
+    }
+
     pub(super) const fn is_stream(self) -> bool {
         matches!(self, Self::Stream | Self::TipStream)
     }
@@ -80,6 +87,8 @@
     pub(super) prompt: Prompt,
     pub(super) key: String,
     pub(super) vm: usize,
+    /// The timeout that the client set.
+    pub(super) timeout: Duration,
     /// How often the VM's process had started when the request was sent and when it ended.
     pub(super) starts: (u32, u32),
     pub(super) sent_at: Instant,
@@ -125,8 +134,10 @@
     pub(super) revocations: Vec<Revocation>,
     /// Pauses by SIGSTOP and kills, with the index of the VM.
     pub(super) vm_faults: Vec<(usize, Span)>,
-    /// All faults that may interrupt an answer on its way from an endpoint.
-    pub(super) endpoint_faults: Vec<Span>,
+    /// Orderly stops up to the start of the next process, with the index of the VM.
+    pub(super) vm_stops: Vec<(usize, Span)>,
+    /// All faults that may interrupt an answer on its way from an endpoint, with its index.
+    pub(super) endpoint_faults: Vec<(usize, Span)>,
     /// Links to endpoints that were disturbed, with the index of the endpoint.
     pub(super) link_faults: Vec<(usize, Span)>,
     /// All faults after which VMs are not in touch.
@@ -136,3 +147,11 @@
     /// Descriptions of daemons that ended otherwise than they should.
     pub(super) wrong_exits: Vec<String>,
 }
+
+impl History {
+    /// Returns whether no disruption was in this time before an instant.
+    pub(super) fn is_in_touch(&self, at: Instant, time: Duration) -> bool {
+        let mut disruptions = self.disruptions.iter();
+        !disruptions.any(|span| span.overlaps_before(at, time))
+    }
+}
--- a/tests/behaviour/soak/runs.rs
+++ b/tests/behaviour/soak/runs.rs
@@ -15,12 +15,14 @@
 use super::clients::send_requests;
 use super::crashing_prompts;
 use super::crashing_prompts::CrashingPrompts;
+use super::crashing_requests::CrashingRequests;
 use super::faults::inject;
 use super::history::Exchange;
 use super::history::Received;
 use super::notice_checks;
 use super::notices;
 use super::restorations;
+use super::silences;
 use super::world::World;
 use crate::entry::support::KEY;
 
@@ -66,6 +68,8 @@
     has_notices: bool,
     has_crashing_prompts: bool,
     has_unframed_streams: bool,
+    has_silences: bool,
+    has_crashing_requests: bool,
 }
 
 impl Default for RunOptions {
@@ -77,6 +81,8 @@
             has_notices: false,
             has_crashing_prompts: false,
             has_unframed_streams: false,
+            has_silences: false,
+            has_crashing_requests: false,
         }
     }
 }
@@ -91,18 +97,33 @@
             has_notices: is_set("FIGRAMP_SOAK_NOTICES"),
             has_crashing_prompts: is_set("FIGRAMP_SOAK_CRASHES"),
             has_unframed_streams: is_set("FIGRAMP_SOAK_UNFRAMED"),
+            has_silences: is_set("FIGRAMP_SOAK_SILENCES"),
+            has_crashing_requests: is_set("FIGRAMP_SOAK_CRASHING_REQUESTS"),
             ..Self::default()
         }
     }
+
+    /// Returns the number of clients, which is larger if answers take longer.
+    const fn client_count(self) -> usize {
+        match self.has_silences {
+            true => CLIENT_COUNT * 2,
+            false => CLIENT_COUNT,
+        }
+    }
 }
 
 /// Runs a seed; returns a text with what failed and what was done, if anything failed.
 async fn run(seed: u64, options: RunOptions) -> Result<(), String> {
     let started = Instant::now();
-    let world = World::launch(options.vm_count, options.has_unframed_streams).await;
+    let world = World::launch(
+        options.vm_count,
+        options.has_unframed_streams,
+        options.has_silences,
+    )
+    .await;
     let (over, is_over) = watch::channel(false);
     let mut clients = JoinSet::new();
-    for client in 0..CLIENT_COUNT {
+    for client in 0..options.client_count() {
         clients.spawn(send_requests(world.clone(), client, seed, is_over.clone()));
     }
     let mut crashing_prompts = None;
@@ -110,6 +131,10 @@
         crashing_prompts::start_sound(&mut clients, &world, seed, &is_over);
         crashing_prompts = Some(CrashingPrompts::start(&world, seed).await);
     }
+    let mut crashing_requests = None;
+    if options.has_crashing_requests {
+        crashing_requests = Some(CrashingRequests::start(&world, seed).await);
+    }
     let restorations = options.has_restorations.then(|| {
         let rng = StdRng::seed_from_u64(!seed);
         tokio::spawn(restorations::inject(world.clone(), rng, options.fault_time))
@@ -118,6 +143,10 @@
         let rng = StdRng::seed_from_u64(seed.reverse_bits());
         tokio::spawn(notices::inject(world.clone(), rng, options.fault_time))
     });
+    let silences = options.has_silences.then(|| {
+        let rng = StdRng::seed_from_u64((!seed).reverse_bits());
+        tokio::spawn(silences::inject(world.clone(), rng, options.fault_time))
+    });
     inject(&world, StdRng::seed_from_u64(seed), options.fault_time).await;
     if let Some(restorations) = restorations {
         restorations.await.expect("the restorations end");
@@ -125,12 +154,18 @@
     if let Some(notices) = notices {
         notices.await.expect("the notices end");
     }
+    if let Some(silences) = silences {
+        silences.await.expect("the silences end");
+    }
     world.clear_faults();
     let is_ready = timeout(RECOVERY_MAX, world.wait_until_ready()).await;
     let mut found = match crashing_prompts {
         Some(crashing_prompts) => crashing_prompts.finish().await,
         None => Vec::new(),
     };
+    if let Some(crashing_requests) = crashing_requests {
+        found.extend(crashing_requests.finish().await);
+    }
     sleep(ENDPOINT_RECOVERY_TIME).await;
     let final_from = Instant::now();
     sleep(FINAL_TIME).await;
@@ -232,10 +267,34 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_requests_that_crash_endpoints() {
+    let options = RunOptions {
+        fault_time: SHORT_FAULT_TIME,
+        has_crashing_requests: true,
+        ..RunOptions::default()
+    };
+    if let Err(failure) = run(4, options).await {
+        panic!("{failure}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_endpoints_that_fall_silent() {
+    let options = RunOptions {
+        has_silences: true,
+        ..RunOptions::default()
+    };
+    if let Err(failure) = run(3012, options).await {
+        panic!("{failure}");
+    }
+}
+
 /// Runs the seeds that `FIGRAMP_SOAK_SEEDS` names; none without it. `FIGRAMP_SOAK_VMS` sets the
 /// number of daemons, `FIGRAMP_SOAK_RESTORATIONS` restores the store as well, and
 /// `FIGRAMP_SOAK_NOTICES` lets endpoints announce that they stop or want no requests.
-/// `FIGRAMP_SOAK_CRASHES` sends prompts that crash endpoints. With `FIGRAMP_SOAK_UNFRAMED` streams
+/// `FIGRAMP_SOAK_CRASHES` sends prompts that crash endpoints; with `FIGRAMP_SOAK_SILENCES` endpoints
+/// fall silent for a time; `FIGRAMP_SOAK_CRASHING_REQUESTS` repeats requests that crash endpoints. With `FIGRAMP_SOAK_UNFRAMED` streams
 /// end with their connection; a crash between two events then looks like the end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_by_hand() {
--- a/tests/behaviour/soak/world.rs
+++ b/tests/behaviour/soak/world.rs
@@ -8,13 +8,13 @@
 
 use figramp::stand_in::deployment::AnswerFraming;
 use figramp::stand_in::deployment::EndpointFaults;
-use figramp::stand_in::deployment::EndpointServer;
 use figramp::stand_in::deployment::StoreServer;
-use figramp::stand_in::deployment::UnframedAnswers;
-use figramp::stand_in::deployment::UnframedProxy;
 use parking_lot::Mutex;
+use serde_json::json;
 use tokio::sync::Mutex as AsyncMutex;
 
+use super::crashing_requests::crashing_requests;
+use super::endpoint_slot::EndpointSlot;
 use super::history::History;
 use super::history::RequestKind;
 use super::history::Revocation;
@@ -37,9 +37,21 @@
     AnswerFraming::Http10,
 ];
 
+/// The timeout that clients set for their requests.
+const TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// The timeout of requests that endpoints must answer in spite of two silences.
+const LONG_TIMEOUT: Duration = Duration::from_millis(7_000);
+
+/// The step between the route timeouts of two versions of the configuration.
+const ROUTE_TIMEOUT_STEP: Duration = Duration::from_millis(500);
+
 /// The delay of events and plain answers without a fault.
 const WORK_TIME: Duration = Duration::from_millis(10);
 
+/// The delay if endpoints fall silent, so that silences meet answers in progress.
+const LONG_WORK_TIME: Duration = Duration::from_millis(150);
+
 pub(super) struct VmSlot {
     pub(super) ip: Ipv4Addr,
     pub(super) zone: &'static str,
@@ -50,64 +62,6 @@
     pub(super) started_at: Mutex<Instant>,
 }
 
-pub(super) struct EndpointSlot {
-    pub(super) server: EndpointServer,
-    pub(super) link: LoopbackProxy,
-    pub(super) zone: &'static str,
-    faults: Mutex<EndpointFaults>,
-    notice: Mutex<Notice>,
-    /// Passes streams on without a length and chunks.
-    unframed: Option<UnframedProxy>,
-}
-
-impl EndpointSlot {
-    /// Starts an endpoint whose answers have this framing.
-    async fn launch(zone: &'static str, service: &str, id: &str, framing: AnswerFraming) -> Self {
-        let server = EndpointServer::launch(any_port(), id, service, zone).await;
-        let server = server.expect("an endpoint");
-        let mut address = server.address();
-        let mut unframed = None;
-        if framing != AnswerFraming::Length {
-            let proxy = UnframedProxy::launch(any_port(), address).await;
-            let proxy = proxy.expect("a proxy");
-            proxy.set_answers(UnframedAnswers {
-                framing,
-                ..UnframedAnswers::default()
-            });
-            address = proxy.address();
-            unframed = Some(proxy);
-        }
-        Self {
-            server,
-            link: LoopbackProxy::launch(address).await,
-            zone,
-            faults: Mutex::default(),
-            notice: Mutex::default(),
-            unframed,
-        }
-    }
-
-    /// Returns whether its answers arrive only once they are complete.
-    pub(super) const fn buffers_answers(&self) -> bool {
-        self.unframed.is_some()
-    }
-
-    /// Replaces the simulated faults; the notice in force stays.
-    pub(super) fn set_faults(&self, faults: EndpointFaults) {
-        let notice = self.notice.lock();
-        *self.faults.lock() = faults.clone();
-        self.server.set_faults(notice.added_to(faults));
-    }
-
-    /// Replaces the notice in the answers; the simulated faults stay.
-    pub(super) fn set_notice(&self, new: Notice) {
-        let mut notice = self.notice.lock();
-        let faults = self.faults.lock().clone();
-        self.server.set_faults(new.added_to(faults));
-        *notice = new;
-    }
-}
-
 /// The store, the endpoints, the daemons and the proxies of a run.
 pub(super) struct World {
     pub(super) store: StoreServer,
@@ -115,6 +69,8 @@
     pub(super) vms: Vec<VmSlot>,
     pub(super) history: Mutex<History>,
     keys: Mutex<Keys>,
+    /// Whether endpoints fall silent, so that answers need longer timeouts.
+    has_silences: bool,
     /// The store keys of endpoints that crashed.
     expired_endpoints: Mutex<Vec<String>>,
 }
@@ -128,7 +84,11 @@
 impl World {
     /// Starts the store, the endpoints, the proxies and the daemons; every other daemon is in the
     /// western region. With `has_unframed_streams`, streams end with their connection.
-    pub(super) async fn launch(vm_count: usize, has_unframed_streams: bool) -> Arc<Self> {
+    pub(super) async fn launch(
+        vm_count: usize,
+        has_unframed_streams: bool,
+        has_silences: bool,
+    ) -> Arc<Self> {
         let store = StoreServer::launch(any_port()).await.expect("a store");
         let mut endpoints = Vec::new();
         for zone in [EAST, WEST] {
@@ -164,6 +124,7 @@
                 valid: vec![KEY.to_owned()],
                 issued: Vec::new(),
             }),
+            has_silences,
             expired_endpoints: Mutex::default(),
         });
         world.clear_faults();
@@ -179,11 +140,24 @@
     pub(super) fn clear_faults(&self) {
         for endpoint in &self.endpoints {
             endpoint.set_notice(Notice::None);
-            endpoint.set_faults(no_faults());
+            endpoint.set_faults(self.no_faults());
             self.register(endpoint, "ready");
         }
     }
 
+    /// Returns the simulated faults of an endpoint in order.
+    pub(super) fn no_faults(&self) -> EndpointFaults {
+        EndpointFaults {
+            crashing_part: Some(CRASHING_PART.to_owned()),
+            crashing_requests: crashing_requests(),
+            pause: match self.has_silences {
+                true => LONG_WORK_TIME,
+                false => WORK_TIME,
+            },
+            ..EndpointFaults::default()
+        }
+    }
+
     pub(super) fn register(&self, endpoint: &EndpointSlot, state: &str) {
         let record = endpoint.server.record_at(endpoint.link.address(), state);
         self.store.put(&endpoint.server.key(), record);
@@ -199,6 +173,14 @@
         self.register(endpoint, "ready");
     }
 
+    /// Returns the timeout of a client's request with this number.
+    pub(super) fn timeout(&self, kind: RequestKind, number: usize) -> Duration {
+        match self.has_silences && (kind.is_stream() || number.is_multiple_of(2)) {
+            true => LONG_TIMEOUT,
+            false => TIMEOUT,
+        }
+    }
+
     /// Revokes the spare key and publishes another.
     pub(super) fn rotate_spare_key(&self) {
         let mut keys = self.keys.lock();
@@ -208,20 +190,29 @@
         keys.valid.push(spare.clone());
         keys.issued.push(spare);
         let valid: Vec<&str> = keys.valid.iter().map(String::as_str).collect();
-        let published = configuration(keys.version, &valid);
-        self.store.put("op/config", published.to_string());
+        self.publish(keys.version, &valid);
         let at = Instant::now();
         let revocations = revoked.into_iter().map(|key| Revocation { key, at });
         self.history.lock().revocations.extend(revocations);
     }
 
+    /// Publishes a configuration with other route timeouts than the one before it.
+    fn publish(&self, version: u64, api_keys: &[&str]) {
+        let mut published = configuration(version, api_keys);
+        let timeout = LONG_TIMEOUT + ROUTE_TIMEOUT_STEP * (version % 3) as u32;
+        let routes = published["routes"].as_array_mut().expect("a list");
+        for route in routes {
+            route["timeoutMs"] = json!(timeout.as_millis() as u64);
+        }
+        self.store.put("op/config", published.to_string());
+    }
+
     /// Publishes the newest configuration again, registers the endpoints that are not in the store,
     /// and removes those that crashed.
     pub(super) fn repeat_writes(&self) {
         let keys = self.keys.lock();
         let valid: Vec<&str> = keys.valid.iter().map(String::as_str).collect();
-        let published = configuration(keys.version, &valid);
-        self.store.put("op/config", published.to_string());
+        self.publish(keys.version, &valid);
         for endpoint in &self.endpoints {
             self.register(endpoint, "ready");
         }
@@ -305,12 +296,20 @@
         self.history.lock().vm_faults.push((vm, span));
     }
 
-    pub(super) fn record_endpoint_fault(&self, from: Instant) {
+    pub(super) fn record_vm_stop(&self, vm: usize, from: Instant) {
+        let span = Span {
+            from,
+            until: Instant::now(),
+        };
+        self.history.lock().vm_stops.push((vm, span));
+    }
+
+    pub(super) fn record_endpoint_fault(&self, endpoint: usize, from: Instant) {
         let span = Span {
             from,
             until: Instant::now(),
         };
-        self.history.lock().endpoint_faults.push(span);
+        self.history.lock().endpoint_faults.push((endpoint, span));
     }
 
     pub(super) fn record_link_fault(&self, endpoint: usize, from: Instant) {
@@ -342,6 +341,21 @@
         (count(None), count(Some(EAST)))
     }
 
+    /// Returns the endpoints of the service of these requests.
+    pub(super) fn endpoints_for(&self, kind: RequestKind) -> impl Iterator<Item = &EndpointSlot> {
+        let endpoints = self.endpoints.iter();
+        endpoints.filter(move |endpoint| endpoint.service == kind.service())
+    }
+
+    /// Returns the indices of the endpoints that a request reached.
+    pub(super) fn reached(&self, request_id: &str) -> Vec<usize> {
+        let endpoints = self.endpoints.iter().enumerate();
+        endpoints
+            .filter(|(_, endpoint)| endpoint.server.run_count(request_id) > 0)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     pub(super) fn complete_body(kind: RequestKind) -> String {
         match kind.is_stream() {
             true => crate::entry::support::whole_stream(),
@@ -349,11 +363,3 @@
         }
     }
 }
-
-pub(super) fn no_faults() -> EndpointFaults {
-    EndpointFaults {
-        crashing_part: Some(CRASHING_PART.to_owned()),
-        pause: WORK_TIME,
-        ..EndpointFaults::default()
-    }
-}
