Let the kernel fail no connection whose peer leaves a body unread

A longer TCP_USER_TIMEOUT did not suffice: on a connection that is used again the kernel counts the time that the window was closed under the request before. A stream was cut after 1.6 s by a limit of 4 s.

Cause: the option also applies to a peer that acknowledges but takes no more.

Change: it is not set. Keep-alive still ends connections whose peer is gone, and the waits for heads and events are limited.

--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -16,10 +16,6 @@
 use super::UpstreamError;
 use crate::clock::Monotonic;
 
-/// `TCP_USER_TIMEOUT`: how long the peer may acknowledge or take nothing before the connection fails.
-/// It is longer than the silence of a sound endpoint, which may leave a long body unread.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(4);
-
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEP_ALIVE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -121,10 +117,12 @@
 }
 
 /// Sets the timeouts after which the kernel fails a connection whose peer does not respond.
+///
+/// `TCP_USER_TIMEOUT` is not set: it also fails a connection whose peer responds but leaves a long body
+/// unread.
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
     let keep_alive = TcpKeepalive::new()
         .with_time(KEEP_ALIVE_PAUSE)
         .with_interval(KEEP_ALIVE_PAUSE)
--- a/src/stand_in/deployment/late_reader.rs
+++ b/src/stand_in/deployment/late_reader.rs
@@ -31,8 +31,7 @@
     After,
 }
 
-/// An endpoint that reads the body of a request only some time after its head, and closes each
-/// connection after the answer.
+/// An endpoint that reads the body of a request only some time after its head.
 #[derive(Debug)]
 pub struct LateReader {
     address: SocketAddr,
@@ -65,6 +64,27 @@
         Ok(Self { address, task })
     }
 
+    /// Starts an endpoint that accepts no connection for a time, and of which the kernel holds few.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn launch_late(address: SocketAddr, accepts_after: Duration) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(1)?;
+        let listener = TcpListener::from_std(socket.into())?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(async move {
+            sleep(accepts_after).await;
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, LateAnswer::After, Duration::ZERO));
+            }
+        });
+        Ok(Self { address, task })
+    }
+
     /// Returns the address that it is bound to.
     pub const fn address(&self) -> SocketAddr {
         self.address
@@ -79,6 +99,12 @@
 
 async fn serve(mut stream: TcpStream, answer: LateAnswer, delay: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    loop {
+        serve_one(&mut stream, answer, delay).await?;
+    }
+}
+
+async fn serve_one(stream: &mut TcpStream, answer: LateAnswer, delay: Duration) -> io::Result<()> {
     let mut head = Vec::new();
     while !head.ends_with(HEAD_END) {
         head.push(stream.read_u8().await?);
@@ -88,10 +114,7 @@
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
     let request_id = header(&head, "request-id").unwrap_or_default();
-    let common = format!(
-        "HTTP/1.1 200 OK\r\nconnection: close\r\nrequest-id: {request_id}\r\n\
-         server-stamp: stamp\r\n"
-    );
+    let common = format!("HTTP/1.1 200 OK\r\nrequest-id: {request_id}\r\nserver-stamp: stamp\r\n");
     if answer == LateAnswer::Before {
         let begin = format!("{common}transfer-encoding: chunked\r\n\r\n");
         stream.write_all(begin.as_bytes()).await?;
