Answer what still waits at the end of a stop

Callers whose request had no answer when the grace period ended saw their connection close without one.

Cause: the process ended with requests in flight.

Change: requests without a head get 502 before the process ends. Streams that have begun cannot be told.

Evidence: entry::left_endpoints::a_request_that_waits_at_the_end_of_a_stop_gets_a_refusal failed before (the connection ended) and passes now.

--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -117,10 +117,13 @@
         state.on_request(now, &request.service.name);
     }
     let request = Rc::new(request);
-    match Attempts::new(Rc::clone(&state), Rc::clone(&request))
-        .run()
-        .await
-    {
+    let attempts = Attempts::new(Rc::clone(&state), Rc::clone(&request));
+    let mut ending = state.ending.subscribe();
+    let outcome = tokio::select! {
+        outcome = attempts.run() => outcome,
+        _ = ending.wait_for(|is_ending| *is_ending) => Err(Refusal::new(RefusalKind::Failed)),
+    };
+    match outcome {
         Ok(response) => response,
         Err(refusal) => {
             if refusal.kind.is_not_run() && request.forwarded.is_none() {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -111,6 +111,7 @@
     while state.running_count.get() > 0 && Instant::now() < deadline {
         sleep(DRAIN_CHECK_PERIOD).await;
     }
+    state.ending.send_replace(true);
     // Lets the kernel send complete answers that are still in socket buffers.
     sleep(DRAIN_CHECK_PERIOD).await;
     log::info!(running = state.running_count.get(); "stopped");
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -11,6 +11,7 @@
 
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use tokio::sync::watch;
 use tokio::sync::Notify;
 
 use super::incarnation::incarnation;
@@ -68,6 +69,8 @@
     pub metrics: EntryMetrics,
     /// Wakes the task that reads the store.
     pub read_now: Notify,
+    /// Tells the requests in flight that the process is about to end.
+    pub ending: watch::Sender<bool>,
     /// The random number generator.
     pub rng: RefCell<SmallRng>,
 }
@@ -99,6 +102,7 @@
             running_count: Rc::default(),
             metrics: EntryMetrics::new(),
             read_now: Notify::new(),
+            ending: watch::Sender::new(false),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             clock,
             settings,
--- a/tests/behaviour/entry/left_endpoints.rs
+++ b/tests/behaviour/entry/left_endpoints.rs
@@ -8,14 +8,17 @@
 use figramp::stand_in::deployment::LateAnswer;
 use figramp::stand_in::deployment::LateReader;
 use figramp::stand_in::deployment::LinkProxy;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use super::support::any_port;
+use super::support::configuration;
 use super::support::new_ip;
 use super::support::whole_stream;
 use super::support::EntryVm;
 use super::support::Site;
 use super::support::EAST;
+use super::support::KEY;
 
 const REQUESTS: usize = 6;
 
@@ -175,3 +178,61 @@
     let answer = vm.post("/read/x", "r1").send().await.expect("an answer");
     assert_eq!(answer.status(), 200, "after {:?}", began_at.elapsed());
 }
+
+#[tokio::test]
+async fn an_endpoint_that_accepts_connections_late_serves_as_soon_as_it_does() {
+    let site = launch_site().await;
+    site.store.remove(&site.plain[1].key());
+    let accepts_after = Duration::from_millis(3_000);
+    let began_at = Instant::now();
+    let late = LateReader::launch_late(any_port(), accepts_after).expect("an endpoint");
+    // Connections of others that the kernel holds meanwhile.
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        held.push(TcpStream::connect(late.address()).await.expect("held"));
+    }
+    let record = site.plain[0].record_at(late.address(), "ready");
+    site.store.put(&site.plain[0].key(), record);
+    let vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    sleep(Duration::from_millis(2_600).saturating_sub(began_at.elapsed())).await;
+    let mut early = Vec::new();
+    for number in 0..REQUESTS {
+        let request = vm.post("/read/x", &format!("e{number}"));
+        early.push(tokio::spawn(request.send()));
+    }
+    sleep(Duration::from_millis(3_300).saturating_sub(began_at.elapsed())).await;
+    let answer = vm.post("/read/x", "after").send().await;
+    let status = answer.expect("an answer").status();
+    assert_eq!(status, 200, "after {:?}", began_at.elapsed());
+}
+
+#[tokio::test]
+async fn a_request_that_waits_at_the_end_of_a_stop_gets_a_refusal() {
+    let site = launch_site().await;
+    let mut changed = configuration(1, &[KEY]);
+    for route in changed["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = 20_000.into();
+    }
+    site.store.put("op/config", changed.to_string());
+    site.store.remove(&site.plain[1].key());
+    let vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    site.plain[0].fall_silent(Duration::from_secs(12));
+    for path in ["/read/x", "/book/x"] {
+        let request = vm.http.post(format!("http://{}:8221{path}", vm.ip));
+        let request = request
+            .header("Host", "test.example")
+            .header("Request-Id", "r1")
+            .header("Timeout-Ms", "15000")
+            .header("Authorization", format!("Bearer {KEY}"))
+            .body("ask");
+        let answer = tokio::spawn(request.send());
+        sleep(BEGUN).await;
+        if path == "/book/x" {
+            vm.signal("-TERM");
+            let began_at = Instant::now();
+            let answer = answer.await.expect("the request ends");
+            let status = answer.map(|answer| answer.status().as_u16());
+            assert!(status.is_ok(), "{status:?} after {:?}", began_at.elapsed());
+        }
+    }
+}
