Log an answer that reports coldness of an endpoint that counted as warm

With the age of the listing, the line tells a coldness that a VM could not know of from one that it did not limit.

--- a/src/belief/belief.rs
+++ b/src/belief/belief.rs
@@ -62,6 +62,14 @@
         self.configuration_confirmed_at.map(|at| now.since(at))
     }
 
+    /// Returns the time since the listing was confirmed, in milliseconds; the largest number if it
+    /// never was.
+    pub fn listing_age_ms(&self, now: Monotonic) -> u64 {
+        let age = self.listing_confirmed_at.map(|at| now.since(at));
+        age.and_then(|age| u64::try_from(age.as_millis()).ok())
+            .unwrap_or(u64::MAX)
+    }
+
     /// Returns the earlier of the confirmation times of the configuration and the listing.
     ///
     /// `None` if either was never confirmed.
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -226,7 +226,14 @@
             endpoints.on_load(now, placement.endpoint, running, waiting);
         }
         if let Some(remaining) = head.cold_remaining {
-            endpoints.on_cold(now, placement.endpoint, remaining);
+            if endpoints.on_cold(now, placement.endpoint, remaining) {
+                log::info!(
+                    to:% = target,
+                    remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+                    listing_age_ms = state.belief.borrow().listing_age_ms(now);
+                    "an endpoint that counted as warm is cold"
+                );
+            }
         }
         if head.is_other_instance {
             endpoints.on_replaced(placement.endpoint);
--- a/src/placement/endpoint_events.rs
+++ b/src/placement/endpoint_events.rs
@@ -112,11 +112,15 @@
         }
     }
 
-    /// Records that an endpoint reported to be cold for the `remaining` time.
-    pub fn on_cold(&mut self, now: Monotonic, key: EndpointKey, remaining: Duration) {
-        if let Some(state) = self.endpoints.get_mut(key) {
-            state.cold_until = now + remaining;
-        }
+    /// Records that an endpoint reported to be cold for the `remaining` time; returns whether it
+    /// counted as warm before.
+    pub fn on_cold(&mut self, now: Monotonic, key: EndpointKey, remaining: Duration) -> bool {
+        let Some(state) = self.endpoints.get_mut(key) else {
+            return false;
+        };
+        let was_cold = state.is_cold(now);
+        state.cold_until = now + remaining;
+        !was_cold && state.is_cold(now)
     }
 
     /// Records that an endpoint announced in an answer that it is about to stop; returns whether
