--- a/tests/behaviour/placement/cold_endpoints.rs
+++ b/tests/behaviour/placement/cold_endpoints.rs
@@ -85,6 +85,27 @@
     assert!(send_one(&mut table, at(501) + retry_after, true));
 }
 
+#[test]
+fn a_late_answer_does_not_shorten_a_coldness() {
+    let mut table = table(at(0), &[]);
+    update(&mut table, at(0), &cold_listing());
+    let service = service();
+    let chosen = table.choose(at(500), &query(&service, &[]), RATE_PER_S, |_, _| true);
+    let endpoint = chosen.expect("an endpoint").endpoint;
+    table.on_cold(at(500), endpoint, Duration::from_millis(300));
+    assert!((800..2_900).all(|ms| !send_one(&mut table, at(ms), false)));
+    assert!(send_one(&mut table, at(3_001), false));
+}
+
+#[test]
+fn requests_sent_before_the_coldness_was_known_leave_no_token() {
+    let mut table = table(at(0), &["a"]);
+    assert!(send_one(&mut table, at(10_000), true));
+    update(&mut table, at(10_010), &cold_listing());
+    assert!(!send_one(&mut table, at(10_020), true));
+    assert!(send_one(&mut table, at(10_400), true));
+}
+
 #[test]
 fn endpoints_are_cold_after_an_evacuation_whatever_their_record_says() {
     let mut table = table(at(0), &["a"]);
