Apply a longer coldness of an endpoint that is cold already

Callers of an endpoint that became cold again before it was warm: all VMs sent to it without a limit from the end of the first coldness (39 requests in one second, 13 allowed). The hash by which a VM tells that a listing changed had only whether an endpoint is cold, so the longer time was neither applied nor fetched by peers. The hash now has the time itself. A cold endpoint's heartbeat changes the listing, at most three times for a coldness of 3 s.

entry::cold_endpoints::an_endpoint_that_is_cold_again_before_it_was_warm_is_not_flooded failed before.

--- a/src/deployment/endpoint_listing.rs
+++ b/src/deployment/endpoint_listing.rs
@@ -20,7 +20,8 @@
 }
 
 impl EndpointListing {
-    /// Returns a hash of the fields that affect placement; heartbeats alone do not change it.
+    /// Returns a hash of the fields that affect placement; the heartbeats of warm endpoints do not
+    /// change it.
     pub fn content_hash(&self) -> u64 {
         let mut hasher = Xxh3::new();
         for endpoint in &self.endpoints {
@@ -30,7 +31,7 @@
             endpoint.zone.hash(&mut hasher);
             endpoint.slots.hash(&mut hasher);
             (endpoint.phase == EndpointPhase::Draining).hash(&mut hasher);
-            (!endpoint.cold_remaining.is_zero()).hash(&mut hasher);
+            endpoint.cold_remaining.as_millis().hash(&mut hasher);
         }
         self.evacuated.hash(&mut hasher);
         hasher.finish()
