Keep the later end of two reports of coldness

An answer that reported a shorter time replaced the end that a record had lengthened, so the endpoint got requests without a limit while it was cold. The later end counts now, as for records.

placement::cold_endpoints::a_late_answer_does_not_shorten_a_coldness failed before.

--- a/src/placement/endpoint_events.rs
+++ b/src/placement/endpoint_events.rs
@@ -113,13 +113,13 @@
     }
 
     /// Records that an endpoint reported to be cold for the `remaining` time; returns whether it
-    /// counted as warm before.
+    /// counted as warm before. A report that ends sooner than another one changes nothing.
     pub fn on_cold(&mut self, now: Monotonic, key: EndpointKey, remaining: Duration) -> bool {
         let Some(state) = self.endpoints.get_mut(key) else {
             return false;
         };
         let was_cold = state.is_cold(now);
-        state.cold_until = now + remaining;
+        state.cold_until = state.cold_until.max(now + remaining);
         !was_cold && state.is_cold(now)
     }
 
