Divide the rate of a cold endpoint among more VMs where a VM hears no other

Cold endpoints got 23 requests in one second, 13 allowed, from eight VMs that heard no other: each that is cut off, or was started behind a cut, ranks itself among the two senders. A VM that has heard no other for four rounds of gossip divides the rate by eight VMs at least, until it has heard none for 30 s and counts as the only one. A VM that is not among the senders now names the interval of the whole rate as Retry-After, not zero. The limiter of cold endpoints becomes one of rates that VMs share.

--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -165,7 +165,7 @@
         let cold_rate_per_s = self.request.service.cold_rate_per_s;
         let mut endpoints = self.state.endpoints.borrow_mut();
         endpoints.choose(now, query, cold_rate_per_s, |rendezvous_key, count| {
-            fleet.is_selected(now, rendezvous_key, count)
+            fleet.sharers(now, rendezvous_key, count)
         })
     }
 
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -29,6 +29,13 @@
 /// The weight of a new sample in the exponentially weighted moving average of round-trip times.
 const ROUND_TRIP_WEIGHT: f64 = 0.2;
 
+/// The silence of all other VMs after which a VM counts as cut off: four rounds of gossip.
+const ISOLATION_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// The number of VMs by which one that is cut off divides a rate at least. Those that are cut off
+/// from each other, or were started behind a cut, don't know how many they are.
+const ISOLATED_SHARERS: usize = 8;
+
 #[derive(Debug)]
 struct KnownVm {
     row: VmRow,
@@ -245,6 +252,25 @@
         ahead.count() < count
     }
 
+    /// Returns by how many VMs a rate is divided that `count` VMs of the region share; `None` if the
+    /// local VM is not among them.
+    pub fn sharers(&self, now: Monotonic, rendezvous_key: u64, count: usize) -> Option<usize> {
+        if !self.is_selected(now, rendezvous_key, count) {
+            return None;
+        }
+        Some(match self.is_isolated(now) {
+            true => count.max(ISOLATED_SHARERS),
+            false => count,
+        })
+    }
+
+    /// Returns whether the local VM hears no other and may be one of several that don't.
+    fn is_isolated(&self, now: Monotonic) -> bool {
+        let heard_at = self.others.values().map(|vm| vm.last_beat_at).max();
+        let silence = now.since(heard_at.unwrap_or_default());
+        (ISOLATION_SILENCE..SHARE_TIMEOUT).contains(&silence)
+    }
+
     /// Returns how far away a VM is; an unknown one counts as being in another region.
     pub fn distance(&self, ip: Ipv4Addr) -> PeerDistance {
         match self.others.get(&ip) {
--- a/src/placement/endpoint_events.rs
+++ b/src/placement/endpoint_events.rs
@@ -17,7 +17,7 @@
     pub fn on_sent(&mut self, now: Monotonic, placement: &Placement) {
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
             if state.is_cold(now) {
-                state.cold_limiter.on_sent();
+                state.rate_limiter.on_sent();
             }
             state
                 .load
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -2,20 +2,28 @@
 
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::backlog::Backlog;
 use super::endpoint_health::EndpointHealth;
 use super::endpoint_notice::EndpointNotice;
 use super::load_estimate::LoadEstimate;
 use super::wait_estimate::WaitEstimate;
-use super::ColdRateLimiter;
 use super::EndpointKey;
 use super::NoPlacement;
 use super::PlacementQuery;
+use super::SharedRate;
+use super::SharedRateLimiter;
 use crate::clock::Monotonic;
 use crate::deployment::EndpointPhase;
 use crate::deployment::EndpointRecord;
+use crate::deployment::InstanceId;
 use crate::fleet::NameHash;
 
+/// The number of VMs of a region that send to one cold endpoint: with two, it still gets requests
+/// when one of them has a stale view of the fleet.
+const COLD_SENDERS: usize = 2;
+
 /// The state of one endpoint instance, as seen by this VM.
 #[derive(Clone, Debug)]
 pub struct EndpointState {
@@ -23,7 +31,7 @@
     pub(super) is_listed: bool,
     pub(super) is_evacuated: bool,
     pub(super) cold_until: Monotonic,
-    pub(super) cold_limiter: ColdRateLimiter,
+    pub(super) rate_limiter: SharedRateLimiter,
     pub(super) load: LoadEstimate,
     pub(super) health: EndpointHealth,
     pub(super) waits: WaitEstimate,
@@ -39,7 +47,7 @@
             record,
             is_listed: true,
             is_evacuated: false,
-            cold_limiter: ColdRateLimiter::new(now),
+            rate_limiter: SharedRateLimiter::new(now),
             load: LoadEstimate::default(),
             health: EndpointHealth::default(),
             waits: WaitEstimate::default(),
@@ -65,6 +73,31 @@
         now < self.cold_until
     }
 
+    /// Returns for how long this VM may not send a request because of the rate that the VMs of the
+    /// region share, or `None` if it may; `sharers` is that of
+    /// [`EndpointTable::choose`](super::EndpointTable::choose).
+    pub(super) fn limited_for(
+        &mut self,
+        now: Monotonic,
+        cold_rate_per_s: f64,
+        sharers: impl Fn(u64, usize) -> Option<usize>,
+    ) -> Option<Duration> {
+        if !self.is_cold(now) || cold_rate_per_s <= 0.0 {
+            return None;
+        }
+        let senders = sharers(rendezvous_key(&self.record.instance), COLD_SENDERS);
+        let rate = SharedRate {
+            rate_per_s: cold_rate_per_s,
+            senders: senders.unwrap_or(COLD_SENDERS),
+        };
+        match senders {
+            // Another VM may take the client's next request.
+            None => Some(rate.interval()),
+            Some(_) if self.rate_limiter.has_token(now, rate) => None,
+            Some(_) => Some(self.rate_limiter.next_token_in(now, rate)),
+        }
+    }
+
     /// Returns the number of requests of this VM that are in flight at the endpoint.
     pub const fn local_requests(&self) -> u32 {
         self.load.local_requests()
@@ -119,3 +152,7 @@
         (wait_ms.max(queue_ms) + prefill_ms) * self.health.attempts_per_success()
     }
 }
+
+fn rendezvous_key(instance: &InstanceId) -> u64 {
+    xxh3_64_with_seed(instance.id.as_str().as_bytes(), instance.started_unix_ms)
+}
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -6,12 +6,10 @@
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::cold_rate_limiter::COLD_SENDERS;
 use super::endpoint_notice::EndpointNotices;
 use super::endpoint_sample::draw_sample;
 use super::peer_backlogs::PeerBacklogs;
 use super::prefill_rate::PrefillRate;
-use super::ColdLimits;
 use super::EndpointKey;
 use super::EndpointState;
 use super::NoPlacement;
@@ -206,8 +204,8 @@
 
     /// Chooses the endpoint with the lowest expected time to the first event.
     ///
-    /// `is_cold_sender` returns, for the rendezvous key of an instance and a number of VMs, whether
-    /// this VM is among the VMs of its region that may send to that instance while it is cold. A
+    /// `sharers` returns, for the rendezvous key of an instance and the number of VMs that are to
+    /// share its rate, by how many VMs the rate is divided; `None` if this VM is not among them. A
     /// `cold_rate_per_s` of zero lifts the limit on cold endpoints.
     ///
     /// # Errors
@@ -218,12 +216,8 @@
         now: Monotonic,
         query: &PlacementQuery<'_>,
         cold_rate_per_s: f64,
-        is_cold_sender: impl Fn(u64, usize) -> bool,
+        sharers: impl Fn(u64, usize) -> Option<usize>,
     ) -> Result<Placement, NoPlacement> {
-        let cold_limits = ColdLimits {
-            rate_per_s: cold_rate_per_s,
-            senders: COLD_SENDERS,
-        };
         let keys = self.candidates(now, query);
         let rate = self.prefill_rate(query.service);
         let mut best: Option<Placement> = None;
@@ -239,14 +233,9 @@
                 reason = reason.sooner(NoPlacement::NoneTrusted { retry_after });
                 continue;
             }
-            if state.is_cold(now) && cold_rate_per_s > 0.0 {
-                let retry_after = state.cold_limiter.next_token_in(now, cold_limits);
-                let is_sender =
-                    is_cold_sender(rendezvous_key(&state.record.instance), COLD_SENDERS);
-                if !is_sender || !state.cold_limiter.has_token(now, cold_limits) {
-                    reason = reason.sooner(NoPlacement::AllCold { retry_after });
-                    continue;
-                }
+            if let Some(retry_after) = state.limited_for(now, cold_rate_per_s, &sharers) {
+                reason = reason.sooner(NoPlacement::AllLimited { retry_after });
+                continue;
             }
             let prefill_tokens = query.prefill_tokens_at(key);
             let zone_penalty_ms = match state.record.zone == self.zone {
@@ -351,7 +340,3 @@
 fn instance_score(instance: &InstanceId, prefix_hash: u64) -> u64 {
     xxh3_64_with_seed(instance.id.as_str().as_bytes(), prefix_hash)
 }
-
-fn rendezvous_key(instance: &InstanceId) -> u64 {
-    xxh3_64_with_seed(instance.id.as_str().as_bytes(), instance.started_unix_ms)
-}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,7 +2,6 @@
 
 mod attempt_outcome;
 mod backlog;
-mod cold_rate_limiter;
 mod endpoint_events;
 mod endpoint_health;
 mod endpoint_key;
@@ -21,11 +20,10 @@
 mod prefix_owner;
 mod prompt_prefix;
 mod region_choice;
+mod shared_rate;
 mod wait_estimate;
 
 pub use attempt_outcome::AttemptOutcome;
-pub use cold_rate_limiter::ColdLimits;
-pub use cold_rate_limiter::ColdRateLimiter;
 pub use endpoint_key::EndpointKey;
 pub use endpoint_state::EndpointState;
 pub use endpoint_table::EndpointTable;
@@ -42,3 +40,5 @@
 pub use region_choice::choose_region;
 pub use region_choice::RegionChoice;
 pub use region_choice::RegionOption;
+pub use shared_rate::SharedRate;
+pub use shared_rate::SharedRateLimiter;
--- a/src/placement/no_placement.rs
+++ b/src/placement/no_placement.rs
@@ -12,8 +12,8 @@
         /// The time until one of them may be tried again.
         retry_after: Duration,
     },
-    /// The remaining endpoints are cold, and this VM may not send them a request now.
-    AllCold {
+    /// The remaining endpoints take a limited rate, and this VM may not send them a request now.
+    AllLimited {
         /// The time until the next request may be sent.
         retry_after: Duration,
     },
@@ -37,7 +37,7 @@
     pub const fn retry_after(self) -> Duration {
         match self {
             Self::NoneListed => Self::RETRY_AFTER_UNKNOWN,
-            Self::NoneTrusted { retry_after } | Self::AllCold { retry_after } => retry_after,
+            Self::NoneTrusted { retry_after } | Self::AllLimited { retry_after } => retry_after,
         }
     }
 }
--- a/tests/behaviour/fleet/simultaneous_start.rs
+++ b/tests/behaviour/fleet/simultaneous_start.rs
@@ -6,8 +6,8 @@
 use figramp::clock::Monotonic;
 use figramp::fleet::FleetView;
 use figramp::fleet::GossipPlan;
-use figramp::placement::ColdLimits;
-use figramp::placement::ColdRateLimiter;
+use figramp::placement::SharedRate;
+use figramp::placement::SharedRateLimiter;
 use rand::rngs::SmallRng;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -36,7 +36,7 @@
 /// When the first VM of the region starts: the others know each other.
 const RETURN_MS: u64 = 1_800;
 
-const COLD_LIMITS: ColdLimits = ColdLimits {
+const COLD_RATE: SharedRate = SharedRate {
     rate_per_s: 4.2,
     senders: SENDERS,
 };
@@ -48,7 +48,7 @@
     started_at_ms: u64,
     view: FleetView,
     plan: GossipPlan,
-    limiters: Vec<ColdRateLimiter>,
+    limiters: Vec<SharedRateLimiter>,
 }
 
 impl Vm {
@@ -79,7 +79,7 @@
                 view: view(number),
                 plan: GossipPlan::new([ip(1), ip(2), ip(3)]),
                 limiters: (0..ENDPOINT_COUNT)
-                    .map(|_| ColdRateLimiter::new(Monotonic::ZERO))
+                    .map(|_| SharedRateLimiter::new(Monotonic::ZERO))
                     .collect(),
             };
             (ip(number), vm)
@@ -117,7 +117,7 @@
         let now = vm.now(now_ms);
         for endpoint in 0..ENDPOINT_COUNT {
             let limiter = &mut vm.limiters[endpoint as usize];
-            if limiter.has_token(now, COLD_LIMITS) && vm.view.is_selected(now, endpoint, SENDERS) {
+            if limiter.has_token(now, COLD_RATE) && vm.view.is_selected(now, endpoint, SENDERS) {
                 limiter.on_sent();
                 self.sent_ms.entry(endpoint).or_default().push(now_ms);
             }
--- a/tests/behaviour/placement/cold_endpoints.rs
+++ b/tests/behaviour/placement/cold_endpoints.rs
@@ -25,7 +25,9 @@
 
 fn send_one(table: &mut EndpointTable, now: Monotonic, is_sender: bool) -> bool {
     let service = service();
-    let chosen = table.choose(now, &query(&service, &[]), RATE_PER_S, |_, _| is_sender);
+    let chosen = table.choose(now, &query(&service, &[]), RATE_PER_S, |_, senders| {
+        is_sender.then_some(senders)
+    });
     let Ok(placement) = chosen else {
         return false;
     };
@@ -78,8 +80,10 @@
     update(&mut table, at(0), &cold_listing());
     assert!(send_one(&mut table, at(500), true));
     let service = service();
-    let refused = table.choose(at(500), &query(&service, &[]), RATE_PER_S, |_, _| true);
-    let Err(NoPlacement::AllCold { retry_after }) = refused else {
+    let refused = table.choose(at(500), &query(&service, &[]), RATE_PER_S, |_, senders| {
+        Some(senders)
+    });
+    let Err(NoPlacement::AllLimited { retry_after }) = refused else {
         panic!("expected a cold endpoint, got {refused:?}");
     };
     assert!(send_one(&mut table, at(501) + retry_after, true));
@@ -90,7 +94,9 @@
     let mut table = table(at(0), &[]);
     update(&mut table, at(0), &cold_listing());
     let service = service();
-    let chosen = table.choose(at(500), &query(&service, &[]), RATE_PER_S, |_, _| true);
+    let chosen = table.choose(at(500), &query(&service, &[]), RATE_PER_S, |_, senders| {
+        Some(senders)
+    });
     let endpoint = chosen.expect("an endpoint").endpoint;
     table.on_cold(at(500), endpoint, Duration::from_millis(300));
     assert!((800..2_900).all(|ms| !send_one(&mut table, at(ms), false)));
--- a/tests/behaviour/placement/failures.rs
+++ b/tests/behaviour/placement/failures.rs
@@ -53,7 +53,7 @@
         accepts_avoided: true,
         ..query(&service, &[])
     };
-    let chosen = table.choose(at(10), &last, 0.0, |_, _| true);
+    let chosen = table.choose(at(10), &last, 0.0, |_, senders| Some(senders));
     assert_eq!(
         chosen.expect("it may have a free slot").endpoint,
         refusing.endpoint
@@ -63,7 +63,9 @@
         tried: &tried,
         ..last
     };
-    assert!(table.choose(at(10), &again, 0.0, |_, _| true).is_err());
+    assert!(table
+        .choose(at(10), &again, 0.0, |_, senders| Some(senders))
+        .is_err());
 }
 
 #[test]
@@ -82,9 +84,11 @@
         ..query(&service, &tried)
     };
     assert!(table
-        .choose(at(10), &query(&service, &tried), 0.0, |_, _| true)
+        .choose(at(10), &query(&service, &tried), 0.0, |_, senders| Some(
+            senders
+        ))
         .is_err());
-    let chosen = table.choose(at(10), &last, 0.0, |_, _| true);
+    let chosen = table.choose(at(10), &last, 0.0, |_, senders| Some(senders));
     assert_eq!(chosen.expect("it may go on").endpoint, silent.endpoint);
 }
 
@@ -97,10 +101,10 @@
         ..query(&service, &[])
     };
     for _ in 0..2 {
-        let placement = table.choose(at(0), &limited, 0.0, |_, _| true);
+        let placement = table.choose(at(0), &limited, 0.0, |_, senders| Some(senders));
         table.on_sent(at(0), &placement.expect("a connection is left"));
     }
-    let refused = table.choose(at(0), &limited, 0.0, |_, _| true);
+    let refused = table.choose(at(0), &limited, 0.0, |_, senders| Some(senders));
     let refused = refused.expect_err("all connections are taken");
     assert!(refused.retry_after() > Duration::ZERO);
 }
@@ -176,11 +180,18 @@
     let service = service();
     let first = choose(&mut table, at(0)).expect("an endpoint").endpoint;
     let second = table
-        .choose(at(0), &query(&service, &[first]), 0.0, |_, _| true)
+        .choose(at(0), &query(&service, &[first]), 0.0, |_, senders| {
+            Some(senders)
+        })
         .expect("the other endpoint")
         .endpoint;
     assert_ne!(first, second);
-    let none = table.choose(at(0), &query(&service, &[first, second]), 0.0, |_, _| true);
+    let none = table.choose(
+        at(0),
+        &query(&service, &[first, second]),
+        0.0,
+        |_, senders| Some(senders),
+    );
     let refused = none.expect_err("all were tried");
     assert!(refused.retry_after() > Duration::ZERO);
 }
--- a/tests/behaviour/placement/many_vms.rs
+++ b/tests/behaviour/placement/many_vms.rs
@@ -111,7 +111,7 @@
                 draw: rng.random(),
                 ..query(&service, &[])
             };
-            let chosen = vms[vm].choose(at(now_ms), &query, 0.0, |_, _| true);
+            let chosen = vms[vm].choose(at(now_ms), &query, 0.0, |_, senders| Some(senders));
             let placement = chosen.expect("an endpoint");
             vms[vm].on_sent(at(now_ms), &placement);
             let endpoint = index_of(&vms[vm], &placement);
--- a/tests/behaviour/placement/notices.rs
+++ b/tests/behaviour/placement/notices.rs
@@ -104,7 +104,7 @@
         ..query(&service, &[])
     };
     for ms in [100, 700, 1_599] {
-        let refused = table.choose(at(ms), &last_resort, 0.0, |_, _| true);
+        let refused = table.choose(at(ms), &last_resort, 0.0, |_, senders| Some(senders));
         let retry_after = refused.expect_err("it is paused").retry_after();
         assert_eq!(retry_after, Duration::from_millis(1_600 - ms));
     }
--- a/tests/behaviour/placement/prompts.rs
+++ b/tests/behaviour/placement/prompts.rs
@@ -104,14 +104,14 @@
         draw: 0,
     };
     let first = table
-        .choose(at(0), &query, 0.0, |_, _| true)
+        .choose(at(0), &query, 0.0, |_, senders| Some(senders))
         .expect("an endpoint");
     assert_eq!(Some(first.endpoint), query.prefix_endpoint);
     for _ in 0..8 {
         table.on_sent(at(0), &first);
     }
     let next = table
-        .choose(at(0), &query, 0.0, |_, _| true)
+        .choose(at(0), &query, 0.0, |_, senders| Some(senders))
         .expect("an endpoint");
     assert_ne!(next.endpoint, first.endpoint);
 }
--- a/tests/behaviour/placement/shared_prefixes.rs
+++ b/tests/behaviour/placement/shared_prefixes.rs
@@ -185,7 +185,7 @@
         draw,
         ..query(service, &[])
     };
-    let chosen = vm.choose(now, &query, 0.0, |_, _| true);
+    let chosen = vm.choose(now, &query, 0.0, |_, senders| Some(senders));
     chosen.expect("an endpoint")
 }
 
--- a/tests/behaviour/placement/support.rs
+++ b/tests/behaviour/placement/support.rs
@@ -49,7 +49,7 @@
 
 pub(crate) fn choose(table: &mut EndpointTable, now: Monotonic) -> Result<Placement, NoPlacement> {
     let service = service();
-    table.choose(now, &query(&service, &[]), 0.0, |_, _| true)
+    table.choose(now, &query(&service, &[]), 0.0, |_, senders| Some(senders))
 }
 
 /// Records a request that is sent now and answered after `latency_ms`.
