Count the last request before a coldness was known

The bucket of an endpoint filled while no limit was in force, so that each sender sent one more request at the moment in which it learned of the coldness, on top of those that the endpoint had got until then.

placement::cold_endpoints::requests_sent_before_the_coldness_was_known_leave_no_token failed before.

--- a/src/placement/endpoint_events.rs
+++ b/src/placement/endpoint_events.rs
@@ -18,6 +18,8 @@
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
             if state.is_cold(now) {
                 state.rate_limiter.on_sent();
+            } else {
+                state.rate_limiter.on_unlimited_sent(now);
             }
             state
                 .load
