Limit requests to an endpoint that may have started again under its identifier

A server that crashed and was back under its identifier got 25 requests in one second while it was cold, 13 allowed: until the store lists its new start, VMs hold the record of the warm one, and Expect-Instance names the identifier only. A refused connection shows that the process ended. From then on the VM treats the endpoint as cold, until the service's cold start has passed since its first answer, or until the record of one that ended would have lapsed. Connections that time out or break don't count: they are common on links that lose packets, and endpoints that spoil answers are running.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -171,7 +171,10 @@
                 error:% = error;
                 "connecting failed"
             );
-            running.record_outcome(AttemptOutcome::Unreachable);
+            running.record_outcome(match error.is_connection_refused() {
+                true => AttemptOutcome::ConnectionRefused,
+                false => AttemptOutcome::Unreachable,
+            });
             if let Target::Vm { ip, .. } = target {
                 state.fleet.borrow_mut().on_unreachable(*ip);
             }
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Returns whether no process listens at the address.
+    pub fn is_connection_refused(&self) -> bool {
+        matches!(self, Self::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns whether nothing arrived in time, although the endpoint or VM may be sound.
     pub const fn is_silence(&self) -> bool {
         matches!(self, Self::Timeout(_) | Self::DeadlinePassed)
--- a/src/placement/attempt_outcome.rs
+++ b/src/placement/attempt_outcome.rs
@@ -16,6 +16,15 @@
     Failed,
     /// Nothing arrived in time; the endpoint may be sound and go on.
     Silent,
-    /// The connection could not be opened, or broke.
+    /// The connection could not be opened in time, or broke.
     Unreachable,
+    /// The connection was refused: no process listens at the address.
+    ConnectionRefused,
+}
+
+impl AttemptOutcome {
+    /// Returns whether the endpoint answered, in whatever way.
+    pub(super) const fn is_answer(self) -> bool {
+        matches!(self, Self::Answered { .. } | Self::Refused | Self::Failed)
+    }
 }
--- a/src/placement/endpoint_events.rs
+++ b/src/placement/endpoint_events.rs
@@ -36,7 +36,7 @@
     pub fn on_outcome(&mut self, now: Monotonic, placement: &Placement, outcome: AttemptOutcome) {
         self.on_abandoned(placement);
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            state.health.record_outcome(now, outcome);
+            state.record_outcome(now, outcome);
             if let AttemptOutcome::Answered { latency } = outcome {
                 let latency_ms = latency.as_secs_f64() * 1_000.0;
                 let wait_ms = latency_ms - placement.prefill_ms;
@@ -84,7 +84,7 @@
         outcome: AttemptOutcome,
     ) {
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            state.health.record_outcome(now, outcome);
+            state.record_outcome(now, outcome);
         }
     }
 
--- a/src/placement/endpoint_health.rs
+++ b/src/placement/endpoint_health.rs
@@ -55,7 +55,7 @@
                 self.failure_rate.add(1.0, ATTEMPT_WEIGHT);
             }
             AttemptOutcome::Failed => self.failure_rate.add(1.0, ATTEMPT_WEIGHT),
-            AttemptOutcome::Unreachable => {
+            AttemptOutcome::Unreachable | AttemptOutcome::ConnectionRefused => {
                 let doublings = self.unreachable_count.min(DOUBLINGS_MAX);
                 let backoff = (BACKOFF_FIRST * (1 << doublings)).min(BACKOFF_MAX);
                 self.unreachable_count += 1;
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -8,7 +8,9 @@
 use super::endpoint_health::EndpointHealth;
 use super::endpoint_notice::EndpointNotice;
 use super::load_estimate::LoadEstimate;
+use super::possible_restart::PossibleRestart;
 use super::wait_estimate::WaitEstimate;
+use super::AttemptOutcome;
 use super::EndpointKey;
 use super::NoPlacement;
 use super::PlacementQuery;
@@ -31,6 +33,9 @@
     pub(super) is_listed: bool,
     pub(super) is_evacuated: bool,
     pub(super) cold_until: Monotonic,
+    /// How long the endpoints of the service are cold after their start; zero without a limit.
+    pub(super) cold_start: Duration,
+    pub(super) possible_restart: PossibleRestart,
     pub(super) rate_limiter: SharedRateLimiter,
     pub(super) load: LoadEstimate,
     pub(super) health: EndpointHealth,
@@ -47,6 +52,8 @@
             record,
             is_listed: true,
             is_evacuated: false,
+            cold_start: Duration::ZERO,
+            possible_restart: PossibleRestart::default(),
             rate_limiter: SharedRateLimiter::new(now),
             load: LoadEstimate::default(),
             health: EndpointHealth::default(),
@@ -68,9 +75,10 @@
             && self.record.phase == EndpointPhase::Ready
     }
 
-    /// Returns whether the endpoint is still warming up.
+    /// Returns whether the endpoint is still warming up, or may be.
     pub fn is_cold(&self, now: Monotonic) -> bool {
-        now < self.cold_until
+        let after_restart = self.possible_restart.cold_until(self.cold_start);
+        now < self.cold_until || after_restart.is_some_and(|until| now < until)
     }
 
     /// Returns for how long this VM may not send a request because of the rate that the VMs of the
@@ -98,6 +106,11 @@
         }
     }
 
+    pub(super) fn record_outcome(&mut self, now: Monotonic, outcome: AttemptOutcome) {
+        self.health.record_outcome(now, outcome);
+        self.possible_restart.on_outcome(now, outcome);
+    }
+
     /// Returns the number of requests of this VM that are in flight at the endpoint.
     pub const fn local_requests(&self) -> u32 {
         self.load.local_requests()
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -143,6 +143,7 @@
             state.cold_until = state.cold_until.max(now + cold_start);
         }
         state.is_evacuated = is_evacuated;
+        state.cold_start = cold_start;
         if !record.cold_remaining.is_zero() {
             state.cold_until = state.cold_until.max(now + record.cold_remaining);
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod peer_backlogs;
 mod placement_choice;
 mod placement_query;
+mod possible_restart;
 mod prefill_rate;
 mod prefix_owner;
 mod prompt_prefix;
