Tests: rates that endpoints name in their answers, known to fail

The stand-in names a rate in all answers. With 1 to 2 a second, 40 requests a second over 3 or 12 daemons, and another endpoint idle, the endpoint gets 152 to 154 requests in 4 s where 11 to 17 are allowed, on each kind of route. Values that can't be read change nothing, as it should stay.

--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -13,6 +13,8 @@
     pub is_full: bool,
     /// The value of `Retry-After` in refusals; `None` sends no such header.
     pub retry_after: Option<HeaderValue>,
+    /// The requests per second that it names in all answers as its limit; `None` names none.
+    pub rate_limit: Option<HeaderValue>,
     /// Announces in all answers that it is about to stop.
     pub is_leaving: bool,
     /// Runs requests, but resets the connection instead of sending the body of a plain answer.
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -333,7 +333,7 @@
     }
     headers.insert("server-stamp", HeaderValue::from_static("stamp"));
     headers.insert("server-load", HeaderValue::from_static("1,0,8"));
-    announce_leaving(&faults, headers);
+    announce_notices(&faults, headers);
     Ok(response)
 }
 
@@ -344,11 +344,14 @@
     if let Some(value) = &faults.retry_after {
         headers.insert("retry-after", value.clone());
     }
-    announce_leaving(faults, headers);
+    announce_notices(faults, headers);
     response
 }
 
-fn announce_leaving(faults: &EndpointFaults, headers: &mut HeaderMap) {
+fn announce_notices(faults: &EndpointFaults, headers: &mut HeaderMap) {
+    if let Some(value) = &faults.rate_limit {
+        headers.insert("server-limit", value.clone());
+    }
     if faults.is_leaving {
         headers.insert("server-leaving", HeaderValue::from_static("1"));
     }
