Keep the rate that an endpoint names in its answers, over all VMs together

Servers in need name the requests a second that they take from all VMs together; nothing read it, and they got as much as before (152 requests in 4 s, 11 to 17 allowed). VMs now keep it with the mechanism of cold endpoints: a number of VMs that grows with the rate share it, each with a bucket of one request. VMs learn it from their own answers and tell each other in gossip, with the ages of the newest answers with and without the rate; one without it ends the rate. What is above goes to another endpoint or region, else it is refused at once with the time until the next request may be sent. Values that are no rate are ignored and logged. Prefixes have other owners while a rate is in force, and a region publishes a longer wait.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -15,6 +15,8 @@
   crashes @5 :List(Crash);
   # The parts of these crashes that were answered.
   answeredParts @6 :List(AnsweredPart);
+  # Only in messages between VMs of one region.
+  namedRates @7 :List(NamedRate);
 }
 
 struct BeliefDigest {
@@ -78,6 +80,17 @@
   ageMs @1 :UInt32;
 }
 
+# The rate that an endpoint named in its answers; ages are counted to the sending of the message.
+struct NamedRate {
+  endpoint @0 :UInt32;
+  # Thousandths of a request per second.
+  rateMilli @1 :UInt32;
+  # The age of the newest answer that named the rate.
+  namedAgeMs @2 :UInt32;
+  # The age of the newest answer that named none; the largest number if there was none.
+  unlimitedAgeMs @3 :UInt32;
+}
+
 struct Listing {
   endpoints @0 :List(EndpointRow);
   evacuatedZones @1 :List(UInt16);
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -24,6 +24,7 @@
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
 use crate::platform::AnswerHead;
+use crate::platform::RateNotice;
 
 /// The connect timeout within a region, where the one-way latency is 1 ms. A full accept queue
 /// drops the SYN, so it shows as a timeout rather than as an error.
@@ -244,6 +245,7 @@
     }
     if !head.is_other_instance {
         record_notices(state, now, target, &head);
+        record_rate(state, now, target, head.rate);
     }
     if forward_headers::is_quarantined(&answer.parts.headers) {
         let remaining = head.retry_after.unwrap_or_default();
@@ -292,6 +294,18 @@
     }
 }
 
+/// Records the rate that an endpoint names in the head of an answer.
+fn record_rate(state: &EntryState, now: Monotonic, target: &Target, rate: RateNotice) {
+    let Target::Endpoint { placement, .. } = target else {
+        return;
+    };
+    match rate {
+        RateNotice::Unlimited => state.on_rate(now, placement.endpoint, None),
+        RateNotice::PerS(rate_per_s) => state.on_rate(now, placement.endpoint, Some(rate_per_s)),
+        RateNotice::Invalid => log::info!(to:% = target; "ignored a rate limit that is no rate"),
+    }
+}
+
 async fn on_refused(mut answer: Answer, retry_after: Option<Duration>) -> AttemptError {
     answer.running.record_outcome(AttemptOutcome::Refused);
     let rest = timeout(REFUSAL_BODY_TIMEOUT, answer.body.collect()).await;
--- a/src/edge/peer_fetch.rs
+++ b/src/edge/peer_fetch.rs
@@ -99,6 +99,7 @@
         rows: vec![state.fleet.borrow().local_row().clone()],
         listing: Some(belief.listing().as_ref().clone()),
         crashes: MessageCrashes::default(),
+        rates: Vec::new(),
     };
     match encode_message(&message) {
         Ok(bytes) => Some(Bytes::from(bytes)),
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -23,11 +23,13 @@
 use crate::clock::Clock;
 use crate::clock::Monotonic;
 use crate::edge::ConnectionPool;
+use crate::fleet::EndpointRate;
 use crate::fleet::FleetView;
 use crate::fleet::NameHash;
 use crate::fleet::ServiceWait;
 use crate::fleet::VmPhase;
 use crate::fleet::VmRow;
+use crate::placement::EndpointKey;
 use crate::placement::EndpointTable;
 use crate::placement::PromptPrefix;
 use crate::quarantine::CrashReports;
@@ -259,6 +261,23 @@
         }
     }
 
+    /// Adds the rates of endpoints that another VM observed.
+    pub fn on_rates_reported(&self, rates: impl IntoIterator<Item = EndpointRate>) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        for key in endpoints.on_peer_rates(rates) {
+            log_rate(&endpoints, key);
+        }
+    }
+
+    /// Records the rate that an endpoint named in an answer, in requests per second, or that it named
+    /// none.
+    pub fn on_rate(&self, now: Monotonic, key: EndpointKey, rate_per_s: Option<f64>) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        if endpoints.on_rate(now, key, rate_per_s) {
+            log_rate(&endpoints, key);
+        }
+    }
+
     /// Takes one retry from the budget of a service; returns whether the budget allows it.
     pub fn try_take_retry(&self, now: Monotonic, service: &Name) -> bool {
         let known_vms = self.fleet.borrow().known_count();
@@ -284,6 +303,21 @@
     }
 }
 
+fn log_rate(endpoints: &EndpointTable, key: EndpointKey) {
+    let Some(state) = endpoints.get(key) else {
+        return;
+    };
+    let endpoint = state.record().instance.id.as_str();
+    match state.named_rate_per_s() {
+        Some(rate_per_s) => log::info!(
+            endpoint = endpoint,
+            rate_per_s = rate_per_s;
+            "the endpoint limits the rate of all VMs together"
+        ),
+        None => log::info!(endpoint = endpoint; "the endpoint no longer limits its rate"),
+    }
+}
+
 fn log_quarantine(quarantine: &RequestQuarantine) {
     let sets = quarantine.quarantined().iter().map(|set| {
         let parts: Vec<String> = set.iter().map(ToString::to_string).collect();
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -27,6 +27,7 @@
 use crate::fleet::GossipPlan;
 use crate::fleet::MessageCrashes;
 use crate::fleet::MessageDigest;
+use crate::fleet::MessageRate;
 
 /// The longest payload of a UDP datagram over IPv4.
 const DATAGRAM_MAX_BYTES: usize = 65_507;
@@ -114,6 +115,10 @@
                     let quarantine = self.state.quarantine.borrow();
                     MessageCrashes::new(&quarantine.reports(now, &mut *rng), now)
                 },
+                rates: match fleet.is_in_local_region(to) {
+                    true => self.rates(now),
+                    false => Vec::new(),
+                },
             }
         };
         let bytes = match encode_datagram(message) {
@@ -130,6 +135,11 @@
         }
     }
 
+    fn rates(&self, now: Monotonic) -> Vec<MessageRate> {
+        let rates = self.state.endpoints.borrow().rates(now).into_iter();
+        rates.map(|rate| MessageRate::new(rate, now)).collect()
+    }
+
     fn on_datagram(&mut self, from: Ipv4Addr, bytes: &[u8]) {
         let message = match decode_message(bytes) {
             Ok(message) => message,
@@ -142,6 +152,8 @@
         self.merge_rows(now, from, &message);
         let crashes = message.crashes.received(now);
         self.state.on_crashes_reported(now, crashes);
+        let rates = message.rates.iter().map(|rate| rate.received(now));
+        self.state.on_rates_reported(rates);
         match message.request_sent_at {
             None => self.reply(now, from, &message),
             Some(request_sent_at) => self.on_reply(now, from, request_sent_at, message),
--- a/src/fleet/fleet_message.rs
+++ b/src/fleet/fleet_message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::MessageCrashes;
+use super::MessageRate;
 use super::VmRow;
 use crate::belief::BeliefDigest;
 use crate::clock::Monotonic;
@@ -72,4 +73,6 @@
     pub listing: Option<EndpointListing>,
     /// The crashes of endpoints that prompts may have caused.
     pub crashes: MessageCrashes,
+    /// The rates that endpoints of the region named.
+    pub rates: Vec<MessageRate>,
 }
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -36,6 +36,9 @@
 /// from each other, or were started behind a cut, don't know how many they are.
 const ISOLATED_SHARERS: usize = 8;
 
+/// The number of VMs by which a rate is divided at least: another VM may have a stale view.
+const SHARERS_MIN: usize = 2;
+
 #[derive(Debug)]
 struct KnownVm {
     row: VmRow,
@@ -258,10 +261,12 @@
         if !self.is_selected(now, rendezvous_key, count) {
             return None;
         }
-        Some(match self.is_isolated(now) {
-            true => count.max(ISOLATED_SHARERS),
-            false => count,
-        })
+        if self.is_isolated(now) {
+            return Some(count.max(ISOLATED_SHARERS));
+        }
+        let region = self.local_region();
+        let others = self.known().filter(|row| self.region(row) == region);
+        Some(count.min(others.count() + 1).max(SHARERS_MIN))
     }
 
     /// Returns whether the local VM hears no other and may be one of several that don't.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -16,6 +16,7 @@
 use super::MessageCrash;
 use super::MessageCrashes;
 use super::MessageDigest;
+use super::MessageRate;
 use super::NameHash;
 use super::ServiceWait;
 use super::VmPhase;
@@ -45,6 +46,12 @@
 /// The largest number of answered parts that are read from a message.
 const ANSWERED_PARTS_MAX: usize = 512;
 
+/// The largest number of rates in a message.
+const RATES_MAX: usize = 256;
+
+/// The value of an age field for "never".
+const NEVER_MS: u32 = u32::MAX;
+
 /// Encodes a message.
 ///
 /// # Errors
@@ -61,6 +68,7 @@
         encode_row(rows.reborrow().get(index), row);
     }
     encode_crashes(root.reborrow(), &message.crashes);
+    encode_rates(root.reborrow(), &message.rates);
     if let Some(listing) = &message.listing {
         encode_listing(root.init_listing(), listing);
     }
@@ -113,6 +121,19 @@
     }
 }
 
+fn encode_rates(to: schema::fleet_message::Builder<'_>, rates: &[MessageRate]) {
+    let rates = &rates[..rates.len().min(RATES_MAX)];
+    let mut entries = to.init_named_rates(length(rates.len()));
+    let age_ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(NEVER_MS - 1);
+    for (index, rate) in (0..).zip(rates) {
+        let mut entry = entries.reborrow().get(index);
+        entry.set_endpoint(rate.endpoint.0);
+        entry.set_rate_milli((rate.rate_per_s * 1_000.0) as u32);
+        entry.set_named_age_ms(age_ms(rate.named_age));
+        entry.set_unlimited_age_ms(rate.unlimited_age.map_or(NEVER_MS, age_ms));
+    }
+}
+
 fn encode_row(mut to: schema::vm_row::Builder<'_>, row: &VmRow) {
     to.set_ip(u32::from(row.ip));
     to.set_zone(row.zone.0);
@@ -198,6 +219,7 @@
         rows,
         listing,
         crashes: decode_crashes(root)?,
+        rates: decode_rates(root)?,
     })
 }
 
@@ -243,6 +265,22 @@
     })
 }
 
+fn decode_rates(
+    from: schema::fleet_message::Reader<'_>,
+) -> Result<Vec<MessageRate>, FleetWireError> {
+    let age = |age_ms: u32| Duration::from_millis(u64::from(age_ms));
+    let rates = from.get_named_rates()?.iter().take(RATES_MAX);
+    let rates = rates.map(|rate| MessageRate {
+        endpoint: InstanceHash(rate.get_endpoint()),
+        rate_per_s: f64::from(rate.get_rate_milli()) / 1_000.0,
+        named_age: age(rate.get_named_age_ms()),
+        unlimited_age: Some(rate.get_unlimited_age_ms())
+            .filter(|age_ms| *age_ms != NEVER_MS)
+            .map(age),
+    });
+    Ok(rates.collect())
+}
+
 fn decode_row(from: schema::vm_row::Reader<'_>) -> Result<VmRow, FleetWireError> {
     let waits = from.get_waits()?.iter().map(|wait| ServiceWait {
         service: NameHash(wait.get_service()),
--- a/src/placement/endpoint_events.rs
+++ b/src/placement/endpoint_events.rs
@@ -16,7 +16,7 @@
     /// Records a request that is about to be sent to an endpoint.
     pub fn on_sent(&mut self, now: Monotonic, placement: &Placement) {
         if let Some(state) = self.endpoints.get_mut(placement.endpoint) {
-            if state.is_cold(now) {
+            if state.is_limited(now) {
                 state.rate_limiter.on_sent();
             } else {
                 state.rate_limiter.on_unlimited_sent(now);
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -8,6 +8,7 @@
 use super::endpoint_health::EndpointHealth;
 use super::endpoint_notice::EndpointNotice;
 use super::load_estimate::LoadEstimate;
+use super::named_rate::NamedRate;
 use super::possible_restart::PossibleRestart;
 use super::wait_estimate::WaitEstimate;
 use super::AttemptOutcome;
@@ -21,11 +22,15 @@
 use crate::deployment::EndpointRecord;
 use crate::deployment::InstanceId;
 use crate::fleet::NameHash;
+use crate::quarantine::InstanceHash;
 
 /// The number of VMs of a region that send to one cold endpoint: with two, it still gets requests
 /// when one of them has a stale view of the fleet.
 const COLD_SENDERS: usize = 2;
 
+/// The smallest number of VMs that share the rate that an endpoint named.
+const NAMED_RATE_SENDERS_MIN: usize = 2;
+
 /// The state of one endpoint instance, as seen by this VM.
 #[derive(Clone, Debug)]
 pub struct EndpointState {
@@ -41,14 +46,18 @@
     pub(super) health: EndpointHealth,
     pub(super) waits: WaitEstimate,
     pub(super) notice: EndpointNotice,
+    pub(super) named_rate: NamedRate,
     pub(super) hash: NameHash,
+    pub(super) instance_hash: InstanceHash,
 }
 
 impl EndpointState {
     pub(super) fn new(now: Monotonic, record: EndpointRecord, notice: EndpointNotice) -> Self {
         Self {
             cold_until: now + record.cold_remaining,
+            named_rate: NamedRate::default(),
             hash: NameHash::from(&record.instance.id),
+            instance_hash: InstanceHash::from(&record.instance),
             record,
             is_listed: true,
             is_evacuated: false,
@@ -90,13 +99,15 @@
         cold_rate_per_s: f64,
         sharers: impl Fn(u64, usize) -> Option<usize>,
     ) -> Option<Duration> {
-        if !self.is_cold(now) || cold_rate_per_s <= 0.0 {
-            return None;
-        }
-        let senders = sharers(rendezvous_key(&self.record.instance), COLD_SENDERS);
+        let rate_per_s = self.rate_limit_per_s(now, cold_rate_per_s)?;
+        let senders_max = match self.is_cold(now) {
+            true => COLD_SENDERS,
+            false => named_rate_senders(rate_per_s),
+        };
+        let senders = sharers(rendezvous_key(&self.record.instance), senders_max);
         let rate = SharedRate {
-            rate_per_s: cold_rate_per_s,
-            senders: senders.unwrap_or(COLD_SENDERS),
+            rate_per_s,
+            senders: senders.unwrap_or(senders_max),
         };
         match senders {
             // Another VM may take the client's next request.
@@ -106,6 +117,34 @@
         }
     }
 
+    /// Returns the requests per second that the endpoint takes from all VMs together, or `None` if it
+    /// is not limited.
+    fn rate_limit_per_s(&self, now: Monotonic, cold_rate_per_s: f64) -> Option<f64> {
+        let is_limited_as_cold = self.is_cold(now) && cold_rate_per_s > 0.0;
+        let cold_rate_per_s = is_limited_as_cold.then_some(cold_rate_per_s);
+        match (cold_rate_per_s, self.named_rate.in_force()) {
+            (Some(cold), Some(named)) => Some(cold.min(named)),
+            (cold, named) => cold.or(named),
+        }
+    }
+
+    /// Returns whether VMs share a rate of requests to the endpoint.
+    pub(super) fn is_limited(&self, now: Monotonic) -> bool {
+        self.is_cold(now) || self.named_rate.in_force().is_some()
+    }
+
+    /// Returns the requests per second that the endpoint named, while they are in force.
+    pub fn named_rate_per_s(&self) -> Option<f64> {
+        self.named_rate.in_force()
+    }
+
+    /// Returns the mean time between two requests at the rate that the endpoint named, in
+    /// milliseconds; zero if it named none.
+    pub(super) fn named_interval_ms(&self) -> f64 {
+        let rate_per_s = self.named_rate.in_force();
+        rate_per_s.map_or(0.0, |rate_per_s| 1_000.0 / rate_per_s)
+    }
+
     pub(super) fn record_outcome(&mut self, now: Monotonic, outcome: AttemptOutcome) {
         self.health.record_outcome(now, outcome);
         self.possible_restart.on_outcome(now, outcome);
@@ -166,6 +205,12 @@
     }
 }
 
+/// Returns the number of VMs that share a rate, so that each may send about once a second. A few
+/// more than one, so that the rate is used if one of them is gone.
+fn named_rate_senders(rate_per_s: f64) -> usize {
+    (rate_per_s.ceil() as usize).max(NAMED_RATE_SENDERS_MIN)
+}
+
 fn rendezvous_key(instance: &InstanceId) -> u64 {
     xxh3_64_with_seed(instance.id.as_str().as_bytes(), instance.started_unix_ms)
 }
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -181,7 +181,8 @@
             .map(|(_, state)| {
                 let peers = self.peer_backlogs.at(state.hash);
                 let queue_ms = rate.prefill_ms(state.ahead_tokens(peers, MIDDLE_PRIORITY));
-                state.expected_ms(now, queue_ms, 0.0, MIDDLE_PRIORITY)
+                let wait_ms = state.expected_ms(now, queue_ms, 0.0, MIDDLE_PRIORITY);
+                wait_ms + state.named_interval_ms()
             })
             .min_by(f64::total_cmp)
     }
@@ -269,7 +270,7 @@
     fn candidates(&self, now: Monotonic, query: &PlacementQuery<'_>) -> Vec<EndpointKey> {
         let available = self.of_service(query.service).filter(|(key, state)| {
             state.takes_requests()
-                && !state.is_cold(now)
+                && !state.is_limited(now)
                 && state.unavailable_for(now, *key, query).is_none()
         });
         let Some(mut drawn) = draw_sample(available.map(|(key, _)| key), query.draw) else {
@@ -279,6 +280,10 @@
                 .cloned()
                 .unwrap_or_default();
         };
+        // Without requests, the end of a rate would not be observed.
+        let limited = self.of_service(query.service);
+        let limited = limited.filter(|(_, state)| state.named_rate.in_force().is_some());
+        drawn.extend(limited.map(|(key, _)| key));
         drawn.extend(query.prefix_endpoint);
         drawn.extend(query.prefix_replica);
         drawn
@@ -296,7 +301,7 @@
     ) -> Option<PrefixOwner> {
         let local = self
             .of_service(service)
-            .filter(|(_, state)| state.takes_requests() && !state.is_cold(now))
+            .filter(|(_, state)| state.takes_requests() && !state.is_limited(now))
             .map(|(key, state)| (&state.record.instance, PrefixOwner::Local(key)));
         let remote = self.remote.get(service).into_iter().flatten();
         let others = remote
@@ -320,7 +325,7 @@
         let owner = owner.and_then(PrefixOwner::local);
         self.of_service(service)
             .filter(|(key, state)| {
-                Some(*key) != owner && state.takes_requests() && !state.is_cold(now)
+                Some(*key) != owner && state.takes_requests() && !state.is_limited(now)
             })
             .max_by_key(|(_, state)| instance_score(&state.record.instance, prefix_hash))
             .map(|(key, _)| key)
--- a/src/platform/answer_head.rs
+++ b/src/platform/answer_head.rs
@@ -14,10 +14,26 @@
 const LOAD: HeaderName = HeaderName::from_static("server-load");
 const COLD_MS: HeaderName = HeaderName::from_static("cold-ms");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// The largest rate that counts as one, in requests per second; no endpoint takes more.
+const RATE_MAX_PER_S: f64 = 1_000_000.0;
+
+/// What an answer says about the rate that its endpoint takes from all VMs together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateNotice {
+    /// It names none.
+    #[default]
+    Unlimited,
+    /// It names these requests per second.
+    PerS(f64),
+    /// It names a value that is no rate.
+    Invalid,
+}
+
 /// The fields that the gateway reads from the head of an endpoint's answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Whether the endpoint reports that it did not run the request.
     pub is_not_executed: bool,
@@ -35,6 +51,8 @@
     pub cold_remaining: Option<Duration>,
     /// The time after which the endpoint closes an idle connection.
     pub keep_alive: Option<Duration>,
+    /// The rate that the endpoint names.
+    pub rate: RateNotice,
     /// Whether the endpoint reports that it is about to stop.
     pub is_leaving: bool,
     /// How long the endpoint wants no further requests of this VM; only with a refusal.
@@ -60,6 +78,10 @@
                 .and_then(|value| value.trim().parse::<f64>().ok())
                 .and_then(|value| Duration::try_from_secs_f64(value / 1_000.0).ok()),
             keep_alive: text(&KEEP_ALIVE).and_then(parse_keep_alive),
+            rate: match headers.get(LIMIT) {
+                None => RateNotice::Unlimited,
+                Some(_) => text(&LIMIT).map_or(RateNotice::Invalid, parse_rate),
+            },
             is_leaving: text(&LEAVING).is_some_and(|value| value.trim() == "1"),
             retry_after: Some(parts.status)
                 .filter(|status| *status == StatusCode::SERVICE_UNAVAILABLE)
@@ -90,6 +112,14 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
+fn parse_rate(value: &str) -> RateNotice {
+    let rate_per_s = value.trim().parse::<f64>();
+    let rate_per_s = rate_per_s
+        .ok()
+        .filter(|rate| (0.0..=RATE_MAX_PER_S).contains(rate));
+    rate_per_s.map_or(RateNotice::Invalid, RateNotice::PerS)
+}
+
 fn parse_keep_alive(value: &str) -> Option<Duration> {
     let timeout = value
         .split(',')
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,6 +16,7 @@
 
 pub use answer_head::is_not_executed;
 pub use answer_head::AnswerHead;
+pub use answer_head::RateNotice;
 pub use configuration_wire::decode_configuration;
 pub use directory_wire::DirectoryAnswer;
 pub use directory_wire::DirectoryQuery;
--- a/tests/behaviour/fleet/wire.rs
+++ b/tests/behaviour/fleet/wire.rs
@@ -13,6 +13,7 @@
 use figramp::fleet::MessageCrash;
 use figramp::fleet::MessageCrashes;
 use figramp::fleet::MessageDigest;
+use figramp::fleet::MessageRate;
 use figramp::fleet::NameHash;
 use figramp::fleet::ServiceWait;
 use figramp::quarantine::InstanceHash;
@@ -64,9 +65,25 @@
         rows: vec![own, row(2, 3)],
         listing,
         crashes: crashes(),
+        rates: rates(),
     }
 }
 
+fn rates() -> Vec<MessageRate> {
+    let ended = MessageRate {
+        endpoint: InstanceHash(7),
+        rate_per_s: 1.5,
+        named_age: Duration::from_millis(900),
+        unlimited_age: Some(Duration::from_millis(100)),
+    };
+    let in_force = MessageRate {
+        endpoint: InstanceHash(8),
+        unlimited_age: None,
+        ..ended
+    };
+    vec![ended, in_force]
+}
+
 #[test]
 fn a_message_decodes_to_what_was_encoded() {
     let mut sent = listing(&["a", "b"]);
@@ -78,6 +95,7 @@
     assert_eq!(received.rows, message(None).rows);
     assert_eq!(received.listing, Some(sent));
     assert_eq!(received.crashes, crashes());
+    assert_eq!(received.rates, rates());
     assert_eq!(received.request_sent_at, Some(at(1_200)));
     assert_eq!(received.digest.listing_age, None);
     assert_eq!(
--- a/tests/behaviour/quota/many_accounts.rs
+++ b/tests/behaviour/quota/many_accounts.rs
@@ -70,6 +70,7 @@
         rows: rows.collect(),
         listing: None,
         crashes: MessageCrashes::default(),
+        rates: Vec::new(),
     };
     let bytes = encode_message(&message).expect("the message can be encoded");
     assert!(bytes.len() < DATAGRAM_MAX_BYTES, "{} bytes", bytes.len());
