Take an answer with the identifier of another request for none

The identifier was compared for successes only. An answer with another identifier now leaves open whether the request ran: a booking gets 502, a safe request is sent elsewhere. It tells nothing of load, coldness, leaving, pauses or rates either, and its connection is closed. A refusal without an identifier on a used connection is not believed for requests that must not run twice.

entry::repeated_refusals, three tests, failed before. The stand-in's refusals carry the identifier now, as the protocol says, and the reader of raw requests is shared with the late reader.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -221,6 +221,10 @@
     let now = state.now();
     answer.running.on_head(now);
     let head = AnswerHead::decode(&answer.parts);
+    if is_for_other(request, target, &head, &mut answer) {
+        answer.running.record_outcome(AttemptOutcome::Failed);
+        return Err(AttemptError::MayHaveRun(UpstreamError::Unverified));
+    }
     if let Some(keep_alive) = head.keep_alive {
         answer.running.connection_mut().on_keep_alive(keep_alive);
     }
@@ -256,8 +260,8 @@
         return Err(on_refused(answer, head.retry_after).await);
     }
     let is_success = answer.parts.status.is_success();
-    let is_for_request = head.request_id.as_deref() == Some(&*request.head.request_id);
-    if head.is_encoded || (is_success && !(head.is_signed && is_for_request)) {
+    let has_identifier = head.request_id.is_some();
+    if head.is_encoded || (is_success && !(head.is_signed && has_identifier)) {
         answer.running.record_outcome(AttemptOutcome::Failed);
         return Err(AttemptError::MayHaveRun(UpstreamError::Unverified));
     }
@@ -273,6 +277,28 @@
     Ok(answer)
 }
 
+/// Returns whether an answer may belong to an earlier request on the connection: endpoints may write
+/// an answer once more, which then says nothing about this request or the endpoint's present state.
+///
+/// Without an identifier, a refusal on a connection that was used before may do so; it is believed
+/// where a second run does no harm.
+fn is_for_other(
+    request: &ClientRequest,
+    target: &Target,
+    head: &AnswerHead,
+    answer: &mut Answer,
+) -> bool {
+    match &head.request_id {
+        Some(id) => **id != *request.head.request_id,
+        None => {
+            matches!(target, Target::Endpoint { .. })
+                && head.is_not_executed
+                && !request.route.retry_safety.is_retryable()
+                && answer.running.connection_mut().is_reused
+        }
+    }
+}
+
 /// Records what an endpoint asks of this VM in the head of an answer.
 fn record_notices(state: &EntryState, now: Monotonic, target: &Target, head: &AnswerHead) {
     let Target::Endpoint { instance, .. } = target else {
--- a/src/stand_in/deployment/answer_body.rs
+++ b/src/stand_in/deployment/answer_body.rs
@@ -7,6 +7,11 @@
 
 use bytes::Bytes;
 use futures::stream;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -92,3 +97,20 @@
 pub(super) fn connection_reset() -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionReset, "reset by a simulated fault")
 }
+
+/// Returns an answer without a body to the request with this identifier.
+pub(super) fn empty_for(request_id: &str, status: StatusCode) -> Response<AnswerBody> {
+    let mut response = empty(status);
+    if let Ok(value) = HeaderValue::from_str(request_id) {
+        response.headers_mut().insert("request-id", value);
+    }
+    response
+}
+
+/// Returns an answer without a body.
+pub(super) fn empty(status: StatusCode) -> Response<AnswerBody> {
+    let body = Full::<Bytes>::default().map_err(|never| -> io::Error { match never {} });
+    let mut response = Response::new(Box::pin(body) as AnswerBody);
+    *response.status_mut() = status;
+    response
+}
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -18,7 +18,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -27,6 +26,8 @@
 use tokio::time::sleep;
 
 use super::answer_body::connection_reset;
+use super::answer_body::empty;
+use super::answer_body::empty_for;
 use super::answer_body::event;
 use super::answer_body::event_stream;
 use super::answer_body::plain_body;
@@ -275,10 +276,10 @@
         value.to_str().ok().map(str::to_owned)
     };
     let expected = header("expect-instance");
+    let request_id = header("request-id").unwrap_or_default();
     if expected.is_some_and(|expected| expected != instance_id) {
-        return Ok(empty(StatusCode::MISDIRECTED_REQUEST));
+        return Ok(empty_for(&request_id, StatusCode::MISDIRECTED_REQUEST));
     }
-    let request_id = header("request-id").unwrap_or_default();
     let prompt_parts = header("prefix-hash").unwrap_or_default();
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let is_stream = parts.uri.path().contains(STREAM_PATH);
@@ -296,7 +297,7 @@
             state.crashing_request_arrivals.push(Instant::now());
         }
         if state.faults.is_full {
-            return Ok(refusal(&state.faults));
+            return Ok(refusal(&request_id, &state.faults));
         }
         let crash_point = crashes_at.then(|| state.next_crash_point(is_stream));
         *state.runs.entry(request_id.clone()).or_insert(0) += 1;
@@ -337,8 +338,8 @@
     Ok(response)
 }
 
-fn refusal(faults: &EndpointFaults) -> Response<AnswerBody> {
-    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+fn refusal(request_id: &str, faults: &EndpointFaults) -> Response<AnswerBody> {
+    let mut response = empty_for(request_id, StatusCode::SERVICE_UNAVAILABLE);
     let headers = response.headers_mut();
     headers.insert("not-executed", HeaderValue::from_static("1"));
     if let Some(value) = &faults.retry_after {
@@ -388,10 +389,3 @@
     sleep(pause.max(CRASH_DELAY)).await;
     state.lock().process.crash();
 }
-
-fn empty(status: StatusCode) -> Response<AnswerBody> {
-    let body = Full::<Bytes>::default().map_err(|never| -> io::Error { match never {} });
-    let mut response = Response::new(Box::pin(body) as AnswerBody);
-    *response.status_mut() = status;
-    response
-}
--- a/src/stand_in/deployment/late_reader.rs
+++ b/src/stand_in/deployment/late_reader.rs
@@ -7,14 +7,13 @@
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-const HEAD_END: &[u8] = b"\r\n\r\n";
+use super::raw_head::RawHead;
 
 /// The receive buffer, which a long body fills.
 const RECEIVE_BUFFER_BYTES: usize = 4_096;
@@ -105,15 +104,8 @@
 }
 
 async fn serve_one(stream: &mut TcpStream, answer: LateAnswer, delay: Duration) -> io::Result<()> {
-    let mut head = Vec::new();
-    while !head.ends_with(HEAD_END) {
-        head.push(stream.read_u8().await?);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let body_length: usize = header(&head, "content-length")
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(0);
-    let request_id = header(&head, "request-id").unwrap_or_default();
+    let head = RawHead::read(stream).await?;
+    let request_id = &head.request_id;
     let common = format!("HTTP/1.1 200 OK\r\nrequest-id: {request_id}\r\nserver-stamp: stamp\r\n");
     if answer == LateAnswer::Before {
         let begin = format!("{common}transfer-encoding: chunked\r\n\r\n");
@@ -127,17 +119,10 @@
     } else {
         sleep(delay).await;
     }
-    let mut body = vec![0; body_length];
-    stream.read_exact(&mut body).await?;
+    head.read_body(stream).await?;
     let end = match answer {
         LateAnswer::Before => "0\r\n\r\n".to_owned(),
         LateAnswer::After => format!("{common}content-length: 4\r\n\r\ndone"),
     };
     stream.write_all(end.as_bytes()).await
 }
-
-fn header(head: &str, name: &str) -> Option<String> {
-    let lines = head.lines().filter_map(|line| line.split_once(':'));
-    let mut values = lines.filter(|(other, _)| other.eq_ignore_ascii_case(name));
-    values.next().map(|(_, value)| value.trim().to_owned())
-}
--- /dev/null
+++ b/src/stand_in/deployment/raw_head.rs
@@ -0,0 +1,43 @@
+//! The head of a request, read from a socket by stand-ins that do without an HTTP library.
+
+use std::io;
+
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// What a stand-in needs of the head of a request.
+pub(super) struct RawHead {
+    pub(super) request_id: String,
+    body_length: usize,
+}
+
+impl RawHead {
+    /// Reads the head of the next request.
+    pub(super) async fn read(stream: &mut TcpStream) -> io::Result<Self> {
+        let mut head = Vec::new();
+        while !head.ends_with(HEAD_END) {
+            head.push(stream.read_u8().await?);
+        }
+        let head = String::from_utf8_lossy(&head);
+        let body_length = header(&head, "content-length").and_then(|value| value.parse().ok());
+        Ok(Self {
+            request_id: header(&head, "request-id").unwrap_or_default(),
+            body_length: body_length.unwrap_or(0),
+        })
+    }
+
+    /// Reads the body that follows, and discards it.
+    pub(super) async fn read_body(&self, stream: &mut TcpStream) -> io::Result<()> {
+        let mut body = vec![0; self.body_length];
+        stream.read_exact(&mut body).await?;
+        Ok(())
+    }
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut values = lines.filter(|(other, _)| other.eq_ignore_ascii_case(name));
+    values.next().map(|(_, value)| value.trim().to_owned())
+}
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -14,6 +14,7 @@
 mod left_endpoints;
 mod odd_entries;
 mod rate_limits;
+mod repeated_refusals;
 mod requests;
 mod restored_store;
 mod silent_endpoints;
