Send the head of a stream with its first event

It waits for the first event now; a stream that has none and can't be resumed is answered with 502, or 504 at the deadline.

--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -77,7 +77,8 @@
                 Err(refusal) => return failed_answer.ok_or(refusal),
             };
             if self.request.route.retry_safety.is_stream() && answer.parts.status.is_success() {
-                return Ok(relay::response(self, answer));
+                let response = relay::response(self, answer).await;
+                return response.or_else(|refusal| failed_answer.ok_or(refusal));
             }
             let has_failed = answer.parts.status.is_server_error();
             match self.collect(answer).await {
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures::stream;
+use futures::StreamExt;
 use http::header;
 use http::HeaderMap;
 use http::Response;
@@ -23,6 +24,8 @@
 use super::silence::SilenceLimits;
 use super::EdgeBody;
 use super::EventSplitter;
+use super::Refusal;
+use super::RefusalKind;
 use super::UpstreamError;
 use crate::clock::Monotonic;
 use crate::placement::AttemptOutcome;
@@ -80,14 +83,24 @@
     }
 }
 
-/// Builds the answer whose body passes the stream on.
-pub(super) fn response(attempts: Attempts, answer: Answer) -> Response<EdgeBody> {
+/// Builds the answer whose body passes the stream on, once its first event has arrived.
+///
+/// The head waits for that event: a client that got a head cannot be told any more that its request
+/// failed.
+///
+/// # Errors
+///
+/// Returns a [`Refusal`] if the stream broke off before its first event and could not be resumed.
+pub(super) async fn response(
+    attempts: Attempts,
+    answer: Answer,
+) -> Result<Response<EdgeBody>, Refusal> {
     let status = answer.parts.status;
     let mut headers = client_headers(answer.parts.headers.clone());
     headers.remove(header::CONTENT_LENGTH);
     let last_id = attempts.request.head.last_event_id;
     let progressed_at = attempts.state.now();
-    let relay = StreamRelay {
+    let mut relay = StreamRelay {
         attempts,
         answer: Some(answer),
         splitter: EventSplitter::new(last_id),
@@ -95,14 +108,23 @@
         has_event: false,
         first_event_at: progressed_at,
     };
-    let frames = stream::try_unfold(relay, |mut relay| async move {
+    let first = relay.next().await.map_err(|error| refusal(&error))?;
+    let first = stream::iter(first.map(|events| Ok(Frame::data(events))));
+    let rest = stream::try_unfold(relay, |mut relay| async move {
         let bytes = relay.next().await?;
         Ok(bytes.map(|bytes| (Frame::data(bytes), relay)))
     });
-    let mut response = Response::new(Box::pin(StreamBody::new(frames)) as EdgeBody);
+    let mut response = Response::new(Box::pin(StreamBody::new(first.chain(rest))) as EdgeBody);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    response
+    Ok(response)
+}
+
+const fn refusal(error: &UpstreamError) -> Refusal {
+    Refusal::new(match error {
+        UpstreamError::DeadlinePassed => RefusalKind::TimedOut,
+        _ => RefusalKind::Failed,
+    })
 }
 
 /// The result of one read of an endpoint's stream.
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -20,6 +20,7 @@
 mod silent_endpoints;
 mod stale_configurations;
 mod stopping;
+mod stream_heads;
 pub(crate) mod support;
 mod two_regions;
 mod unframed_answers;
