--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -36,6 +36,12 @@
 }
 
 impl EndpointFaults {
+    /// Returns the named rate, in requests per second, unless it is no rate.
+    pub(super) fn rate_per_s(&self) -> Option<f64> {
+        let text = self.rate_limit.as_ref()?.to_str().ok()?;
+        text.parse().ok().filter(|rate| *rate >= 0.0)
+    }
+
     /// Returns whether a request crashes the endpoint.
     pub(super) fn crashes_at(&self, path: &str, body: &[u8]) -> bool {
         let mut requests = self.crashing_requests.iter();
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -85,6 +85,7 @@
             at: Instant::now(),
             replaced_count: self.replaced_count,
             is_leaving: self.faults.is_leaving,
+            rate_per_s: self.faults.rate_per_s(),
             retry_after: retry_after_s.and_then(|value| Duration::try_from_secs_f64(value).ok()),
         }
     }
--- a/tests/behaviour/soak/endpoint_slot.rs
+++ b/tests/behaviour/soak/endpoint_slot.rs
@@ -5,6 +5,7 @@
 use figramp::stand_in::deployment::EndpointServer;
 use figramp::stand_in::deployment::UnframedAnswers;
 use figramp::stand_in::deployment::UnframedProxy;
+use http::HeaderValue;
 use parking_lot::Mutex;
 
 use super::loopback_proxy::LoopbackProxy;
@@ -19,6 +20,7 @@
     pub(super) zone: &'static str,
     faults: Mutex<EndpointFaults>,
     notice: Mutex<Notice>,
+    rate: Mutex<Option<HeaderValue>>,
     /// Passes streams on without a length and chunks.
     unframed: Option<UnframedProxy>,
 }
@@ -52,6 +54,7 @@
             zone,
             faults: Mutex::default(),
             notice: Mutex::default(),
+            rate: Mutex::default(),
             unframed,
         }
     }
@@ -61,18 +64,28 @@
         self.unframed.is_some()
     }
 
-    /// Replaces the simulated faults; the notice in force stays.
+    /// Replaces the simulated faults; the notice and the rate in force stay.
     pub(super) fn set_faults(&self, faults: EndpointFaults) {
-        let notice = self.notice.lock();
-        *self.faults.lock() = faults.clone();
-        self.server.set_faults(notice.added_to(faults));
+        *self.faults.lock() = faults;
+        self.apply();
     }
 
-    /// Replaces the notice in the answers; the simulated faults stay.
+    /// Replaces the notice in the answers; the simulated faults and the rate stay.
     pub(super) fn set_notice(&self, new: Notice) {
-        let mut notice = self.notice.lock();
-        let faults = self.faults.lock().clone();
-        self.server.set_faults(new.added_to(faults));
-        *notice = new;
+        *self.notice.lock() = new;
+        self.apply();
+    }
+
+    /// Replaces the rate that answers name; the simulated faults and the notice stay.
+    pub(super) fn set_rate(&self, new: Option<HeaderValue>) {
+        *self.rate.lock() = new;
+        self.apply();
+    }
+
+    fn apply(&self) {
+        let notice = self.notice.lock();
+        let mut faults = notice.added_to(self.faults.lock().clone());
+        faults.rate_limit.clone_from(&self.rate.lock());
+        self.server.set_faults(faults);
     }
 }
--- a/tests/behaviour/soak/mod.rs
+++ b/tests/behaviour/soak/mod.rs
@@ -17,6 +17,7 @@
 mod faults;
 mod history;
 mod loopback_proxy;
+mod named_rates;
 mod notice_checks;
 mod notices;
 mod restorations;
--- a/tests/behaviour/soak/notice_checks.rs
+++ b/tests/behaviour/soak/notice_checks.rs
@@ -28,7 +28,7 @@
 const LINK_EFFECTS_MAX: Duration = Duration::from_millis(500);
 
 /// A process of a VM: the VM's index and how often it was started.
-type Process = (usize, u32);
+pub(super) type Process = (usize, u32);
 
 /// A request that arrived at an endpoint, the exchange that it belongs to, and its sender.
 struct Sent<'a> {
@@ -73,7 +73,7 @@
 }
 
 /// Returns the process that sent a request to an endpoint, if it is known.
-fn sender(world: &World, endpoint: usize, exchange: &Exchange) -> Option<Process> {
+pub(super) fn sender(world: &World, endpoint: usize, exchange: &Exchange) -> Option<Process> {
     let is_same_region = world.vms[exchange.vm].zone == world.endpoints[endpoint].zone;
     let is_one_process = exchange.starts.0 == exchange.starts.1;
     (is_same_region && is_one_process).then_some((exchange.vm, exchange.starts.0))
@@ -139,7 +139,7 @@
 }
 
 /// Returns whether the VM was paused or its link to the endpoint was disturbed in this time.
-fn is_disturbed(
+pub(super) fn is_disturbed(
     history: &History,
     endpoint: usize,
     process: Process,
--- a/tests/behaviour/soak/runs.rs
+++ b/tests/behaviour/soak/runs.rs
@@ -19,6 +19,7 @@
 use super::faults::inject;
 use super::history::Exchange;
 use super::history::Received;
+use super::named_rates;
 use super::notice_checks;
 use super::notices;
 use super::restorations;
@@ -70,6 +71,7 @@
     has_unframed_streams: bool,
     has_silences: bool,
     has_crashing_requests: bool,
+    has_named_rates: bool,
 }
 
 impl Default for RunOptions {
@@ -83,6 +85,7 @@
             has_unframed_streams: false,
             has_silences: false,
             has_crashing_requests: false,
+            has_named_rates: false,
         }
     }
 }
@@ -99,6 +102,7 @@
             has_unframed_streams: is_set("FIGRAMP_SOAK_UNFRAMED"),
             has_silences: is_set("FIGRAMP_SOAK_SILENCES"),
             has_crashing_requests: is_set("FIGRAMP_SOAK_CRASHING_REQUESTS"),
+            has_named_rates: is_set("FIGRAMP_SOAK_RATES"),
             ..Self::default()
         }
     }
@@ -147,6 +151,10 @@
         let rng = StdRng::seed_from_u64((!seed).reverse_bits());
         tokio::spawn(silences::inject(world.clone(), rng, options.fault_time))
     });
+    let named_rates = options.has_named_rates.then(|| {
+        let rng = StdRng::seed_from_u64(seed.rotate_left(32));
+        tokio::spawn(named_rates::inject(world.clone(), rng, options.fault_time))
+    });
     inject(&world, StdRng::seed_from_u64(seed), options.fault_time).await;
     if let Some(restorations) = restorations {
         restorations.await.expect("the restorations end");
@@ -157,6 +165,9 @@
     if let Some(silences) = silences {
         silences.await.expect("the silences end");
     }
+    if let Some(named_rates) = named_rates {
+        named_rates.await.expect("the rates end");
+    }
     world.clear_faults();
     let is_ready = timeout(RECOVERY_MAX, world.wait_until_ready()).await;
     let mut found = match crashing_prompts {
@@ -177,6 +188,7 @@
     let history = world.history.lock();
     found.extend(violations(&world, &history));
     found.extend(notice_checks::violations(&world, &history));
+    found.extend(named_rates::violations(&world, &history));
     found.extend(history.wrong_exits.iter().cloned());
     if is_ready.is_err() {
         found.push("not all VMs were ready in time".to_owned());
@@ -290,11 +302,23 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_rates_that_endpoints_name() {
+    let options = RunOptions {
+        has_named_rates: true,
+        ..RunOptions::default()
+    };
+    if let Err(failure) = run(6001, options).await {
+        panic!("{failure}");
+    }
+}
+
 /// Runs the seeds that `FIGRAMP_SOAK_SEEDS` names; none without it. `FIGRAMP_SOAK_VMS` sets the
 /// number of daemons, `FIGRAMP_SOAK_RESTORATIONS` restores the store as well, and
 /// `FIGRAMP_SOAK_NOTICES` lets endpoints announce that they stop or want no requests.
 /// `FIGRAMP_SOAK_CRASHES` sends prompts that crash endpoints; with `FIGRAMP_SOAK_SILENCES` endpoints
-/// fall silent for a time; `FIGRAMP_SOAK_CRASHING_REQUESTS` repeats requests that crash endpoints. With `FIGRAMP_SOAK_UNFRAMED` streams
+/// fall silent for a time; `FIGRAMP_SOAK_CRASHING_REQUESTS` repeats requests that crash endpoints, and
+/// with `FIGRAMP_SOAK_RATES` endpoints name the rate that they take. With `FIGRAMP_SOAK_UNFRAMED` streams
 /// end with their connection; a crash between two events then looks like the end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_by_hand() {
