--- a/tests/behaviour/soak/runs.rs
+++ b/tests/behaviour/soak/runs.rs
@@ -110,7 +110,6 @@
                 true => LONG_FAULT_TIME,
                 false => FAULT_TIME,
             },
-            ..Self::default()
         }
     }
 
