--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -28,7 +28,8 @@
 /// when one of them has a stale view of the fleet.
 const COLD_SENDERS: usize = 2;
 
-/// The smallest number of VMs that share the rate that an endpoint named.
+/// The smallest number of VMs that share the rate that an endpoint named: it is used also if one of
+/// them is gone.
 const NAMED_RATE_SENDERS_MIN: usize = 2;
 
 /// The state of one endpoint instance, as seen by this VM.
@@ -205,8 +206,8 @@
     }
 }
 
-/// Returns the number of VMs that share a rate, so that each may send about once a second. A few
-/// more than one, so that the rate is used if one of them is gone.
+/// Returns the number of VMs that share a rate that an endpoint named: each may send about once a
+/// second, so that the buckets of all add little to the rate.
 fn named_rate_senders(rate_per_s: f64) -> usize {
     (rate_per_s.ceil() as usize).max(NAMED_RATE_SENDERS_MIN)
 }
