End a silent stream at its deadline instead of resuming it for ever

Callers of a VM got no answers at all any more: its only thread was busy, and it did not stop on SIGTERM.

Cause: at the deadline of a silent stream that may be resumed, the resumption is refused at once as too late, the silent answer is kept, and the next read fails with the passed deadline again, without a pause. A passed deadline ends the stream now: there is no time left in which another endpoint could go on.

The two known tests of entry::left_endpoints fail as before.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -281,7 +281,8 @@
             error:% = error;
             "stream interrupted"
         );
-        if !self.attempts.can_retry() {
+        // A refused resumption keeps the silent answer, which would be resumed again at once.
+        if !self.attempts.can_retry() || matches!(error, UpstreamError::DeadlinePassed) {
             return Err(error);
         }
         let resumed = match left.filter(|_| error.is_silence()) {
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -18,6 +18,7 @@
 mod requests;
 mod restored_store;
 mod silent_endpoints;
+mod silent_past_deadline;
 mod stale_configurations;
 mod stopping;
 mod stream_heads;
