--- a/src/stand_in/deployment/answer_body.rs
+++ b/src/stand_in/deployment/answer_body.rs
@@ -57,11 +57,12 @@
     Box::pin(StreamBody::new(frames))
 }
 
-/// Returns a stream from an event on; `running` is held until its end.
+/// Returns a stream from an event on, written by a software version; `running` is held until its end.
 pub(super) fn event_stream(
     silence: Arc<Silence>,
     first_event: u64,
     faults: &EndpointFaults,
+    version: Option<String>,
     running: Arc<()>,
 ) -> AnswerBody {
     if let Some(chunk_bytes) = faults.endless_bytes {
@@ -69,29 +70,33 @@
     }
     let (pause, truncated_event) = (faults.pause, faults.truncated_event);
     let frames = stream::unfold(
-        (Some(first_event), silence, running),
-        move |(next, silence, running)| async move {
+        (Some(first_event), silence, version, running),
+        move |(next, silence, version, running)| async move {
             let id = next.filter(|id| *id <= EVENT_COUNT)?;
             sleep(pause.max(Duration::from_millis(1))).await;
             silence.wait().await;
             if truncated_event.is_some_and(|truncated_event| id > truncated_event) {
-                return Some((Err(connection_reset()), (None, silence, running)));
+                return Some((Err(connection_reset()), (None, silence, version, running)));
             }
-            let event = event(id);
+            let event = event(id, version.as_deref());
             let length = match truncated_event == Some(id) {
                 true => event.len() / 2,
                 false => event.len(),
             };
             let bytes = event.slice(..length);
-            Some((Ok(Frame::data(bytes)), (Some(id + 1), silence, running)))
+            let state = (Some(id + 1), silence, version, running);
+            Some((Ok(Frame::data(bytes)), state))
         },
     );
     Box::pin(StreamBody::new(frames))
 }
 
-/// Returns the event with a number.
-pub(super) fn event(id: u64) -> Bytes {
-    Bytes::from(format!("id: {id}\ndata: part {id}\n\n"))
+/// Returns the event with a number, which names the software version that wrote it, if it has one.
+pub(super) fn event(id: u64, version: Option<&str>) -> Bytes {
+    Bytes::from(match version {
+        Some(version) => format!("id: {id}\ndata: part {id} of {version}\n\n"),
+        None => format!("id: {id}\ndata: part {id}\n\n"),
+    })
 }
 
 pub(super) fn connection_reset() -> io::Error {
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -23,6 +23,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::json;
+use serde_json::Value;
 use tokio::time::sleep;
 
 use super::answer_body::connection_reset;
@@ -42,6 +43,9 @@
 /// The time at which the first instance of an endpoint started.
 const FIRST_BORN_UNIX_MS: u64 = 1_000;
 
+/// The software version of endpoints that were given none.
+const USUAL_VERSION: &str = "v1";
+
 /// Requests whose path contains this are answered with a stream.
 const STREAM_PATH: &str = "stream";
 
@@ -62,6 +66,10 @@
     sequence: u64,
     replaced_count: u64,
     silence: Arc<Silence>,
+    /// The version of the software; `None` for the usual one, which events do not name.
+    version: Option<String>,
+    /// What stands in the record in place of the version.
+    odd_version: Option<Value>,
 }
 
 impl EndpointState {
@@ -74,6 +82,12 @@
         points[self.process.crashes().len() % points.len()]
     }
 
+    /// Returns the version that the records name.
+    fn recorded_version(&self) -> Value {
+        let version = self.version.as_deref().unwrap_or(USUAL_VERSION);
+        self.odd_version.clone().unwrap_or_else(|| json!(version))
+    }
+
     /// Describes a request that arrives now.
     fn arrival(&self, request_id: &str) -> Arrival {
         let retry_after = self.faults.retry_after.as_ref();
@@ -174,16 +188,17 @@
 
     /// Returns the record to register in the store, with another address, such as that of a proxy.
     pub fn record_at(&self, address: SocketAddr, state: &str) -> String {
-        let (sequence, born) = {
-            let mut state = self.state.lock();
-            state.sequence += 1;
-            (state.sequence, FIRST_BORN_UNIX_MS + state.replaced_count)
-        };
+        let mut state_now = self.state.lock();
+        state_now.sequence += 1;
+        let sequence = state_now.sequence;
+        let born = FIRST_BORN_UNIX_MS + state_now.replaced_count;
+        let version = state_now.recorded_version();
+        drop(state_now);
         json!({
             "service": self.service,
             "address": address,
             "zone": self.zone,
-            "version": "v1",
+            "version": version,
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
@@ -203,6 +218,16 @@
         self.state.lock().silence.begin(duration);
     }
 
+    /// Sets the version of the software, which its events name from now on.
+    pub fn set_version(&self, version: &str) {
+        self.state.lock().version = Some(version.to_owned());
+    }
+
+    /// Puts another value in place of the version in the records.
+    pub fn set_odd_version(&self, value: Value) {
+        self.state.lock().odd_version = Some(value);
+    }
+
     /// Puts another instance in place of the endpoint; its records say so from now on.
     pub fn replace(&self) {
         self.state.lock().replaced_count += 1;
@@ -284,7 +309,7 @@
     let prompt_parts = header("prefix-hash").unwrap_or_default();
     let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let is_stream = parts.uri.path().contains(STREAM_PATH);
-    let (faults, crashes, crash_point, silence, running) = {
+    let (faults, crashes, crash_point, silence, running, version) = {
         let mut state = state.lock();
         state.last_headers.clone_from(&parts.headers);
         let arrival = state.arrival(&request_id);
@@ -303,7 +328,8 @@
         let crash_point = crashes_at.then(|| state.next_crash_point(is_stream));
         *state.runs.entry(request_id.clone()).or_insert(0) += 1;
         let (silence, running) = (Arc::clone(&state.silence), Arc::clone(&state.running));
-        (state.faults.clone(), crashes, crash_point, silence, running)
+        let (faults, version) = (state.faults.clone(), state.version.clone());
+        (faults, crashes, crash_point, silence, running, version)
     };
     if crash_point == Some(CrashPoint::Head) {
         crash_after(&state, faults.pause).await;
@@ -317,11 +343,11 @@
     let body = match is_stream {
         _ if crash_point.is_some() => {
             let has_event = crash_point == Some(CrashPoint::FirstEvent);
-            let sent = has_event.then(|| event(first_event));
+            let sent = has_event.then(|| event(first_event, version.as_deref()));
             crashing_body(state, sent, faults.pause, running)
         }
         true if crashes => crashing_stream(state, faults.pause, running),
-        true => event_stream(silence, first_event, &faults, running),
+        true => event_stream(silence, first_event, &faults, version, running),
         false => plain_body(silence, &faults, running),
     };
     let mut response = Response::new(body);
