Resume a stream only at the software version that began it

Callers saw streams whose events come from two software versions of a service: nothing read the version of an endpoint's record, so that a stream that broke off, was silent, or came back from a VM of another region went on at any endpoint.

Change: a record without a readable version names no endpoint; the version is part of the listing that VMs pass on. With its first event a stream is bound to the version of the endpoint that sent it, and later attempts choose among endpoints of that version, in the VM's own region and in others. A forward names the version that must run it, its answer the one that did; an answer of a VM that doesn't is not used. An answer over a connection that is newer than the listing counts only once a read of the store shows the same start of the endpoint at that version; the VM asks for that read at once. A retry before the first event may go to any version, and the client gets the head of the answer that brought the event. The log of an answer and of an interrupted stream names the version.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -107,4 +107,6 @@
   isDraining @7 :Bool;
   coldRemainingMs @8 :UInt32;
   sequence @9 :UInt64;
+  # A hash of the version of its software; zero if it is not known.
+  softwareVersion @10 :UInt64;
 }
--- a/src/belief/belief.rs
+++ b/src/belief/belief.rs
@@ -62,6 +62,11 @@
         self.configuration_confirmed_at.map(|at| now.since(at))
     }
 
+    /// Returns when the listing was confirmed; `None` if it never was.
+    pub const fn listing_confirmed_at(&self) -> Option<Monotonic> {
+        self.listing_confirmed_at
+    }
+
     /// Returns the time since the listing was confirmed, in milliseconds; the largest number if it
     /// never was.
     pub fn listing_age_ms(&self, now: Monotonic) -> u64 {
--- a/src/belief/read_plan.rs
+++ b/src/belief/read_plan.rs
@@ -14,6 +14,9 @@
 /// Twice the age that is usual with gossip, and well under the age at which requests are refused.
 const FALLBACK_AGE: Duration = Duration::from_millis(1_300);
 
+/// The shortest time between two reads of a VM that needs a confirmation at once.
+const REQUESTED_PERIOD: Duration = Duration::from_millis(100);
+
 /// The backoff after a failed read.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(300);
 
@@ -24,6 +27,7 @@
     last_sent_at: Option<Monotonic>,
     last_failed_at: Option<Monotonic>,
     has_failed: bool,
+    is_requested: bool,
 }
 
 impl ReadPlan {
@@ -35,14 +39,23 @@
         if !has_elapsed(self.last_failed_at, FAILURE_BACKOFF) {
             return false;
         }
+        if self.is_requested && has_elapsed(self.last_sent_at, REQUESTED_PERIOD) {
+            return true;
+        }
         if is_reader {
             return has_elapsed(self.last_sent_at, READER_PERIOD);
         }
         has_elapsed(confirmed_at, FALLBACK_AGE) && has_elapsed(self.last_sent_at, FAILURE_BACKOFF)
     }
 
+    /// Makes a read due as soon as the last one was sent long enough ago.
+    pub fn request(&mut self) {
+        self.is_requested = true;
+    }
+
     /// Records that a read was sent.
     pub fn on_sent(&mut self, now: Monotonic) {
+        self.is_requested = false;
         self.last_sent_at = Some(now);
     }
 
--- a/src/deployment/endpoint_listing.rs
+++ b/src/deployment/endpoint_listing.rs
@@ -27,6 +27,7 @@
         for endpoint in &self.endpoints {
             endpoint.instance.hash(&mut hasher);
             endpoint.service.hash(&mut hasher);
+            endpoint.version.hash(&mut hasher);
             endpoint.address.hash(&mut hasher);
             endpoint.zone.hash(&mut hasher);
             endpoint.slots.hash(&mut hasher);
--- a/src/deployment/endpoint_record.rs
+++ b/src/deployment/endpoint_record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::SoftwareVersion;
 use super::ZoneKey;
 use crate::catalog::Name;
 
@@ -31,6 +32,8 @@
     pub instance: InstanceId,
     /// The service that it serves.
     pub service: Name,
+    /// The version of its software; `None` if a VM of an earlier build passed the record on.
+    pub version: Option<SoftwareVersion>,
     /// The address it listens on.
     pub address: SocketAddr,
     /// Its availability zone.
--- a/src/deployment/mod.rs
+++ b/src/deployment/mod.rs
@@ -10,6 +10,7 @@
 mod listing_version;
 mod served_route;
 mod service_profile;
+mod software_version;
 mod topology;
 
 pub use account_policy::AccountKey;
@@ -29,6 +30,7 @@
 pub use served_route::WeightedService;
 pub use service_profile::ServiceKey;
 pub use service_profile::ServiceProfile;
+pub use software_version::SoftwareVersion;
 pub use topology::RegionKey;
 pub use topology::Topology;
 pub use topology::ZoneKey;
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -13,13 +13,16 @@
 use tokio::time::timeout;
 
 use super::client_request::ClientRequest;
+use super::continuation::Continuation;
 use super::forward_headers;
+use super::listing_confirmation::wait_for_listing;
 use super::running_request::RunningRequest;
 use super::silence::wait_for;
 use super::silence::SilenceLimits;
 use super::UpstreamError;
 use crate::clock::Monotonic;
 use crate::deployment::InstanceId;
+use crate::deployment::SoftwareVersion;
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
@@ -48,6 +51,8 @@
         placement: Placement,
         address: SocketAddr,
         instance: InstanceId,
+        /// The version of its software; `None` if it is not known.
+        version: Option<SoftwareVersion>,
         copy_prefix_from: Option<SocketAddr>,
     },
     /// A VM of another region.
@@ -78,6 +83,8 @@
     pub(super) parts: Parts,
     pub(super) body: Incoming,
     pub(super) running: RunningRequest,
+    /// The software version of the endpoint that gave it; `None` if it is not known.
+    pub(super) version: Option<SoftwareVersion>,
 }
 
 impl Answer {
@@ -110,7 +117,7 @@
     state: &Rc<EntryState>,
     request: &ClientRequest,
     target: &Target,
-    resume_after: Option<u64>,
+    continuation: Continuation,
     limits: SilenceLimits,
     try_leave: impl FnMut(Monotonic) -> bool,
 ) -> Result<Answer, AttemptError> {
@@ -121,8 +128,13 @@
             instance,
             copy_prefix_from,
             ..
-        } => request.to_endpoint(sent_at, &instance.id, *copy_prefix_from, resume_after),
-        Target::Vm { attempts_max, .. } => request.to_vm(sent_at, *attempts_max, resume_after),
+        } => request.to_endpoint(
+            sent_at,
+            &instance.id,
+            *copy_prefix_from,
+            continuation.after_event,
+        ),
+        Target::Vm { attempts_max, .. } => request.to_vm(sent_at, *attempts_max, continuation),
     };
     let sending = running.connection_mut().send(message);
     let sent = wait_for(state, limits, sending, try_leave).await;
@@ -132,11 +144,47 @@
     };
     let (parts, body) = response.into_parts();
     let answer = Answer {
+        version: match target {
+            Target::Endpoint { version, .. } => *version,
+            Target::Vm { .. } => forward_headers::version(&parts.headers),
+        },
         parts,
         body,
         running,
     };
-    check_head(state, request, target, sent_at, answer).await
+    let mut answer = check_head(state, request, target, sent_at, answer).await?;
+    if answer.parts.status.is_success()
+        && !is_continued(state, target, continuation, &mut answer).await
+    {
+        return Err(AttemptError::MayHaveRun(UpstreamError::OtherVersion));
+    }
+    Ok(answer)
+}
+
+/// Returns whether an answer is certainly of the software version that began the stream, if it has
+/// begun.
+///
+/// A connection that was opened since the listing was confirmed may lead to a process that the listing
+/// doesn't contain yet. A VM of an earlier build ignores the version that must run the request.
+async fn is_continued(
+    state: &EntryState,
+    target: &Target,
+    continuation: Continuation,
+    answer: &mut Answer,
+) -> bool {
+    if continuation.version.is_none() {
+        return true;
+    }
+    if let Target::Endpoint { instance, .. } = target {
+        let opened_at = answer.running.connection_mut().opened_at;
+        if !wait_for_listing(state, opened_at).await {
+            return false;
+        }
+        let endpoints = state.endpoints.borrow();
+        let endpoint = endpoints.get_instance(instance);
+        answer.version = endpoint.and_then(|endpoint| endpoint.record().version);
+    }
+    answer.version == continuation.version
 }
 
 async fn connect(
@@ -161,7 +209,10 @@
         .acquire(now, address, idle_max, connect_timeout)
         .await;
     match connected {
-        Ok(connection) => {
+        Ok(mut connection) => {
+            if !connection.is_reused {
+                connection.opened_at = state.now();
+            }
             running.attach(connection);
             Ok(running)
         }
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -13,6 +13,7 @@
 use super::attempt::AttemptError;
 use super::attempt::Target;
 use super::client_request::ClientRequest;
+use super::continuation::Continuation;
 use super::edge_body::whole;
 use super::relay;
 use super::request_homes::RequestHomes;
@@ -24,6 +25,7 @@
 use super::UpstreamError;
 use crate::clock::Monotonic;
 use crate::deployment::RegionKey;
+use crate::deployment::SoftwareVersion;
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
 
@@ -50,12 +52,15 @@
     retry_after: Option<Duration>,
     /// Whether the retry for the next attempt was already taken from the budget.
     has_taken_retry: bool,
+    /// The software version that began the stream, once it has an event; no other may go on with it.
+    pub(super) version: Option<SoftwareVersion>,
     /// The homes by a configuration that is newer than the one by which the request was accepted.
     newer_homes: Option<RequestHomes>,
 }
 
 impl Attempts {
     pub(super) fn new(state: Rc<EntryState>, request: Rc<ClientRequest>) -> Self {
+        let version = request.forwarded.and_then(|forwarded| forwarded.version);
         Self {
             state,
             request,
@@ -64,6 +69,7 @@
             ran_count: 0,
             retry_after: None,
             has_taken_retry: false,
+            version,
             newer_homes: None,
         }
     }
@@ -95,7 +101,7 @@
     /// Sends the request until the head of an answer arrives.
     pub(super) async fn next_answer(
         &mut self,
-        resume_after: Option<u64>,
+        after_event: Option<u64>,
     ) -> Result<Answer, Refusal> {
         loop {
             let now = self.state.now();
@@ -117,9 +123,13 @@
             self.record_target(&target);
             let limits = self.head_limits(time_left);
             let (state, request) = (Rc::clone(&self.state), Rc::clone(&self.request));
+            let continuation = Continuation {
+                after_event,
+                version: self.version,
+            };
             let try_leave = |now| self.try_leave(now);
             let sent =
-                attempt::send(&state, &request, &target, resume_after, limits, try_leave).await;
+                attempt::send(&state, &request, &target, continuation, limits, try_leave).await;
             match sent {
                 Ok(answer) => {
                     self.arrived_count += 1;
@@ -181,6 +191,7 @@
             latency_ms = latency.as_millis() as u64,
             status = answer.parts.status.as_u16(),
             attempts = self.arrived_count,
+            version:? = answer.version.map(|version| version.to_string()),
             configuration = self.state.belief.borrow().version();
             "answered"
         );
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -10,6 +10,7 @@
 use http::Uri;
 use http_body_util::Full;
 
+use super::continuation::Continuation;
 use super::forward_headers::ForwardHeaders;
 use super::served_request::ServedRequest;
 use crate::catalog::Name;
@@ -121,13 +122,17 @@
         &self,
         now: Monotonic,
         attempts_max: u32,
-        resume_after: Option<u64>,
+        continuation: Continuation,
     ) -> Request<Full<Bytes>> {
         let mut request = self.copy();
         let headers = request.headers_mut();
         RequestHead::set_time_left(headers, self.time_left(now));
-        ForwardHeaders { attempts_max }.encode(headers);
-        if let Some(last_event_id) = resume_after {
+        ForwardHeaders {
+            attempts_max,
+            version: continuation.version,
+        }
+        .encode(headers);
+        if let Some(last_event_id) = continuation.after_event {
             set_resume_position(headers, last_event_id);
         }
         request
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -50,7 +50,7 @@
             return Ok(connection);
         }
         self.opened_count.set(self.opened_count.get() + 1);
-        match timeout(connect_timeout, connect(address)).await {
+        match timeout(connect_timeout, connect(now, address)).await {
             Ok(connected) => connected,
             Err(_) => Err(UpstreamError::ConnectTimeout(connect_timeout)),
         }
@@ -96,7 +96,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<PooledConnection, UpstreamError> {
+async fn connect(now: Monotonic, address: SocketAddr) -> Result<PooledConnection, UpstreamError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(UpstreamError::Connect)?;
@@ -110,6 +110,7 @@
         }
     });
     Ok(PooledConnection::new(
+        now,
         address,
         sender,
         driver.abort_handle(),
--- a/src/edge/forward_headers.rs
+++ b/src/edge/forward_headers.rs
@@ -4,12 +4,18 @@
 use http::HeaderName;
 use http::HeaderValue;
 
+use crate::deployment::SoftwareVersion;
+
 /// The maximum number of endpoints at which the receiving VM may run the request.
 const ATTEMPTS: HeaderName = HeaderName::from_static("figramp-attempts");
 
 /// Marks an answer to a request that did not run.
 const NOT_RUN: HeaderName = HeaderName::from_static("figramp-not-run");
 
+/// The software version of the endpoint that began a stream, as a hexadecimal hash: in a request the one
+/// that must run it, in an answer the one that ran it.
+const VERSION: HeaderName = HeaderName::from_static("figramp-version");
+
 /// The value of that mark for a quarantined request.
 const QUARANTINED: &str = "quarantined";
 
@@ -18,17 +24,23 @@
 pub(super) struct ForwardHeaders {
     /// The maximum number of endpoints that may run the request.
     pub(super) attempts_max: u32,
+    /// The software version that must run it; `None` for any.
+    pub(super) version: Option<SoftwareVersion>,
 }
 
 impl ForwardHeaders {
     pub(super) fn decode(headers: &HeaderMap) -> Option<Self> {
         let value = headers.get(ATTEMPTS)?.to_str().ok()?;
         let attempts_max = value.parse().ok()?;
-        Some(Self { attempts_max })
+        Some(Self {
+            attempts_max,
+            version: version(headers),
+        })
     }
 
     pub(super) fn encode(self, headers: &mut HeaderMap) {
         headers.insert(ATTEMPTS, HeaderValue::from(self.attempts_max));
+        set_version(headers, self.version);
     }
 }
 
@@ -36,6 +48,21 @@
 pub(super) fn strip(headers: &mut HeaderMap) {
     headers.remove(ATTEMPTS);
     headers.remove(NOT_RUN);
+    headers.remove(VERSION);
+}
+
+/// Returns the software version that ran, or must run, a request; `None` if it is not known.
+pub(super) fn version(headers: &HeaderMap) -> Option<SoftwareVersion> {
+    let value = headers.get(VERSION)?.to_str().ok()?;
+    SoftwareVersion::from_hash(u64::from_str_radix(value, 16).ok()?)
+}
+
+/// Sets or removes the software version that ran, or must run, a request.
+pub(super) fn set_version(headers: &mut HeaderMap, version: Option<SoftwareVersion>) {
+    headers.remove(VERSION);
+    if let Some(value) = version.and_then(|version| version.to_string().parse().ok()) {
+        headers.insert(VERSION, value);
+    }
 }
 
 pub(super) fn mark_not_run(headers: &mut HeaderMap, is_quarantined: bool) {
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -24,6 +24,8 @@
 pub(super) struct PooledConnection {
     pub(super) address: SocketAddr,
     pub(super) is_reused: bool,
+    /// When it was opened.
+    pub(super) opened_at: Monotonic,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     idle_max: Duration,
@@ -32,6 +34,7 @@
 
 impl PooledConnection {
     pub(super) const fn new(
+        opened_at: Monotonic,
         address: SocketAddr,
         sender: SendRequest<Full<Bytes>>,
         driver: AbortHandle,
@@ -39,6 +42,7 @@
         Self {
             address,
             is_reused: false,
+            opened_at,
             sender,
             driver,
             idle_max: IDLE_DEFAULT,
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -20,6 +20,7 @@
 use super::attempt::Answer;
 use super::attempts::Attempts;
 use super::client_request::ClientRequest;
+use super::forward_headers;
 use super::silence::wait_for;
 use super::silence::SilenceLimits;
 use super::EdgeBody;
@@ -95,12 +96,11 @@
     attempts: Attempts,
     answer: Answer,
 ) -> Result<Response<EdgeBody>, Refusal> {
-    let status = answer.parts.status;
-    let mut headers = client_headers(answer.parts.headers.clone());
-    headers.remove(header::CONTENT_LENGTH);
     let last_id = attempts.request.head.last_event_id;
     let progressed_at = attempts.state.now();
     let mut relay = StreamRelay {
+        has_begun: attempts.version.is_some(),
+        head: AnswerHeadParts::from(&answer),
         attempts,
         answer: Some(answer),
         splitter: EventSplitter::new(last_id),
@@ -109,14 +109,15 @@
         first_event_at: progressed_at,
     };
     let first = relay.next().await.map_err(|error| refusal(&error))?;
+    let head = relay.head.clone();
     let first = stream::iter(first.map(|events| Ok(Frame::data(events))));
     let rest = stream::try_unfold(relay, |mut relay| async move {
         let bytes = relay.next().await?;
         Ok(bytes.map(|bytes| (Frame::data(bytes), relay)))
     });
     let mut response = Response::new(Box::pin(StreamBody::new(first.chain(rest))) as EdgeBody);
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
     Ok(response)
 }
 
@@ -127,6 +128,25 @@
     })
 }
 
+/// The head of the answer that brought the first event, as it is passed on.
+#[derive(Clone, Debug)]
+struct AnswerHeadParts {
+    status: StatusCode,
+    headers: HeaderMap,
+}
+
+impl From<&Answer> for AnswerHeadParts {
+    fn from(answer: &Answer) -> Self {
+        let mut headers = client_headers(answer.parts.headers.clone());
+        headers.remove(header::CONTENT_LENGTH);
+        forward_headers::set_version(&mut headers, answer.version);
+        Self {
+            status: answer.parts.status,
+            headers,
+        }
+    }
+}
+
 /// The result of one read of an endpoint's stream.
 enum Chunk {
     Bytes(Bytes),
@@ -138,6 +158,9 @@
     attempts: Attempts,
     answer: Option<Answer>,
     splitter: EventSplitter,
+    /// Whether the client has an event of the stream, of this answer or an earlier one.
+    has_begun: bool,
+    head: AnswerHeadParts,
     /// When the head of the present answer or its last whole event arrived.
     progressed_at: Monotonic,
     /// Whether the present answer has had a new event.
@@ -217,11 +240,16 @@
         }
     }
 
+    /// Returns whether another endpoint may go on: once the stream has begun, only one of its version.
+    fn can_resume(&self) -> bool {
+        self.attempts.can_retry() && (!self.has_begun || self.attempts.version.is_some())
+    }
+
     /// Returns how much longer to wait for an event before the stream may be resumed elsewhere; `None`
     /// if it may not.
     fn silence_timeout(&self, now: Monotonic) -> Option<Duration> {
         let silence_timeout = self.attempts.request.route.event_gap * SILENCE_TIMEOUT_GAPS;
-        let is_limited = self.attempts.can_retry() && !silence_timeout.is_zero();
+        let is_limited = self.can_resume() && !silence_timeout.is_zero();
         // Bytes that complete no event are no progress.
         let elapsed = now.since(self.progressed_at);
         is_limited.then(|| silence_timeout.saturating_sub(elapsed))
@@ -242,8 +270,12 @@
             return;
         }
         self.first_event_at = now;
+        let version = answer.and_then(|answer| answer.version);
         let instance = answer.and_then(|answer| answer.running.instance());
         state.on_prompt_answered(now, instance, &request.head.prefix);
+        if !std::mem::replace(&mut self.has_begun, true) {
+            self.attempts.version = version;
+        }
     }
 
     /// Records an answer that the endpoint broke off; after an event, a part of the prompt alone is not
@@ -277,12 +309,13 @@
             after_event = self.splitter.last_id().unwrap_or(0),
             has_event = self.has_event,
             parts = request.prompt_parts_text().as_str(),
-            can_resume = self.attempts.can_retry(),
+            can_resume = self.can_resume(),
+            version:? = self.attempts.version.map(|version| version.to_string()),
             error:% = error;
             "stream interrupted"
         );
         // A refused resumption keeps the silent answer, which would be resumed again at once.
-        if !self.attempts.can_retry() || matches!(error, UpstreamError::DeadlinePassed) {
+        if !self.can_resume() || matches!(error, UpstreamError::DeadlinePassed) {
             return Err(error);
         }
         let resumed = match left.filter(|_| error.is_silence()) {
@@ -292,6 +325,9 @@
         match resumed {
             Ok(answer) => {
                 self.splitter.drop_partial();
+                if !self.has_begun {
+                    self.head = AnswerHeadParts::from(&answer);
+                }
                 self.answer = Some(answer);
                 self.progressed_at = self.attempts.state.now();
                 self.has_event = false;
@@ -342,7 +378,7 @@
             }
         }
         self.attempts.tried.on_silent(silent_target);
-        match self.attempts.can_retry() {
+        match self.can_resume() {
             true => self.next_answer().await.ok_or(None),
             false => Err(None),
         }
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -21,6 +21,7 @@
 use crate::placement::PrefixOwner;
 use crate::placement::RegionChoice;
 use crate::placement::RegionOption;
+use crate::placement::VersionConstraint;
 use crate::placement::PREFILL_MS_PER_TOKEN;
 
 /// The round-trip time assumed for a region before one was measured.
@@ -142,6 +143,7 @@
             prefix_endpoint: prefix_owner.and_then(PrefixOwner::local),
             prefix_replica: self.prefix_replica(now, prefix_owner),
             priority: self.request.priority(),
+            version: self.version_constraint(),
             tried: self.tried.endpoints(),
             local_requests_max: (self.request.service.connections_max / local_vm_count).max(1),
             accepts_avoided: false,
@@ -149,6 +151,14 @@
         }
     }
 
+    fn version_constraint(&self) -> Option<VersionConstraint> {
+        let confirmed_at = self.state.belief.borrow().listing_confirmed_at();
+        self.version.map(|version| VersionConstraint {
+            version,
+            listing_confirmed_at: confirmed_at.unwrap_or_default(),
+        })
+    }
+
     fn local_placement(
         &self,
         now: Monotonic,
@@ -171,14 +181,17 @@
 
     fn endpoint_target(&self, placement: Placement, prefix_owner: Option<PrefixOwner>) -> Target {
         let endpoints = self.state.endpoints.borrow();
-        let record = endpoints
+        let endpoint = endpoints
             .get(placement.endpoint)
-            .map(|state| state.record())
             .expect("the endpoint was just chosen");
+        let record = endpoint.record();
+        let confirmed_at = self.state.belief.borrow().listing_confirmed_at();
         Target::Endpoint {
             placement,
             address: record.address,
             instance: record.instance.clone(),
+            version: endpoint
+                .software_version(placement.chosen_at, confirmed_at.unwrap_or_default()),
             copy_prefix_from: prefix_owner
                 .and_then(PrefixOwner::local)
                 .filter(|key| *key != placement.endpoint && self.request.head.prefix.tokens() > 0)
@@ -201,7 +214,7 @@
             *region != self.state.settings.region
                 && self.allows(*region)
                 && !self.tried.regions().contains(region)
-                && endpoints.is_served_in(&self.request.service.name, *region)
+                && endpoints.is_served_in(&self.request.service.name, *region, self.version)
         });
         let fleet = self.state.fleet.borrow();
         let query = self.query(now, prefix_owner);
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -30,6 +30,9 @@
     /// The answer belongs to another request, is not signed, or is encoded.
     #[error("the answer is not verifiably the endpoint's answer to this request")]
     Unverified,
+    /// The answer may be of another software version than the one that began the stream.
+    #[error("the answer may be of another software version than the one that began the stream")]
+    OtherVersion,
     /// The answer is longer than the limit for buffered answers, in bytes.
     #[error("the answer is longer than {0} bytes")]
     TooLong(usize),
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -71,6 +71,8 @@
     pub metrics: EntryMetrics,
     /// Wakes the task that reads the store.
     pub read_now: Notify,
+    /// Wakes the tasks that wait until the listing is confirmed.
+    pub listing_confirmed: Notify,
     /// Tells the requests in flight that the process is about to end.
     pub ending: watch::Sender<bool>,
     /// The random number generator.
@@ -104,6 +106,7 @@
             running_count: Rc::default(),
             metrics: EntryMetrics::new(),
             read_now: Notify::new(),
+            listing_confirmed: Notify::new(),
             ending: watch::Sender::new(false),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             clock,
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -216,6 +216,7 @@
         if updates.has_newer_listing && !has_listing {
             self.fetch_listing(from);
         }
+        self.state.listing_confirmed.notify_waiters();
     }
 
     /// Fetches a listing that did not fit into a datagram; at most one fetch runs at a time.
--- a/src/entry/store_task.rs
+++ b/src/entry/store_task.rs
@@ -79,6 +79,7 @@
         );
         state.on_belief_changed(now);
     }
+    state.listing_confirmed.notify_waiters();
 }
 
 /// Returns the version of what the store returned, and records a new era of the store.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -28,6 +28,7 @@
 use crate::deployment::EndpointRecord;
 use crate::deployment::InstanceId;
 use crate::deployment::ListingVersion;
+use crate::deployment::SoftwareVersion;
 use crate::deployment::ZoneKey;
 use crate::peer::generated::fleet_capnp as schema;
 use crate::quarantine::CrashReport;
@@ -185,6 +186,7 @@
         let cold_ms = endpoint.cold_remaining.as_millis();
         entry.set_cold_remaining_ms(u32::try_from(cold_ms).unwrap_or(u32::MAX));
         entry.set_sequence(endpoint.sequence);
+        entry.set_software_version(endpoint.version.map_or(0, SoftwareVersion::hash));
     }
     let mut zones = to.init_evacuated_zones(length(listing.evacuated.len()));
     for (index, zone) in (0..).zip(&listing.evacuated) {
@@ -332,6 +334,7 @@
             started_unix_ms: from.get_started_unix_ms(),
         },
         service: Name::new(from.get_service()?.to_str()?)?,
+        version: SoftwareVersion::from_hash(from.get_software_version()),
         address: SocketAddr::from((ip, from.get_port())),
         zone: ZoneKey(from.get_zone()),
         slots: from.get_slots(),
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -7,6 +7,7 @@
 use super::backlog::Backlog;
 use super::endpoint_health::EndpointHealth;
 use super::endpoint_notice::EndpointNotice;
+use super::known_version::VersionDoubt;
 use super::load_estimate::LoadEstimate;
 use super::named_rate::NamedRate;
 use super::possible_restart::PossibleRestart;
@@ -21,6 +22,7 @@
 use crate::deployment::EndpointPhase;
 use crate::deployment::EndpointRecord;
 use crate::deployment::InstanceId;
+use crate::deployment::SoftwareVersion;
 use crate::fleet::NameHash;
 use crate::quarantine::InstanceHash;
 
@@ -42,6 +44,7 @@
     /// How long the endpoints of the service are cold after their start; zero without a limit.
     pub(super) cold_start: Duration,
     pub(super) possible_restart: PossibleRestart,
+    pub(super) version_doubt: VersionDoubt,
     pub(super) rate_limiter: SharedRateLimiter,
     pub(super) load: LoadEstimate,
     pub(super) health: EndpointHealth,
@@ -64,6 +67,7 @@
             is_evacuated: false,
             cold_start: Duration::ZERO,
             possible_restart: PossibleRestart::default(),
+            version_doubt: VersionDoubt::default(),
             rate_limiter: SharedRateLimiter::new(now),
             load: LoadEstimate::default(),
             health: EndpointHealth::default(),
@@ -85,6 +89,26 @@
             && self.record.phase == EndpointPhase::Ready
     }
 
+    /// Returns the version of the endpoint's software by a listing that was confirmed at this time; `None`
+    /// if its present process may have another one.
+    pub fn software_version(
+        &self,
+        now: Monotonic,
+        listing_confirmed_at: Monotonic,
+    ) -> Option<SoftwareVersion> {
+        let is_known = self.version_doubt.is_resolved(now, listing_confirmed_at);
+        self.record.version.filter(|_| is_known)
+    }
+
+    /// Returns whether the endpoint takes new requests of a query.
+    pub(super) fn takes(&self, now: Monotonic, query: &PlacementQuery<'_>) -> bool {
+        let has_version = query.version.is_none_or(|constraint| {
+            let version = self.software_version(now, constraint.listing_confirmed_at);
+            version == Some(constraint.version)
+        });
+        has_version && self.takes_requests()
+    }
+
     /// Returns whether the endpoint is still warming up, or may be.
     pub fn is_cold(&self, now: Monotonic) -> bool {
         let after_restart = self.possible_restart.cold_until(self.cold_start);
@@ -149,6 +173,7 @@
     pub(super) fn record_outcome(&mut self, now: Monotonic, outcome: AttemptOutcome) {
         self.health.record_outcome(now, outcome);
         self.possible_restart.on_outcome(now, outcome);
+        self.version_doubt.on_outcome(now, outcome);
     }
 
     /// Returns the number of requests of this VM that are in flight at the endpoint.
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -24,6 +24,7 @@
 use crate::deployment::EndpointRecord;
 use crate::deployment::InstanceId;
 use crate::deployment::RegionKey;
+use crate::deployment::SoftwareVersion;
 use crate::deployment::Topology;
 use crate::deployment::ZoneKey;
 
@@ -59,6 +60,7 @@
 struct RemoteEndpoint {
     instance: InstanceId,
     region: RegionKey,
+    version: Option<SoftwareVersion>,
 }
 
 impl EndpointTable {
@@ -82,6 +84,12 @@
         self.endpoints.get(key)
     }
 
+    /// Returns an endpoint instance, or `None` once it is no longer listed.
+    pub fn get_instance(&self, instance: &InstanceId) -> Option<&EndpointState> {
+        let key = self.by_instance.get(instance)?;
+        self.endpoints.get(*key)
+    }
+
     /// Applies a listing; returns the endpoints that it no longer contains, which are removed.
     pub fn update(
         &mut self,
@@ -105,9 +113,11 @@
             } else if !is_evacuated && record.phase == EndpointPhase::Ready {
                 let instance = record.instance.clone();
                 let endpoints = self.remote.entry(record.service.clone());
-                endpoints
-                    .or_default()
-                    .push(RemoteEndpoint { instance, region });
+                endpoints.or_default().push(RemoteEndpoint {
+                    instance,
+                    region,
+                    version: record.version,
+                });
             }
         }
         self.notices.remove_expired(now);
@@ -228,7 +238,7 @@
             let Some(state) = self.endpoints.get_mut(key) else {
                 continue;
             };
-            if !state.takes_requests() {
+            if !state.takes(now, query) {
                 continue;
             }
             if let Some(retry_after) = state.unavailable_for(now, key, query) {
@@ -269,7 +279,7 @@
     /// Returns the endpoints that are compared for a request.
     fn candidates(&self, now: Monotonic, query: &PlacementQuery<'_>) -> Vec<EndpointKey> {
         let available = self.of_service(query.service).filter(|(key, state)| {
-            state.takes_requests()
+            state.takes(now, query)
                 && !state.is_limited(now)
                 && state.unavailable_for(now, *key, query).is_none()
         });
@@ -331,12 +341,18 @@
             .map(|(key, _)| key)
     }
 
-    /// Returns whether an endpoint of a service accepts requests in another region.
-    pub fn is_served_in(&self, service: &Name, region: RegionKey) -> bool {
+    /// Returns whether an endpoint of a service accepts requests in another region, at a software version
+    /// if one is given.
+    pub fn is_served_in(
+        &self,
+        service: &Name,
+        region: RegionKey,
+        version: Option<SoftwareVersion>,
+    ) -> bool {
         let remote = self.remote.get(service).into_iter().flatten();
         remote
-            .map(|endpoint| endpoint.region)
-            .any(|other| other == region)
+            .filter(|endpoint| version.is_none() || endpoint.version == version)
+            .any(|endpoint| endpoint.region == region)
     }
 }
 
--- a/src/placement/placement_query.rs
+++ b/src/placement/placement_query.rs
@@ -1,6 +1,7 @@
 //! The input of a placement.
 
 use super::EndpointKey;
+use super::VersionConstraint;
 use crate::catalog::Name;
 
 /// The part of a prefix that counts as prefilled by its replica, which has it cached only if the
@@ -23,6 +24,8 @@
     pub prefix_replica: Option<EndpointKey>,
     /// The priority of the request; 0 is served first.
     pub priority: u8,
+    /// The software version that the endpoint must have; `None` for any.
+    pub version: Option<VersionConstraint>,
     /// The endpoints of earlier attempts, which are left out.
     pub tried: &'a [EndpointKey],
     /// The most requests that this VM may have in flight at one endpoint: its share of the
--- a/src/platform/record_wire.rs
+++ b/src/platform/record_wire.rs
@@ -9,6 +9,7 @@
 use crate::deployment::EndpointPhase;
 use crate::deployment::EndpointRecord;
 use crate::deployment::InstanceId;
+use crate::deployment::SoftwareVersion;
 use crate::deployment::Topology;
 
 #[derive(Debug, Deserialize)]
@@ -16,6 +17,7 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    version: String,
     slots: u32,
     state: StateWire,
     /// The time until the endpoint is no longer cold, counted from the write.
@@ -46,6 +48,7 @@
             started_unix_ms: wire.born,
         },
         service: Name::new(wire.service).ok()?,
+        version: Some(SoftwareVersion::from_name(&wire.version)?),
         address: wire.address,
         zone: topology.zone(&wire.zone)?,
         slots: wire.slots,
--- a/tests/behaviour/belief/support.rs
+++ b/tests/behaviour/belief/support.rs
@@ -15,6 +15,7 @@
 use figramp::deployment::EndpointRecord;
 use figramp::deployment::InstanceId;
 use figramp::deployment::ListingVersion;
+use figramp::deployment::SoftwareVersion;
 use figramp::deployment::ZoneKey;
 
 pub(crate) fn at(ms: u64) -> Monotonic {
@@ -41,6 +42,7 @@
             started_unix_ms: 1,
         },
         service: name("engine"),
+        version: SoftwareVersion::from_name("v1"),
         address: SocketAddr::from(([127, 0, 0, 1], 8000)),
         zone: ZoneKey(zone),
         slots: 8,
--- a/tests/behaviour/entry/software_versions.rs
+++ b/tests/behaviour/entry/software_versions.rs
@@ -157,11 +157,14 @@
     for number in 0..STREAM_COUNT {
         streams.push(ClientStream::begin(&vms[0], &format!("r{number}"), 1).await);
     }
-    // The second engine starts again before the store lists it; the first one then breaks off.
-    site.engines[1].crash();
+    // The second engine starts again, and the first one breaks off before a VM has read that.
+    let restarted = &site.engines[1];
+    restarted.crash();
     sleep(Duration::from_millis(50)).await;
-    site.engines[1].set_version("v1.2");
-    site.engines[1].restart("e1").await.expect("a start");
+    restarted.set_version("v1.2");
+    restarted.replace();
+    restarted.restart("e1").await.expect("a start");
+    site.store.put(&restarted.key(), restarted.record("ready"));
     sleep(Duration::from_millis(20)).await;
     site.engines[0].crash();
     for stream in &mut streams {
