Take a stream up only at the software version that began it

Clients that took a stream up with Resumes got text of two versions, at any VM, most often after all VMs were killed: a VM took such a request for a new one.

Change: the VM that passes on the first event of a resumable stream remembers its version under a key of the first attempt's identifier, the request and the service, and while the service has, or lately had, several versions tells two other VMs, one of another region, by a datagram that is sent before the client gets the event. A VM that gets a take-up uses its own memory; else, if one version alone was in use for longer than any stream lasts, that one, once a read of the store that was sent after the request shows no other; else it asks the VMs that may remember, twice at most. What is not known is refused within 0.3 s as not run (version_unknown). VMs gossip which versions were in use and for how long they know all of them, so that one that has just started knows of versions that left. A take-up without Resumes counts as unknown unless there is one version. The stream's service is that of its first attempt.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -17,6 +17,17 @@
   answeredParts @6 :List(AnsweredPart);
   # Only in messages between VMs of one region.
   namedRates @7 :List(NamedRate);
+  # The time for which the sender knows each software version that was in use; zero for none.
+  versionsCompleteMs @8 :UInt32;
+  versionSightings @9 :List(VersionSighting);
+}
+
+struct VersionSighting {
+  service @0 :UInt32;
+  # The time from its last use to the sending of the message.
+  seenAgeMs @1 :UInt32;
+  # A hash of the version; zero if it is not known.
+  version @2 :UInt64;
 }
 
 struct BeliefDigest {
--- a/src/deployment/deployment.rs
+++ b/src/deployment/deployment.rs
@@ -8,12 +8,16 @@
 use super::AccountKey;
 use super::AccountPolicy;
 use super::ClientLimits;
+use super::RetrySafety;
 use super::RouteKey;
 use super::ServedRoute;
 use super::ServiceKey;
 use super::ServiceProfile;
 use crate::catalog::Name;
 
+/// The shortest time after which no client takes a stream up any more.
+const STREAM_LIFETIME_MIN: Duration = Duration::from_secs(10);
+
 /// One version of the configuration, with routes indexed by host and accounts by API key.
 #[derive(Debug, Default)]
 pub struct Deployment {
@@ -92,6 +96,16 @@
             .unwrap_or_default()
     }
 
+    /// Returns how long after its first event a client may take a stream up: the longest time for which
+    /// the VMs and the client, one after the other, may keep it, and never less than 10 s.
+    pub fn stream_lifetime(&self) -> Duration {
+        let streams = self.routes.values();
+        let timeouts = streams
+            .filter(|route| route.retry_safety == RetrySafety::ResumableStream)
+            .map(|route| route.timeout);
+        (timeouts.max().unwrap_or_default() * 2).max(STREAM_LIFETIME_MIN)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -12,12 +12,14 @@
 use super::attempt::Answer;
 use super::attempt::AttemptError;
 use super::attempt::Target;
+use super::client_head;
 use super::client_request::ClientRequest;
 use super::continuation::Continuation;
 use super::edge_body::whole;
 use super::relay;
 use super::request_homes::RequestHomes;
 use super::silence::SilenceLimits;
+use super::take_up;
 use super::tried_targets::TriedTargets;
 use super::EdgeBody;
 use super::Refusal;
@@ -25,6 +27,7 @@
 use super::UpstreamError;
 use crate::clock::Monotonic;
 use crate::deployment::RegionKey;
+use crate::deployment::RetrySafety;
 use crate::deployment::SoftwareVersion;
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
@@ -77,6 +80,10 @@
     /// Sends the request until it has an answer or no retry is allowed.
     pub(super) async fn run(mut self) -> Result<Response<EdgeBody>, Refusal> {
         let mut failed_answer = None;
+        if self.request.is_take_up() && self.version.is_none() {
+            let version = take_up::find_version(&self.state, &self.request, self.state.now()).await;
+            self.version = Some(version.ok_or(Refusal::new(RefusalKind::VersionUnknown))?);
+        }
         loop {
             let answer = match self.next_answer(None).await {
                 Ok(answer) => answer,
@@ -208,6 +215,19 @@
         );
     }
 
+    /// Remembers which software version began the stream that this VM passes on to a client.
+    pub(super) fn record_version(&self, now: Monotonic) {
+        let request = &self.request;
+        let is_resumable = request.route.retry_safety == RetrySafety::ResumableStream;
+        if request.forwarded.is_some() || !is_resumable {
+            return;
+        }
+        if let (Some(version), Some(stream)) = (self.version, request.stream_key()) {
+            let service = &request.service.name;
+            self.state.on_stream_event(now, stream, service, version);
+        }
+    }
+
     /// Returns whether the request may run again.
     pub(super) fn can_retry(&self) -> bool {
         self.request.route.retry_safety.is_retryable()
@@ -312,8 +332,8 @@
         answer.running.record_survived(fingerprint, status);
         answer.running.finish();
         let mut response = Response::new(whole(body));
-        *response.status_mut() = relay::client_status(&self.request, status);
-        *response.headers_mut() = relay::client_headers(answer.parts.headers);
+        *response.status_mut() = client_head::client_status(&self.request, status);
+        *response.headers_mut() = client_head::client_headers(answer.parts.headers);
         Ok(response)
     }
 }
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -17,6 +17,7 @@
 use crate::clock::Monotonic;
 use crate::deployment::AccountPolicy;
 use crate::deployment::RegionKey;
+use crate::deployment::RetrySafety;
 use crate::deployment::ServedRoute;
 use crate::deployment::ServiceProfile;
 use crate::entry::BodyPermit;
@@ -25,6 +26,7 @@
 use crate::platform::EndpointHeaders;
 use crate::platform::RequestHead;
 use crate::quarantine::PartHash;
+use crate::streams::StreamKey;
 
 /// The lowest priority that a model engine supports; 0 is the highest.
 const PRIORITY_MAX: u8 = 9;
@@ -69,6 +71,25 @@
             && account_homes.is_none_or(|homes| homes.allows(region))
     }
 
+    /// Returns whether the client takes up a stream, which must go on at the version that began it.
+    pub(super) fn is_take_up(&self) -> bool {
+        self.head.is_take_up && self.route.retry_safety == RetrySafety::ResumableStream
+    }
+
+    /// Returns the key of the stream that the request begins or takes up; `None` if the client doesn't say
+    /// which attempt began it.
+    pub(super) fn stream_key(&self) -> Option<StreamKey> {
+        let first_attempt = match self.head.is_take_up {
+            true => self.head.resumes.as_deref()?,
+            false => &*self.head.request_id,
+        };
+        Some(StreamKey::new(
+            first_attempt,
+            self.fingerprint,
+            &self.service.name,
+        ))
+    }
+
     /// Returns the parts that may crash an endpoint, the fingerprint first.
     pub(super) fn parts(&self) -> impl Iterator<Item = PartHash> + '_ {
         let prompt_parts = self.head.prefix.shared_parts().map(PartHash::from);
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod attempts;
+mod client_head;
 mod client_request;
 mod connection_pool;
 mod continuation;
@@ -25,6 +26,7 @@
 mod running_request;
 mod served_request;
 mod silence;
+mod take_up;
 mod target_choice;
 mod tried_targets;
 mod upstream_error;
--- a/src/edge/peer_fetch.rs
+++ b/src/edge/peer_fetch.rs
@@ -27,6 +27,7 @@
 use crate::fleet::FleetMessage;
 use crate::fleet::MessageCrashes;
 use crate::fleet::MessageDigest;
+use crate::fleet::MessageVersions;
 
 const CONFIGURATION_PATH: &str = "/v1/configuration";
 
@@ -100,6 +101,7 @@
         listing: Some(belief.listing().as_ref().clone()),
         crashes: MessageCrashes::default(),
         rates: Vec::new(),
+        versions: MessageVersions::default(),
     };
     match encode_message(&message) {
         Ok(bytes) => Some(Bytes::from(bytes)),
--- a/src/edge/refusal.rs
+++ b/src/edge/refusal.rs
@@ -40,6 +40,8 @@
     TooLate,
     /// The request, or a part of its prompt, crashes endpoints.
     Quarantined,
+    /// It is not known which software version began the stream that is taken up.
+    VersionUnknown,
 }
 
 impl RefusalKind {
@@ -56,7 +58,8 @@
             | Self::NoEndpoint
             | Self::EndpointsFull
             | Self::TooLate
-            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined
+            | Self::VersionUnknown => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -83,6 +86,7 @@
             Self::TimedOut => "timed_out",
             Self::TooLate => "too_late",
             Self::Quarantined => "quarantined",
+            Self::VersionUnknown => "version_unknown",
         }
     }
 }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -7,10 +7,7 @@
 use bytes::Bytes;
 use futures::stream;
 use futures::StreamExt;
-use http::header;
-use http::HeaderMap;
 use http::Response;
-use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -19,8 +16,7 @@
 
 use super::attempt::Answer;
 use super::attempts::Attempts;
-use super::client_request::ClientRequest;
-use super::forward_headers;
+use super::client_head::ClientHead;
 use super::silence::wait_for;
 use super::silence::SilenceLimits;
 use super::EdgeBody;
@@ -47,43 +43,6 @@
 /// endpoint. Until a long stream ends, its endpoint may stop for another reason.
 const SURVIVED_STREAM: Duration = Duration::from_millis(1_000);
 
-/// The headers of an answer that apply to a single connection.
-const HOP_BY_HOP_HEADERS: [&str; 6] = [
-    "connection",
-    "content-length",
-    "keep-alive",
-    "te",
-    "trailer",
-    "transfer-encoding",
-];
-
-/// Removes the hop-by-hop headers from an endpoint's answer.
-pub(super) fn client_headers(mut headers: HeaderMap) -> HeaderMap {
-    for name in HOP_BY_HOP_HEADERS {
-        headers.remove(name);
-    }
-    headers
-}
-
-/// Returns the status for the client.
-///
-/// Clients take some status codes to mean that the request did not run. Such a status becomes 502
-/// if the request ran and must not be retried.
-pub(super) fn client_status(request: &ClientRequest, status: StatusCode) -> StatusCode {
-    let implies_not_run = matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    );
-    if implies_not_run && !request.route.retry_safety.is_retryable() {
-        StatusCode::BAD_GATEWAY
-    } else {
-        status
-    }
-}
-
 /// Builds the answer whose body passes the stream on, once its first event has arrived.
 ///
 /// The head waits for that event: a client that got a head cannot be told any more that its request
@@ -100,7 +59,7 @@
     let progressed_at = attempts.state.now();
     let mut relay = StreamRelay {
         has_begun: attempts.version.is_some(),
-        head: AnswerHeadParts::from(&answer),
+        head: ClientHead::from(&answer),
         attempts,
         answer: Some(answer),
         splitter: EventSplitter::new(last_id),
@@ -128,25 +87,6 @@
     })
 }
 
-/// The head of the answer that brought the first event, as it is passed on.
-#[derive(Clone, Debug)]
-struct AnswerHeadParts {
-    status: StatusCode,
-    headers: HeaderMap,
-}
-
-impl From<&Answer> for AnswerHeadParts {
-    fn from(answer: &Answer) -> Self {
-        let mut headers = client_headers(answer.parts.headers.clone());
-        headers.remove(header::CONTENT_LENGTH);
-        forward_headers::set_version(&mut headers, answer.version);
-        Self {
-            status: answer.parts.status,
-            headers,
-        }
-    }
-}
-
 /// The result of one read of an endpoint's stream.
 enum Chunk {
     Bytes(Bytes),
@@ -160,7 +100,7 @@
     splitter: EventSplitter,
     /// Whether the client has an event of the stream, of this answer or an earlier one.
     has_begun: bool,
-    head: AnswerHeadParts,
+    head: ClientHead,
     /// When the head of the present answer or its last whole event arrived.
     progressed_at: Monotonic,
     /// Whether the present answer has had a new event.
@@ -259,23 +199,22 @@
     fn on_event(&mut self) {
         let Attempts { state, request, .. } = &self.attempts;
         let now = state.now();
-        let answer = self.answer.as_ref();
+        let Some(answer) = &self.answer else {
+            return;
+        };
         if std::mem::replace(&mut self.has_event, true) {
             if now.since(self.first_event_at) >= SURVIVED_STREAM {
-                if let Some(answer) = answer {
-                    let status = answer.parts.status;
-                    answer.running.record_survived(request.fingerprint, status);
-                }
+                let status = answer.parts.status;
+                answer.running.record_survived(request.fingerprint, status);
             }
             return;
         }
         self.first_event_at = now;
-        let version = answer.and_then(|answer| answer.version);
-        let instance = answer.and_then(|answer| answer.running.instance());
-        state.on_prompt_answered(now, instance, &request.head.prefix);
+        state.on_prompt_answered(now, answer.running.instance(), &request.head.prefix);
         if !std::mem::replace(&mut self.has_begun, true) {
-            self.attempts.version = version;
+            self.attempts.version = answer.version;
         }
+        self.attempts.record_version(now);
     }
 
     /// Records an answer that the endpoint broke off; after an event, a part of the prompt alone is not
@@ -326,7 +265,7 @@
             Ok(answer) => {
                 self.splitter.drop_partial();
                 if !self.has_begun {
-                    self.head = AnswerHeadParts::from(&answer);
+                    self.head = ClientHead::from(&answer);
                 }
                 self.answer = Some(answer);
                 self.progressed_at = self.attempts.state.now();
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -72,9 +72,11 @@
         Ok(Err(refusal)) => return refuse(&state, &head, refusal),
         Err(_) => return refuse(&state, &head, Refusal::new(RefusalKind::TooLate)),
     };
+    // A stream goes on at the service that began it.
+    let first_attempt = head.resumes.as_deref().unwrap_or(&head.request_id);
     let Some(service) = accepted
         .route
-        .service_for(xxh3_64(head.request_id.as_bytes()))
+        .service_for(xxh3_64(first_attempt.as_bytes()))
         .and_then(|key| accepted.deployment.service(key))
         .cloned()
     else {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -14,6 +14,7 @@
 
 use super::gossip_task::GossipTask;
 use super::log_task;
+use super::origin_task;
 use super::signals::SignalRequest;
 use super::signals::Signals;
 use super::store_task;
@@ -78,12 +79,15 @@
             .map_err(|source| EntryError::Listen { address, source })?;
         spawn_local(listener.run(Rc::clone(&state), stage_receiver.clone()));
     }
-    let address = SocketAddr::from((state.settings.ip, listeners.gossip_port));
-    let socket = UdpSocket::bind(address)
-        .await
-        .map_err(|source| EntryError::Listen { address, source })?;
+    let gossip_socket = bind_datagrams(&state, listeners.gossip_port).await?;
+    let stream_socket = Rc::new(bind_datagrams(&state, listeners.stream_port).await?);
+    let stream_socket = state.stream_socket.get_or_init(|| stream_socket);
     spawn_local(store_task::run(Rc::clone(&state)));
-    spawn_local(GossipTask::new(Rc::clone(&state), socket).run());
+    spawn_local(GossipTask::new(Rc::clone(&state), gossip_socket).run());
+    spawn_local(origin_task::run(
+        Rc::clone(&state),
+        Rc::clone(stream_socket),
+    ));
     log::info!(vm = state.settings.vm.as_str(); "started");
     while signals.next().await == SignalRequest::Reload {
         reload(settings_path);
@@ -92,6 +96,12 @@
     Ok(())
 }
 
+async fn bind_datagrams(state: &EntryState, port: u16) -> Result<UdpSocket, EntryError> {
+    let address = SocketAddr::from((state.settings.ip, port));
+    let socket = UdpSocket::bind(address).await;
+    socket.map_err(|source| EntryError::Listen { address, source })
+}
+
 /// Validates a changed settings file; changes take effect at the next start.
 fn reload(settings_path: &Path) {
     match load_settings(settings_path) {
--- a/src/entry/entry_settings.rs
+++ b/src/entry/entry_settings.rs
@@ -22,6 +22,8 @@
     pub directory: SocketAddr,
     /// For gossip datagrams of other VMs, over UDP; the same on all VMs.
     pub gossip_port: u16,
+    /// For datagrams of other VMs about streams, over UDP; the same on all VMs.
+    pub stream_port: u16,
     /// For scrapes of the metrics.
     pub metrics: SocketAddr,
 }
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -1,6 +1,7 @@
 //! The shared state of the tasks of an entry VM.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
@@ -11,6 +12,7 @@
 
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::sync::Notify;
 
@@ -38,6 +40,9 @@
 use crate::quarantine::RequestQuarantine;
 use crate::quota::QuotaLimiter;
 use crate::retry::FleetRetryBudget;
+use crate::streams::OriginExchange;
+use crate::streams::StreamOrigins;
+use crate::streams::VersionHistory;
 use crate::telemetry::EntryGauges;
 use crate::telemetry::EntryMetrics;
 
@@ -71,6 +76,16 @@
     pub metrics: EntryMetrics,
     /// Wakes the task that reads the store.
     pub read_now: Notify,
+    /// The software versions that are or were in use.
+    pub versions: RefCell<VersionHistory>,
+    /// The software versions that began streams.
+    pub origins: RefCell<StreamOrigins>,
+    /// The messages about streams to other VMs, and the open questions.
+    pub origin_exchange: RefCell<OriginExchange>,
+    /// The socket for them; empty until it is bound.
+    pub stream_socket: OnceCell<Rc<UdpSocket>>,
+    /// Wakes the tasks that wait for the beginning of a stream.
+    pub origins_changed: Notify,
     /// Wakes the tasks that wait until the listing is confirmed.
     pub listing_confirmed: Notify,
     /// Tells the requests in flight that the process is about to end.
@@ -106,6 +121,11 @@
             running_count: Rc::default(),
             metrics: EntryMetrics::new(),
             read_now: Notify::new(),
+            versions: RefCell::default(),
+            origins: RefCell::default(),
+            origin_exchange: RefCell::default(),
+            stream_socket: OnceCell::new(),
+            origins_changed: Notify::new(),
             listing_confirmed: Notify::new(),
             ending: watch::Sender::new(false),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
@@ -137,6 +157,7 @@
             self.quota.borrow_mut().on_deployment(now, deployment);
         }
         let topology = &self.settings.topology;
+        self.versions.borrow_mut().update(now, belief.listing());
         let mut endpoints = self.endpoints.borrow_mut();
         endpoints.update(now, belief.listing(), deployment, topology);
         let mut fleet = self.fleet.borrow_mut();
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -28,6 +28,7 @@
 use crate::fleet::MessageCrashes;
 use crate::fleet::MessageDigest;
 use crate::fleet::MessageRate;
+use crate::fleet::MessageVersions;
 
 /// The longest payload of a UDP datagram over IPv4.
 const DATAGRAM_MAX_BYTES: usize = 65_507;
@@ -82,6 +83,7 @@
     fn start_round(&mut self) {
         let now = self.state.now();
         self.state.refresh_row(now);
+        self.state.refresh_streams(now);
         self.state.connection_pool.discard_stale(now);
         let targets = {
             let fleet = self.state.fleet.borrow();
@@ -119,6 +121,7 @@
                     true => self.rates(now),
                     false => Vec::new(),
                 },
+                versions: MessageVersions::new(&self.state.versions.borrow(), now),
             }
         };
         let bytes = match encode_datagram(message) {
@@ -154,6 +157,9 @@
         self.state.on_crashes_reported(now, crashes);
         let rates = message.rates.iter().map(|rate| rate.received(now));
         self.state.on_rates_reported(rates);
+        let mut versions = self.state.versions.borrow_mut();
+        message.versions.merge_into(&mut versions, now);
+        drop(versions);
         match message.request_sent_at {
             None => self.reply(now, from, &message),
             Some(request_sent_at) => self.on_reply(now, from, request_sent_at, message),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,10 +4,12 @@
 mod entry_error;
 mod entry_settings;
 mod entry_state;
+mod entry_streams;
 mod gossip_task;
 mod incarnation;
 mod log_task;
 mod memory_budget;
+mod origin_task;
 mod signals;
 mod store_task;
 
--- a/src/fleet/fleet_message.rs
+++ b/src/fleet/fleet_message.rs
@@ -4,6 +4,7 @@
 
 use super::MessageCrashes;
 use super::MessageRate;
+use super::MessageVersions;
 use super::VmRow;
 use crate::belief::BeliefDigest;
 use crate::clock::Monotonic;
@@ -75,4 +76,6 @@
     pub crashes: MessageCrashes,
     /// The rates that endpoints of the region named.
     pub rates: Vec<MessageRate>,
+    /// The software versions that were in use lately.
+    pub versions: MessageVersions,
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -8,6 +8,8 @@
 use capnp::message::ReaderOptions;
 use capnp::serialize_packed;
 
+use super::message_versions_wire::decode_versions;
+use super::message_versions_wire::encode_versions;
 use super::AccountUsage;
 use super::EndpointBacklog;
 use super::FleetMessage;
@@ -70,6 +72,7 @@
     }
     encode_crashes(root.reborrow(), &message.crashes);
     encode_rates(root.reborrow(), &message.rates);
+    encode_versions(root.reborrow(), &message.versions);
     if let Some(listing) = &message.listing {
         encode_listing(root.init_listing(), listing);
     }
@@ -222,6 +225,7 @@
         listing,
         crashes: decode_crashes(root)?,
         rates: decode_rates(root)?,
+        versions: decode_versions(root)?,
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod routing;
 pub mod settings;
 pub mod stand_in;
+pub mod streams;
 pub mod telemetry;
 pub mod vm;
--- a/src/platform/request_head.rs
+++ b/src/platform/request_head.rs
@@ -18,6 +18,7 @@
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
 const PREFIX_HASH: HeaderName = HeaderName::from_static("prefix-hash");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const TENANT: HeaderName = HeaderName::from_static("tenant");
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
 const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
@@ -71,6 +72,10 @@
     pub prefix: PromptPrefix,
     /// The last event of an earlier answer that the client received.
     pub last_event_id: Option<u64>,
+    /// Whether the client has events of an earlier answer.
+    pub is_take_up: bool,
+    /// The identifier of the attempt that brought the first of them.
+    pub resumes: Option<Box<str>>,
 }
 
 impl RequestHead {
@@ -91,6 +96,8 @@
             prompt_tokens: counts.map_or(0, |(prompt, _)| prompt),
             prefix: parse_prefix(parts),
             last_event_id: text(&LAST_EVENT_ID).and_then(|value| value.trim().parse().ok()),
+            is_take_up: headers.contains_key(LAST_EVENT_ID) || headers.contains_key(RESUMES),
+            resumes: single_value(headers, &RESUMES).map(|value| value.trim().into()),
         }
     }
 }
--- a/src/platform/settings_wire.rs
+++ b/src/platform/settings_wire.rs
@@ -104,6 +104,7 @@
                 peers: wire.listen.control,
                 directory: wire.listen.directory,
                 gossip_port: wire.port_range.0,
+                stream_port: wire.port_range.0 + 1,
                 metrics: SocketAddr::from((wire.ip, METRICS_PORT)),
             },
             seeds: wire.seeds,
--- a/tests/behaviour/fleet/wire.rs
+++ b/tests/behaviour/fleet/wire.rs
@@ -5,6 +5,7 @@
 use figramp::deployment::EndpointListing;
 use figramp::deployment::EndpointPhase;
 use figramp::deployment::ListingVersion;
+use figramp::deployment::SoftwareVersion;
 use figramp::fleet::decode_message;
 use figramp::fleet::encode_message;
 use figramp::fleet::AccountUsage;
@@ -14,6 +15,8 @@
 use figramp::fleet::MessageCrashes;
 use figramp::fleet::MessageDigest;
 use figramp::fleet::MessageRate;
+use figramp::fleet::MessageSighting;
+use figramp::fleet::MessageVersions;
 use figramp::fleet::NameHash;
 use figramp::fleet::ServiceWait;
 use figramp::quarantine::InstanceHash;
@@ -66,6 +69,23 @@
         listing,
         crashes: crashes(),
         rates: rates(),
+        versions: versions(),
+    }
+}
+
+fn versions() -> MessageVersions {
+    let sighting = MessageSighting {
+        service: NameHash(11),
+        version: SoftwareVersion::from_name("v1.2"),
+        seen_age: Duration::from_millis(7_000),
+    };
+    let unknown = MessageSighting {
+        version: None,
+        ..sighting
+    };
+    MessageVersions {
+        complete_age: Some(Duration::from_secs(40)),
+        sightings: vec![sighting, unknown],
     }
 }
 
@@ -96,6 +116,7 @@
     assert_eq!(received.listing, Some(sent));
     assert_eq!(received.crashes, crashes());
     assert_eq!(received.rates, rates());
+    assert_eq!(received.versions, versions());
     assert_eq!(received.request_sent_at, Some(at(1_200)));
     assert_eq!(received.digest.listing_age, None);
     assert_eq!(
--- a/tests/behaviour/main.rs
+++ b/tests/behaviour/main.rs
@@ -22,4 +22,5 @@
 mod sessions;
 mod settings;
 mod soak;
+mod streams;
 mod vm;
--- a/tests/behaviour/quota/many_accounts.rs
+++ b/tests/behaviour/quota/many_accounts.rs
@@ -11,6 +11,7 @@
 use figramp::fleet::FleetMessage;
 use figramp::fleet::MessageCrashes;
 use figramp::fleet::MessageDigest;
+use figramp::fleet::MessageVersions;
 use figramp::fleet::NameHash;
 use figramp::fleet::VmRow;
 use figramp::quota::QuotaLimiter;
@@ -71,6 +72,7 @@
         listing: None,
         crashes: MessageCrashes::default(),
         rates: Vec::new(),
+        versions: MessageVersions::default(),
     };
     let bytes = encode_message(&message).expect("the message can be encoded");
     assert!(bytes.len() < DATAGRAM_MAX_BYTES, "{} bytes", bytes.len());
--- /dev/null
+++ b/tests/behaviour/streams/mod.rs
@@ -0,0 +1,5 @@
+//! Which software version began a stream.
+
+mod bandwidth;
+mod origins;
+mod version_history;
