--- a/src/stand_in/deployment/link_proxy.rs
+++ b/src/stand_in/deployment/link_proxy.rs
@@ -1,20 +1,37 @@
-//! A proxy before an endpoint stand-in whose open connections can go silent for good.
+//! A proxy before an endpoint stand-in, whose link can fail.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::copy_bidirectional;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// The state of a link.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkState {
+    /// Bytes pass.
+    #[default]
+    Up,
+    /// Connections stay open and pass nothing, also later.
+    Hung,
+    /// All connections are reset.
+    Reset,
+    /// Open connections live on, new ones are reset.
+    NewReset,
+}
+
 /// A proxy before an endpoint.
 #[derive(Debug)]
 pub struct LinkProxy {
     address: SocketAddr,
     freezes: Arc<watch::Sender<u32>>,
+    link: Arc<watch::Sender<LinkState>>,
     task: JoinHandle<()>,
 }
 
@@ -28,15 +45,22 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let freezes = Arc::new(watch::channel(0).0);
-        let accepted = Arc::clone(&freezes);
+        let link = Arc::new(watch::channel(LinkState::Up).0);
+        let (accepted_freezes, accepted_link) = (Arc::clone(&freezes), Arc::clone(&link));
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(relay(stream, endpoint, accepted.subscribe()));
+                let relayed = Relay {
+                    endpoint,
+                    freezes: accepted_freezes.subscribe(),
+                    link: accepted_link.subscribe(),
+                };
+                tokio::spawn(relayed.run(stream));
             }
         });
         Ok(Self {
             address,
             freezes,
+            link,
             task,
         })
     }
@@ -50,6 +74,11 @@
     pub fn freeze_open(&self) {
         self.freezes.send_modify(|count| *count += 1);
     }
+
+    /// Sets the state of the link.
+    pub fn set_link(&self, state: LinkState) {
+        self.link.send_replace(state);
+    }
 }
 
 impl Drop for LinkProxy {
@@ -58,12 +87,42 @@
     }
 }
 
-async fn relay(mut stream: TcpStream, endpoint: SocketAddr, mut freezes: watch::Receiver<u32>) {
-    let Ok(mut upstream) = TcpStream::connect(endpoint).await else {
-        return;
-    };
-    tokio::select! {
-        _ = copy_bidirectional(&mut stream, &mut upstream) => {}
-        _ = freezes.changed() => std::future::pending().await,
+/// One connection through the proxy.
+struct Relay {
+    endpoint: SocketAddr,
+    freezes: watch::Receiver<u32>,
+    link: watch::Receiver<LinkState>,
+}
+
+impl Relay {
+    async fn run(mut self, mut stream: TcpStream) {
+        let state = *self.link.borrow_and_update();
+        if matches!(state, LinkState::Reset | LinkState::NewReset) {
+            return reset(&stream);
+        }
+        let _ = self.link.wait_for(|state| *state != LinkState::Hung).await;
+        let Ok(mut upstream) = TcpStream::connect(self.endpoint).await else {
+            return;
+        };
+        let mut link = self.link.clone();
+        let down = async {
+            let is_down = |state: &LinkState| matches!(state, LinkState::Hung | LinkState::Reset);
+            let _ = link.wait_for(is_down).await;
+        };
+        tokio::select! {
+            _ = copy_bidirectional(&mut stream, &mut upstream) => return,
+            _ = self.freezes.changed() => std::future::pending().await,
+            () = down => {}
+        }
+        // A connection that hung is never used again.
+        let _ = self.link.wait_for(|state| *state == LinkState::Reset).await;
+        reset(&stream);
+    }
+}
+
+/// Lets the connection be reset when it is closed.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!(error:% = error; "a connection is closed in place of being reset");
     }
 }
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -22,6 +22,7 @@
 pub use late_reader::LateAnswer;
 pub use late_reader::LateReader;
 pub use link_proxy::LinkProxy;
+pub use link_proxy::LinkState;
 pub use repeating_refuser::RepeatingRefuser;
 pub use store_server::StoreBackup;
 pub use store_server::StoreFault;
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -13,6 +13,8 @@
 mod large_listings;
 mod left_endpoints;
 mod odd_entries;
+mod partitioned_site;
+mod partitioned_vms;
 mod rate_limits;
 mod repeated_refusals;
 mod requests;
