Serve callers of a VM without links to endpoints through VMs that have them

Callers of VMs that were partitioned from all endpoints got 503, or waited to their deadline, while other VMs of the region served: a VM forwarded to other regions only, at random also to VMs that were partitioned themselves, and spent its time on connects that hung.

Change: a VM to which no endpoint of its region gives a sign of life, by failures at two of them or by 1.2 s without a byte while requests wait, probes some endpoints; if none answers it counts as cut off, says so by gossip, drops its idle connections, and forwards requests to VMs of its own region that are not, or to those of others, until a probe or a request is answered. A VM that failed to reach each endpoint of a service forwards its requests in the same way, which covers links on which only open connections live. Nothing is forwarded twice; VMs that are cut off get no forwards. If no connection can be made at all and no VM is left, requests are refused at once.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -52,6 +52,8 @@
   usage @7 :List(AccountUsage);
   # Only in messages between VMs of one region.
   backlogs @8 :List(EndpointBacklog);
+  # Whether the VM reaches no endpoint of its region.
+  isCutOff @9 :Bool;
 }
 
 enum Phase {
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -12,6 +12,8 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use super::answer_notices::record_notices;
+use super::answer_notices::record_rate;
 use super::client_request::ClientRequest;
 use super::continuation::Continuation;
 use super::forward_headers;
@@ -27,7 +29,6 @@
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
 use crate::platform::AnswerHead;
-use crate::platform::RateNotice;
 
 /// The connect timeout within a region, where the one-way latency is 1 ms. A full accept queue
 /// drops the SYN, so it shows as a timeout rather than as an error.
@@ -136,6 +137,9 @@
         ),
         Target::Vm { attempts_max, .. } => request.to_vm(sent_at, *attempts_max, continuation),
     };
+    if running.placement().is_some() {
+        state.reach.borrow_mut().on_sent(sent_at);
+    }
     let sending = running.connection_mut().send(message);
     let sent = wait_for(state, limits, sending, try_leave).await;
     let response = match sent.and_then(|response| response) {
@@ -227,8 +231,11 @@
                 true => AttemptOutcome::ConnectionRefused,
                 false => AttemptOutcome::Unreachable,
             });
-            if let Target::Vm { ip, .. } = target {
-                state.fleet.borrow_mut().on_unreachable(*ip);
+            match target {
+                Target::Vm { ip, .. } => state.fleet.borrow_mut().on_unreachable(*ip),
+                Target::Endpoint { placement, .. } => {
+                    state.reach.borrow_mut().on_failed(placement.endpoint);
+                }
             }
             Err(AttemptError::NotRun {
                 has_arrived: false,
@@ -255,6 +262,10 @@
     }
     // A new connection tells an endpoint that is silent from one that is gone.
     running.discard_idle();
+    if let Some(placement) = running.placement() {
+        let mut reach = running.state().reach.borrow_mut();
+        reach.on_failed(placement.endpoint);
+    }
     running.record_outcome(match error.is_silence() {
         true => AttemptOutcome::Silent,
         false => AttemptOutcome::Unreachable,
@@ -280,6 +291,7 @@
         answer.running.connection_mut().on_keep_alive(keep_alive);
     }
     if let Some(placement) = answer.running.placement() {
+        state.reach.borrow_mut().on_sign_of_life();
         let mut endpoints = state.endpoints.borrow_mut();
         if let Some((running, waiting)) = head.load {
             endpoints.on_load(now, placement.endpoint, running, waiting);
@@ -350,39 +362,6 @@
     }
 }
 
-/// Records what an endpoint asks of this VM in the head of an answer.
-fn record_notices(state: &EntryState, now: Monotonic, target: &Target, head: &AnswerHead) {
-    let Target::Endpoint { instance, .. } = target else {
-        return;
-    };
-    let mut endpoints = state.endpoints.borrow_mut();
-    if head.is_leaving && endpoints.on_leaving(now, instance) {
-        log::info!(endpoint = instance.id.as_str(); "the endpoint is leaving; it gets no more requests");
-    }
-    let Some(pause) = head.retry_after else {
-        return;
-    };
-    if endpoints.on_pause(now, instance, pause) {
-        log::info!(
-            endpoint = instance.id.as_str(),
-            pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
-            "the endpoint wants no requests for a time"
-        );
-    }
-}
-
-/// Records the rate that an endpoint names in the head of an answer.
-fn record_rate(state: &EntryState, now: Monotonic, target: &Target, rate: RateNotice) {
-    let Target::Endpoint { placement, .. } = target else {
-        return;
-    };
-    match rate {
-        RateNotice::Unlimited => state.on_rate(now, placement.endpoint, None),
-        RateNotice::PerS(rate_per_s) => state.on_rate(now, placement.endpoint, Some(rate_per_s)),
-        RateNotice::Invalid => log::info!(to:% = target; "ignored a rate limit that is no rate"),
-    }
-}
-
 async fn on_refused(mut answer: Answer, retry_after: Option<Duration>) -> AttemptError {
     answer.running.record_outcome(AttemptOutcome::Refused);
     let rest = timeout(REFUSAL_BODY_TIMEOUT, answer.body.collect()).await;
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -277,8 +277,10 @@
                 let topology = &self.state.settings.topology;
                 let region = row.map(|row| topology.region_of(row.zone));
                 drop(fleet);
-                if let Some(region) = region {
-                    self.tried.add_region(region);
+                match region {
+                    Some(region) if region == self.state.settings.region => self.tried.add_vm(*ip),
+                    Some(region) => self.tried.add_region(region),
+                    None => {}
                 }
             }
         }
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -83,7 +83,7 @@
 
     /// Drops the idle connections to an address after one of its connections failed: the others
     /// have probably failed too.
-    pub(super) fn discard_idle(&self, address: SocketAddr) {
+    pub fn discard_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
     }
 
@@ -96,7 +96,10 @@
     }
 }
 
-async fn connect(now: Monotonic, address: SocketAddr) -> Result<PooledConnection, UpstreamError> {
+pub(super) async fn connect(
+    now: Monotonic,
+    address: SocketAddr,
+) -> Result<PooledConnection, UpstreamError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(UpstreamError::Connect)?;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,7 @@
 //! It uses `hyper` directly: `rocket` cannot abort an answer, detect that a client disconnected, or
 //! stream a body through unchanged.
 
+mod answer_notices;
 mod attempt;
 mod attempts;
 mod client_head;
@@ -12,6 +13,7 @@
 mod directory;
 mod edge_body;
 mod edge_listener;
+mod endpoint_probe;
 mod event_splitter;
 mod forward_headers;
 mod handlers;
@@ -36,6 +38,7 @@
 pub use edge_listener::EdgeListener;
 pub use edge_listener::EdgeRole;
 pub use edge_listener::EdgeStage;
+pub use endpoint_probe::probe;
 pub use event_splitter::EventSplitter;
 pub use peer_fetch::fetch_configuration;
 pub use peer_fetch::fetch_listing;
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -115,6 +115,7 @@
         loop {
             match self.next_chunk().await {
                 Ok(Chunk::Bytes(bytes)) => {
+                    self.on_bytes();
                     let events = self.splitter.push(&bytes);
                     if !events.is_empty() {
                         self.on_event();
@@ -195,6 +196,18 @@
         is_limited.then(|| silence_timeout.saturating_sub(elapsed))
     }
 
+    /// Records bytes of the present answer.
+    fn on_bytes(&self) {
+        let placement = self
+            .answer
+            .as_ref()
+            .and_then(|answer| answer.running.placement());
+        if placement.is_some() {
+            let mut reach = self.attempts.state.reach.borrow_mut();
+            reach.on_sign_of_life();
+        }
+    }
+
     /// Records an event of the present answer: with the first one the endpoint has answered the prompt.
     fn on_event(&mut self) {
         let Attempts { state, request, .. } = &self.attempts;
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -46,6 +46,10 @@
         }
     }
 
+    pub(super) fn state(&self) -> &EntryState {
+        &self.state
+    }
+
     pub(super) const fn placement(&self) -> Option<&Placement> {
         self.placement.as_ref()
     }
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -27,6 +27,9 @@
 /// The round-trip time assumed for a region before one was measured.
 const ROUND_TRIP_UNKNOWN_MS: f64 = 150.0;
 
+/// The round-trip time assumed within a region before one was measured.
+const LOCAL_ROUND_TRIP_UNKNOWN_MS: f64 = 2.0;
+
 /// The wait assumed for another region whose VMs report none.
 const WAIT_UNKNOWN_MS: f64 = 60.0;
 
@@ -34,10 +37,13 @@
     /// Chooses the target of the next attempt.
     pub(super) fn choose(&self, now: Monotonic) -> Result<Target, Refusal> {
         let prefix_owner = self.prefix_owner(now);
-        let local = self.local_placement(now, prefix_owner);
+        let remotes = self.remote_regions(now, prefix_owner);
+        let local = match self.leaves_endpoints_alone(&remotes) {
+            true => Err(NoPlacement::NoneListed),
+            false => self.local_placement(now, prefix_owner),
+        };
         let local_ms = local.as_ref().ok().map(|placement| placement.expected_ms);
         let target_ms = milliseconds(self.request.route.target_latency);
-        let remotes = self.remote_regions(now, prefix_owner);
         let draw = self.state.rng.borrow_mut().random();
         match (choose_region(local_ms, remotes, target_ms, draw), local) {
             (RegionChoice::Local, Ok(placement)) => {
@@ -51,6 +57,14 @@
         }
     }
 
+    /// Returns whether the endpoints of the region must not be tried, as this VM does not reach them.
+    ///
+    /// Endpoints that are only silent may be sound, and are tried if there is no other way.
+    fn leaves_endpoints_alone(&self, others: &[RegionOption]) -> bool {
+        let reach = self.state.reach.borrow();
+        reach.is_unreachable() || (reach.is_cut_off() && !others.is_empty())
+    }
+
     /// Returns whether the next attempt would find a target.
     pub(super) fn has_alternative(&self, now: Monotonic) -> bool {
         let prefix_owner = self.prefix_owner(now);
@@ -210,25 +224,36 @@
         }
         let topology = &self.state.settings.topology;
         let endpoints = self.state.endpoints.borrow();
+        let local_region = self.state.settings.region;
+        let needs_others = self.state.reach.borrow().is_cut_off()
+            || endpoints.is_out_of_reach(now, &self.request.service.name, self.version);
         let remotes = topology.regions().filter(|region| {
-            *region != self.state.settings.region
-                && self.allows(*region)
-                && !self.tried.regions().contains(region)
-                && endpoints.is_served_in(&self.request.service.name, *region, self.version)
+            let service = &self.request.service.name;
+            let is_served = match *region == local_region {
+                true => needs_others && endpoints.serves_version(service, self.version),
+                false => {
+                    !self.tried.regions().contains(region)
+                        && endpoints.is_served_in(service, *region, self.version)
+                }
+            };
+            is_served && self.allows(*region)
         });
         let fleet = self.state.fleet.borrow();
         let query = self.query(now, prefix_owner);
         let mut rng = self.state.rng.borrow_mut();
         let service = NameHash::from(&self.request.service.name);
         let options = remotes.filter_map(|region| {
-            let (_, round_trip_ms) = fleet.forward_target(now, region, &mut *rng)?;
+            let (_, round_trip_ms) =
+                fleet.forward_target(now, region, self.tried.vms(), &mut *rng)?;
             let wait_ms = fleet.wait_in(now, region, service);
             let has_prefix = prefix_owner == Some(PrefixOwner::Remote(region));
             let prefill_tokens = query.prefill_tokens(has_prefix);
             Some(RegionOption {
                 region,
-                expected_ms: round_trip_ms.unwrap_or(ROUND_TRIP_UNKNOWN_MS)
-                    + wait_ms.map_or(WAIT_UNKNOWN_MS, f64::from)
+                expected_ms: round_trip_ms.unwrap_or(match region == local_region {
+                    true => LOCAL_ROUND_TRIP_UNKNOWN_MS,
+                    false => ROUND_TRIP_UNKNOWN_MS,
+                }) + wait_ms.map_or(WAIT_UNKNOWN_MS, f64::from)
                     + endpoints.prefill_ms(&self.request.service.name, prefill_tokens),
                 has_prefix,
             })
@@ -240,7 +265,7 @@
         let fleet = self.state.fleet.borrow();
         let mut rng = self.state.rng.borrow_mut();
         let (ip, _) = fleet
-            .forward_target(now, region, &mut *rng)
+            .forward_target(now, region, self.tried.vms(), &mut *rng)
             .ok_or_else(|| self.no_endpoint_refusal(NoPlacement::NoneListed))?;
         // One attempt is reserved for the case that the VM fails while it serves the request.
         let left = self.request.attempts_max().saturating_sub(self.ran_count);
--- a/src/edge/tried_targets.rs
+++ b/src/edge/tried_targets.rs
@@ -1,12 +1,15 @@
 //! The targets of the earlier attempts of a request.
 
+use std::net::Ipv4Addr;
+
 use crate::deployment::RegionKey;
 use crate::placement::EndpointKey;
 
-/// An endpoint of the local region, or another region.
+/// An endpoint or a VM of the local region, or another region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TriedTarget {
     Endpoint(EndpointKey),
+    Vm(Ipv4Addr),
     Region(RegionKey),
 }
 
@@ -14,6 +17,7 @@
 #[derive(Debug, Default)]
 pub(super) struct TriedTargets {
     endpoints: Vec<EndpointKey>,
+    vms: Vec<Ipv4Addr>,
     regions: Vec<RegionKey>,
     /// Those that were silent, which does not mean that they are not sound.
     silent: Vec<TriedTarget>,
@@ -26,6 +30,11 @@
         self.last = Some(TriedTarget::Endpoint(endpoint));
     }
 
+    pub(super) fn add_vm(&mut self, vm: Ipv4Addr) {
+        self.vms.push(vm);
+        self.last = Some(TriedTarget::Vm(vm));
+    }
+
     pub(super) fn add_region(&mut self, region: RegionKey) {
         self.regions.push(region);
         self.last = Some(TriedTarget::Region(region));
@@ -47,6 +56,7 @@
         let is_silent = |target| silent.contains(&target);
         self.endpoints
             .retain(|endpoint| !is_silent(TriedTarget::Endpoint(*endpoint)));
+        self.vms.retain(|vm| !is_silent(TriedTarget::Vm(*vm)));
         self.regions
             .retain(|region| !is_silent(TriedTarget::Region(*region)));
         !silent.is_empty()
@@ -56,6 +66,10 @@
         &self.endpoints
     }
 
+    pub(super) fn vms(&self) -> &[Ipv4Addr] {
+        &self.vms
+    }
+
     pub(super) fn regions(&self) -> &[RegionKey] {
         &self.regions
     }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -15,6 +15,7 @@
 use super::gossip_task::GossipTask;
 use super::log_task;
 use super::origin_task;
+use super::reach_task;
 use super::signals::SignalRequest;
 use super::signals::Signals;
 use super::store_task;
@@ -84,6 +85,7 @@
     let stream_socket = state.stream_socket.get_or_init(|| stream_socket);
     spawn_local(store_task::run(Rc::clone(&state)));
     spawn_local(GossipTask::new(Rc::clone(&state), gossip_socket).run());
+    spawn_local(reach_task::run(Rc::clone(&state)));
     spawn_local(origin_task::run(
         Rc::clone(&state),
         Rc::clone(stream_socket),
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -32,6 +32,7 @@
 use crate::fleet::VmPhase;
 use crate::fleet::VmRow;
 use crate::placement::EndpointKey;
+use crate::placement::EndpointReach;
 use crate::placement::EndpointTable;
 use crate::placement::PromptPrefix;
 use crate::quarantine::CrashReports;
@@ -60,6 +61,8 @@
     pub fleet: RefCell<FleetView>,
     /// The endpoints of the local region, and which services other regions have.
     pub endpoints: RefCell<EndpointTable>,
+    /// Whether this VM reaches the endpoints of its region.
+    pub reach: RefCell<EndpointReach>,
     /// The requests and prompt parts that crash endpoints.
     pub quarantine: RefCell<RequestQuarantine>,
     /// The token buckets of the client accounts.
@@ -107,12 +110,14 @@
             waits: Vec::new(),
             usage: Vec::new(),
             backlogs: Vec::new(),
+            is_cut_off: false,
         };
         Self {
             belief: RefCell::default(),
             read_plan: RefCell::default(),
             fleet: RefCell::new(FleetView::new(settings.topology.clone(), local_row)),
             endpoints: RefCell::new(EndpointTable::new(settings.region, settings.zone)),
+            reach: RefCell::default(),
             quarantine: RefCell::default(),
             quota: RefCell::new(QuotaLimiter::new(settings.bounds.quota_overage)),
             retry_budgets: RefCell::default(),
@@ -191,6 +196,7 @@
         row.waits = waits.collect();
         row.backlogs = backlogs;
         row.usage = self.quota.borrow_mut().next_usage();
+        row.is_cut_off = self.reach.borrow().is_cut_off();
         row.reads_store = self.read_plan.borrow().is_store_reachable();
         fleet.remove_expired(now);
         let alive_count = fleet.alive_count(now);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod log_task;
 mod memory_budget;
 mod origin_task;
+mod reach_task;
 mod signals;
 mod store_task;
 
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -350,16 +350,21 @@
             .all(|row| rendezvous_score(FETCH_RENDEZVOUS_KEY, row.ip) < local_score)
     }
 
-    /// Returns a random live VM of a region to forward requests to, and the average round-trip time
+    /// Returns a random live VM of a region that reaches endpoints, to forward requests to, and the average round-trip time
     /// to it in milliseconds, if it was measured.
     pub fn forward_target(
         &self,
         now: Monotonic,
         region: RegionKey,
+        tried: &[Ipv4Addr],
         rng: &mut impl Rng,
     ) -> Option<(Ipv4Addr, Option<f64>)> {
         let ready = self.others.values().filter(|vm| {
-            vm.is_alive(now) && vm.row.phase == VmPhase::Ready && self.region(&vm.row) == region
+            vm.is_alive(now)
+                && vm.row.phase == VmPhase::Ready
+                && !vm.row.is_cut_off
+                && self.region(&vm.row) == region
+                && !tried.contains(&vm.row.ip)
         });
         let vm = ready.choose(rng)?;
         Some((vm.row.ip, vm.round_trip_ms))
@@ -368,7 +373,7 @@
     /// Returns the shortest wait for a service that VMs of a region report, in milliseconds.
     pub fn wait_in(&self, now: Monotonic, region: RegionKey, service: NameHash) -> Option<u16> {
         self.alive(now)
-            .filter(|row| self.region(row) == region)
+            .filter(|row| self.region(row) == region && !row.is_cut_off)
             .filter_map(|row| row.waits.iter().find(|wait| wait.service == service))
             .map(|wait| wait.wait_ms)
             .min()
--- a/src/fleet/vm_row.rs
+++ b/src/fleet/vm_row.rs
@@ -62,6 +62,8 @@
     pub phase: VmPhase,
     /// Whether the VM can read the platform's store.
     pub reads_store: bool,
+    /// Whether the VM reaches no endpoint of its region.
+    pub is_cut_off: bool,
     /// The expected wait for each service in its region.
     pub waits: Vec<ServiceWait>,
     /// The usage of client accounts through this VM.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -149,6 +149,7 @@
         VmPhase::Leaving => schema::Phase::Leaving,
     });
     to.set_reads_store(row.reads_store);
+    to.set_is_cut_off(row.is_cut_off);
     let mut waits = to.reborrow().init_waits(length(row.waits.len()));
     for (index, wait) in (0..).zip(&row.waits) {
         let mut entry = waits.reborrow().get(index);
@@ -312,6 +313,7 @@
             schema::Phase::Leaving => VmPhase::Leaving,
         },
         reads_store: from.get_reads_store(),
+        is_cut_off: from.get_is_cut_off(),
         waits: waits.collect(),
         usage: usage.collect(),
         backlogs: backlogs.collect(),
--- a/src/placement/endpoint_health.rs
+++ b/src/placement/endpoint_health.rs
@@ -74,6 +74,17 @@
             .map(|until| until.since(now))
     }
 
+    /// Returns whether the endpoint could not be reached, and is not to be tried yet.
+    pub(super) fn is_unreachable(&self, now: Monotonic) -> bool {
+        self.backoff_until.is_some_and(|until| now < until)
+    }
+
+    /// Ends the backoff.
+    pub(super) fn forget_unreachable(&mut self) {
+        self.unreachable_count = 0;
+        self.backoff_until = None;
+    }
+
     /// Returns the expected number of attempts for one success.
     pub(super) fn attempts_per_success(&self) -> f64 {
         let failure_rate = self.failure_rate.mean().unwrap_or(0.0);
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -206,7 +206,7 @@
         self.prefill_rates.get(service).copied().unwrap_or_default()
     }
 
-    fn of_service<'a>(
+    pub(super) fn of_service<'a>(
         &'a self,
         service: &Name,
     ) -> impl Iterator<Item = (EndpointKey, &'a EndpointState)> {
--- a/tests/behaviour/fleet/support.rs
+++ b/tests/behaviour/fleet/support.rs
@@ -31,6 +31,7 @@
         beat,
         phase: VmPhase::Ready,
         reads_store: true,
+        is_cut_off: false,
         waits: Vec::new(),
         usage: Vec::new(),
         backlogs: Vec::new(),
--- a/tests/behaviour/placement/mod.rs
+++ b/tests/behaviour/placement/mod.rs
@@ -7,6 +7,7 @@
 mod notices;
 mod overload;
 mod prompts;
+mod reach;
 mod regions;
 mod shared_prefixes;
 mod shared_rates;
