Keep the refusals of brittle endpoints under the rate that they bear

Callers lose endpoints that say Server-Brittle and fall over when they have to refuse more requests a second: nothing read it, and each VM sent on until it was refused.

Change: VMs keep the rate of refusals as they keep a named rate, from answers and by gossip. While it is in force, each VM takes its share of an endpoint's slots; after a refusal it sends the endpoint nothing for a time in which each other VM of the region may be refused once too, then no more at once than there was room for, and one more after some time without a refusal.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -20,6 +20,8 @@
   # The time for which the sender knows each software version that was in use; zero for none.
   versionsCompleteMs @8 :UInt32;
   versionSightings @9 :List(VersionSighting);
+  # The refusals for want of room that endpoints bear; only in messages between VMs of one region.
+  refusalRates @10 :List(NamedRate);
 }
 
 struct VersionSighting {
--- a/src/edge/answer_notices.rs
+++ b/src/edge/answer_notices.rs
@@ -3,6 +3,7 @@
 use super::attempt::Target;
 use crate::clock::Monotonic;
 use crate::entry::EntryState;
+use crate::placement::RateKind;
 use crate::platform::AnswerHead;
 use crate::platform::RateNotice;
 
@@ -32,14 +33,27 @@
     }
 }
 
-/// Records the rate that an endpoint names in the head of an answer.
-pub(super) fn record_rate(state: &EntryState, now: Monotonic, target: &Target, rate: RateNotice) {
+/// Records the rates that an endpoint names in the head of an answer.
+pub(super) fn record_rates(state: &EntryState, now: Monotonic, target: &Target, head: &AnswerHead) {
+    record_rate(state, now, target, RateKind::Requests, head.rate);
+    record_rate(state, now, target, RateKind::Refusals, head.refusals);
+}
+
+fn record_rate(
+    state: &EntryState,
+    now: Monotonic,
+    target: &Target,
+    kind: RateKind,
+    rate: RateNotice,
+) {
     let Target::Endpoint { placement, .. } = target else {
         return;
     };
     match rate {
-        RateNotice::Unlimited => state.on_rate(now, placement.endpoint, None),
-        RateNotice::PerS(rate_per_s) => state.on_rate(now, placement.endpoint, Some(rate_per_s)),
+        RateNotice::Unlimited => state.on_rate(now, placement.endpoint, kind, None),
+        RateNotice::PerS(rate_per_s) => {
+            state.on_rate(now, placement.endpoint, kind, Some(rate_per_s))
+        }
         RateNotice::Invalid => log::info!(to:% = target; "ignored a rate limit that is no rate"),
     }
 }
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use super::answer_notices::record_notices;
-use super::answer_notices::record_rate;
+use super::answer_notices::record_rates;
 use super::client_request::ClientRequest;
 use super::continuation::Continuation;
 use super::forward_headers;
@@ -312,7 +312,7 @@
     }
     if !head.is_other_instance {
         record_notices(state, now, target, &head);
-        record_rate(state, now, target, head.rate);
+        record_rates(state, now, target, &head);
     }
     if forward_headers::is_quarantined(&answer.parts.headers) {
         let remaining = head.retry_after.unwrap_or_default();
--- a/src/edge/peer_fetch.rs
+++ b/src/edge/peer_fetch.rs
@@ -101,6 +101,7 @@
         listing: Some(belief.listing().as_ref().clone()),
         crashes: MessageCrashes::default(),
         rates: Vec::new(),
+        refusal_rates: Vec::new(),
         versions: MessageVersions::default(),
     };
     match encode_message(&message) {
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -148,7 +148,10 @@
     }
 
     fn query(&self, now: Monotonic, prefix_owner: Option<PrefixOwner>) -> PlacementQuery<'_> {
-        let local_vm_count = self.state.fleet.borrow().alive_in(now, true).count() + 1;
+        let fleet = self.state.fleet.borrow();
+        let others = fleet.alive_in(now, true).filter(|row| !row.is_cut_off);
+        let local_vm_count = others.count() + 1;
+        drop(fleet);
         let local_vm_count = u32::try_from(local_vm_count).unwrap_or(u32::MAX);
         PlacementQuery {
             service: &self.request.service.name,
@@ -157,6 +160,7 @@
             prefix_endpoint: prefix_owner.and_then(PrefixOwner::local),
             prefix_replica: self.prefix_replica(now, prefix_owner),
             priority: self.request.priority(),
+            local_vm_count,
             version: self.version_constraint(),
             tried: self.tried.endpoints(),
             local_requests_max: (self.request.service.connections_max / local_vm_count).max(1),
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -35,6 +35,7 @@
 use crate::placement::EndpointReach;
 use crate::placement::EndpointTable;
 use crate::placement::PromptPrefix;
+use crate::placement::RateKind;
 use crate::quarantine::CrashReports;
 use crate::quarantine::InstanceHash;
 use crate::quarantine::PartHash;
@@ -292,19 +293,24 @@
     }
 
     /// Adds the rates of endpoints that another VM observed.
-    pub fn on_rates_reported(&self, rates: impl IntoIterator<Item = EndpointRate>) {
+    pub fn on_rates_reported(&self, kind: RateKind, rates: impl IntoIterator<Item = EndpointRate>) {
         let mut endpoints = self.endpoints.borrow_mut();
-        for key in endpoints.on_peer_rates(rates) {
-            log_rate(&endpoints, key);
+        for key in endpoints.on_peer_rates(kind, rates) {
+            log_rate(&endpoints, key, kind);
         }
     }
 
-    /// Records the rate that an endpoint named in an answer, in requests per second, or that it named
-    /// none.
-    pub fn on_rate(&self, now: Monotonic, key: EndpointKey, rate_per_s: Option<f64>) {
+    /// Records the rate per second that an endpoint named in an answer, or that it named none.
+    pub fn on_rate(
+        &self,
+        now: Monotonic,
+        key: EndpointKey,
+        kind: RateKind,
+        rate_per_s: Option<f64>,
+    ) {
         let mut endpoints = self.endpoints.borrow_mut();
-        if endpoints.on_rate(now, key, rate_per_s) {
-            log_rate(&endpoints, key);
+        if endpoints.on_rate(now, key, kind, rate_per_s) {
+            log_rate(&endpoints, key, kind);
         }
     }
 
@@ -333,18 +339,21 @@
     }
 }
 
-fn log_rate(endpoints: &EndpointTable, key: EndpointKey) {
+fn log_rate(endpoints: &EndpointTable, key: EndpointKey, kind: RateKind) {
     let Some(state) = endpoints.get(key) else {
         return;
     };
     let endpoint = state.record().instance.id.as_str();
-    match state.named_rate_per_s() {
+    match state.rate_in_force_per_s(kind) {
         Some(rate_per_s) => log::info!(
             endpoint = endpoint,
+            limited:? = kind,
             rate_per_s = rate_per_s;
             "the endpoint limits the rate of all VMs together"
         ),
-        None => log::info!(endpoint = endpoint; "the endpoint no longer limits its rate"),
+        None => {
+            log::info!(endpoint = endpoint, limited:? = kind; "the endpoint no longer limits its rate")
+        }
     }
 }
 
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -23,12 +23,14 @@
 use crate::fleet::encode_message;
 use crate::fleet::ConfigurationFetch;
 use crate::fleet::FleetMessage;
+use crate::fleet::FleetView;
 use crate::fleet::FleetWireError;
 use crate::fleet::GossipPlan;
 use crate::fleet::MessageCrashes;
 use crate::fleet::MessageDigest;
 use crate::fleet::MessageRate;
 use crate::fleet::MessageVersions;
+use crate::placement::RateKind;
 
 /// The longest payload of a UDP datagram over IPv4.
 const DATAGRAM_MAX_BYTES: usize = 65_507;
@@ -117,10 +119,8 @@
                     let quarantine = self.state.quarantine.borrow();
                     MessageCrashes::new(&quarantine.reports(now, &mut *rng), now)
                 },
-                rates: match fleet.is_in_local_region(to) {
-                    true => self.rates(now),
-                    false => Vec::new(),
-                },
+                rates: self.rates(now, to, &fleet, RateKind::Requests),
+                refusal_rates: self.rates(now, to, &fleet, RateKind::Refusals),
                 versions: MessageVersions::new(&self.state.versions.borrow(), now),
             }
         };
@@ -138,8 +138,18 @@
         }
     }
 
-    fn rates(&self, now: Monotonic) -> Vec<MessageRate> {
-        let rates = self.state.endpoints.borrow().rates().into_iter();
+    /// Returns the rates that endpoints named, for a VM of their region.
+    fn rates(
+        &self,
+        now: Monotonic,
+        to: Ipv4Addr,
+        fleet: &FleetView,
+        kind: RateKind,
+    ) -> Vec<MessageRate> {
+        if !fleet.is_in_local_region(to) {
+            return Vec::new();
+        }
+        let rates = self.state.endpoints.borrow().rates(kind).into_iter();
         rates.map(|rate| MessageRate::new(rate, now)).collect()
     }
 
@@ -155,8 +165,13 @@
         self.merge_rows(now, from, &message);
         let crashes = message.crashes.received(now);
         self.state.on_crashes_reported(now, crashes);
-        let rates = message.rates.iter().map(|rate| rate.received(now));
-        self.state.on_rates_reported(rates);
+        for (kind, rates) in [
+            (RateKind::Requests, &message.rates),
+            (RateKind::Refusals, &message.refusal_rates),
+        ] {
+            let rates = rates.iter().map(|rate| rate.received(now));
+            self.state.on_rates_reported(kind, rates);
+        }
         let mut versions = self.state.versions.borrow_mut();
         message.versions.merge_into(&mut versions, now);
         drop(versions);
--- a/src/fleet/fleet_message.rs
+++ b/src/fleet/fleet_message.rs
@@ -76,6 +76,8 @@
     pub crashes: MessageCrashes,
     /// The rates that endpoints of the region named.
     pub rates: Vec<MessageRate>,
+    /// The refusals for want of room that endpoints of the region named as the most that they bear.
+    pub refusal_rates: Vec<MessageRate>,
     /// The software versions that were in use lately.
     pub versions: MessageVersions,
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -7,6 +7,7 @@
 use capnp::message::Builder;
 use capnp::message::ReaderOptions;
 use capnp::serialize_packed;
+use capnp::struct_list;
 
 use super::message_versions_wire::decode_versions;
 use super::message_versions_wire::encode_versions;
@@ -33,6 +34,7 @@
 use crate::deployment::SoftwareVersion;
 use crate::deployment::ZoneKey;
 use crate::peer::generated::fleet_capnp as schema;
+use crate::peer::generated::fleet_capnp::named_rate;
 use crate::quarantine::CrashReport;
 use crate::quarantine::InstanceHash;
 use crate::quarantine::PartHash;
@@ -71,7 +73,13 @@
         encode_row(rows.reborrow().get(index), row);
     }
     encode_crashes(root.reborrow(), &message.crashes);
-    encode_rates(root.reborrow(), &message.rates);
+    let count = length(message.rates.len().min(RATES_MAX));
+    encode_rates(root.reborrow().init_named_rates(count), &message.rates);
+    let count = length(message.refusal_rates.len().min(RATES_MAX));
+    encode_rates(
+        root.reborrow().init_refusal_rates(count),
+        &message.refusal_rates,
+    );
     encode_versions(root.reborrow(), &message.versions);
     if let Some(listing) = &message.listing {
         encode_listing(root.init_listing(), listing);
@@ -125,12 +133,10 @@
     }
 }
 
-fn encode_rates(to: schema::fleet_message::Builder<'_>, rates: &[MessageRate]) {
-    let rates = &rates[..rates.len().min(RATES_MAX)];
-    let mut entries = to.init_named_rates(length(rates.len()));
+fn encode_rates(mut to: struct_list::Builder<'_, named_rate::Owned>, rates: &[MessageRate]) {
     let age_ms = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(NEVER_MS - 1);
-    for (index, rate) in (0..).zip(rates) {
-        let mut entry = entries.reborrow().get(index);
+    for (index, rate) in (0..to.len()).zip(rates) {
+        let mut entry = to.reborrow().get(index);
         entry.set_endpoint(rate.endpoint.0);
         entry.set_rate_milli((rate.rate_per_s * 1_000.0) as u32);
         entry.set_named_age_ms(age_ms(rate.named_age));
@@ -225,7 +231,8 @@
         rows,
         listing,
         crashes: decode_crashes(root)?,
-        rates: decode_rates(root)?,
+        rates: decode_rates(root.get_named_rates()?),
+        refusal_rates: decode_rates(root.get_refusal_rates()?),
         versions: decode_versions(root)?,
     })
 }
@@ -272,11 +279,9 @@
     })
 }
 
-fn decode_rates(
-    from: schema::fleet_message::Reader<'_>,
-) -> Result<Vec<MessageRate>, FleetWireError> {
+fn decode_rates(from: struct_list::Reader<'_, named_rate::Owned>) -> Vec<MessageRate> {
     let age = |age_ms: u32| Duration::from_millis(u64::from(age_ms));
-    let rates = from.get_named_rates()?.iter().take(RATES_MAX);
+    let rates = from.iter().take(RATES_MAX);
     let rates = rates.map(|rate| MessageRate {
         endpoint: InstanceHash(rate.get_endpoint()),
         rate_per_s: f64::from(rate.get_rate_milli()) / 1_000.0,
@@ -285,7 +290,7 @@
             .filter(|age_ms| *age_ms != NEVER_MS)
             .map(age),
     });
-    Ok(rates.collect())
+    rates.collect()
 }
 
 fn decode_row(from: schema::vm_row::Reader<'_>) -> Result<VmRow, FleetWireError> {
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::backlog::Backlog;
+use super::brittleness::Brittleness;
 use super::endpoint_health::EndpointHealth;
 use super::endpoint_notice::EndpointNotice;
 use super::known_version::VersionDoubt;
@@ -51,6 +52,7 @@
     pub(super) waits: WaitEstimate,
     pub(super) notice: EndpointNotice,
     pub(super) named_rate: NamedRate,
+    pub(super) brittleness: Brittleness,
     pub(super) hash: NameHash,
     pub(super) instance_hash: InstanceHash,
 }
@@ -60,6 +62,7 @@
         Self {
             cold_until: now + record.cold_remaining,
             named_rate: NamedRate::default(),
+            brittleness: Brittleness::default(),
             hash: NameHash::from(&record.instance.id),
             instance_hash: InstanceHash::from(&record.instance),
             record,
@@ -174,6 +177,9 @@
         self.health.record_outcome(now, outcome);
         self.possible_restart.on_outcome(now, outcome);
         self.version_doubt.on_outcome(now, outcome);
+        if outcome == AttemptOutcome::Refused {
+            self.brittleness.on_refused(now, self.local_requests());
+        }
     }
 
     /// Returns the number of requests of this VM that are in flight at the endpoint.
@@ -197,7 +203,14 @@
         if is_full || query.tried.contains(&key) {
             return Some(NoPlacement::RETRY_AFTER_UNKNOWN);
         }
-        self.backoff(now, query.accepts_avoided)
+        let slots = self.record.slots;
+        let brittle = self.brittleness.unavailable_for(
+            now,
+            slots,
+            self.local_requests(),
+            query.local_vm_count,
+        );
+        self.backoff(now, query.accepts_avoided).max(brittle)
     }
 
     /// Returns the longer of the pause that the endpoint asked for and the remaining backoff;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt_outcome;
 mod backlog;
+mod brittleness;
 mod endpoint_events;
 mod endpoint_health;
 mod endpoint_key;
@@ -31,6 +32,7 @@
 
 pub use attempt_outcome::AttemptOutcome;
 pub use endpoint_key::EndpointKey;
+pub use endpoint_rates::RateKind;
 pub use endpoint_reach::EndpointReach;
 pub use endpoint_reach::ProbeOutcome;
 pub use endpoint_state::EndpointState;
--- a/src/placement/placement_query.rs
+++ b/src/placement/placement_query.rs
@@ -24,6 +24,8 @@
     pub prefix_replica: Option<EndpointKey>,
     /// The priority of the request; 0 is served first.
     pub priority: u8,
+    /// The number of VMs of the region that send requests to its endpoints, this one included.
+    pub local_vm_count: u32,
     /// The software version that the endpoint must have; `None` for any.
     pub version: Option<VersionConstraint>,
     /// The endpoints of earlier attempts, which are left out.
--- a/src/platform/answer_head.rs
+++ b/src/platform/answer_head.rs
@@ -15,12 +15,13 @@
 const COLD_MS: HeaderName = HeaderName::from_static("cold-ms");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// The largest rate that counts as one, in requests per second; no endpoint takes more.
 const RATE_MAX_PER_S: f64 = 1_000_000.0;
 
-/// What an answer says about the rate that its endpoint takes from all VMs together.
+/// What an answer says about a rate that its endpoint bears from all VMs together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum RateNotice {
     /// It names none.
@@ -53,6 +54,8 @@
     pub keep_alive: Option<Duration>,
     /// The rate that the endpoint names.
     pub rate: RateNotice,
+    /// The refusals for want of room that the endpoint bears, as a rate.
+    pub refusals: RateNotice,
     /// Whether the endpoint reports that it is about to stop.
     pub is_leaving: bool,
     /// How long the endpoint wants no further requests of this VM; only with a refusal.
@@ -78,10 +81,8 @@
                 .and_then(|value| value.trim().parse::<f64>().ok())
                 .and_then(|value| Duration::try_from_secs_f64(value / 1_000.0).ok()),
             keep_alive: text(&KEEP_ALIVE).and_then(parse_keep_alive),
-            rate: match headers.get(LIMIT) {
-                None => RateNotice::Unlimited,
-                Some(_) => text(&LIMIT).map_or(RateNotice::Invalid, parse_rate),
-            },
+            rate: decode_rate(headers, &LIMIT),
+            refusals: decode_rate(headers, &BRITTLE),
             is_leaving: text(&LEAVING).is_some_and(|value| value.trim() == "1"),
             retry_after: Some(parts.status)
                 .filter(|status| *status == StatusCode::SERVICE_UNAVAILABLE)
@@ -112,6 +113,13 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
+fn decode_rate(headers: &HeaderMap, name: &HeaderName) -> RateNotice {
+    match headers.get(name) {
+        None => RateNotice::Unlimited,
+        Some(value) => value.to_str().map_or(RateNotice::Invalid, parse_rate),
+    }
+}
+
 fn parse_rate(value: &str) -> RateNotice {
     let rate_per_s = value.trim().parse::<f64>();
     let rate_per_s = rate_per_s
--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -15,6 +15,11 @@
     pub retry_after: Option<HeaderValue>,
     /// The requests per second that it names in all answers as its limit; `None` names none.
     pub rate_limit: Option<HeaderValue>,
+    /// The refusals per second for want of room that it bears, which it names in all answers; `None` names
+    /// none.
+    pub brittle: Option<HeaderValue>,
+    /// The number of answers in progress from which on it refuses requests; `None` for any.
+    pub room: Option<usize>,
     /// Announces in all answers that it is about to stop.
     pub is_leaving: bool,
     /// Runs requests, but resets the connection instead of sending the body of a plain answer.
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -58,6 +58,7 @@
     faults: EndpointFaults,
     runs: HashMap<String, u32>,
     arrivals: Vec<Arrival>,
+    refusals: Vec<Instant>,
     crashing_arrivals: Vec<Instant>,
     crashing_request_arrivals: Vec<Instant>,
     /// Each answer in progress holds a clone, so that the strong count gives their number.
@@ -254,6 +255,11 @@
         self.state.lock().arrivals.clone()
     }
 
+    /// Returns the times at which it refused requests for want of room.
+    pub fn refusals(&self) -> Vec<Instant> {
+        self.state.lock().refusals.clone()
+    }
+
     /// Returns the number of answers in progress.
     pub fn running_count(&self) -> usize {
         Arc::strong_count(&self.state.lock().running) - 1
@@ -322,7 +328,10 @@
         if crashes_at {
             state.crashing_request_arrivals.push(Instant::now());
         }
-        if state.faults.is_full {
+        let running_count = Arc::strong_count(&state.running) - 1;
+        let has_room = state.faults.room.is_none_or(|room| running_count < room);
+        if state.faults.is_full || !has_room {
+            state.refusals.push(Instant::now());
             return Ok(refusal(&request_id, &state.faults));
         }
         let crash_point = crashes_at.then(|| state.next_crash_point(is_stream));
@@ -380,6 +389,9 @@
     if let Some(value) = &faults.rate_limit {
         headers.insert("server-limit", value.clone());
     }
+    if let Some(value) = &faults.brittle {
+        headers.insert("server-brittle", value.clone());
+    }
     if faults.is_leaving {
         headers.insert("server-leaving", HeaderValue::from_static("1"));
     }
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Whole daemons on loopback, with stand-ins for the platform.
 
+mod brittle_endpoints;
 mod cold_endpoints;
 pub(crate) mod crash_site;
 mod crashing_prompts;
--- a/tests/behaviour/fleet/wire.rs
+++ b/tests/behaviour/fleet/wire.rs
@@ -69,6 +69,7 @@
         listing,
         crashes: crashes(),
         rates: rates(),
+        refusal_rates: rates(),
         versions: versions(),
     }
 }
@@ -116,6 +117,7 @@
     assert_eq!(received.listing, Some(sent));
     assert_eq!(received.crashes, crashes());
     assert_eq!(received.rates, rates());
+    assert_eq!(received.refusal_rates, rates());
     assert_eq!(received.versions, versions());
     assert_eq!(received.request_sent_at, Some(at(1_200)));
     assert_eq!(received.digest.listing_age, None);
--- a/tests/behaviour/placement/prompts.rs
+++ b/tests/behaviour/placement/prompts.rs
@@ -98,6 +98,7 @@
         prefix_endpoint: owner.and_then(PrefixOwner::local),
         prefix_replica: None,
         priority: 1,
+        local_vm_count: 1,
         version: None,
         tried: &[],
         local_requests_max: u32::MAX,
--- a/tests/behaviour/placement/support.rs
+++ b/tests/behaviour/placement/support.rs
@@ -40,6 +40,7 @@
         prefix_endpoint: None,
         prefix_replica: None,
         priority: 0,
+        local_vm_count: 1,
         version: None,
         tried,
         local_requests_max: u32::MAX,
--- a/tests/behaviour/quota/many_accounts.rs
+++ b/tests/behaviour/quota/many_accounts.rs
@@ -72,6 +72,7 @@
         listing: None,
         crashes: MessageCrashes::default(),
         rates: Vec::new(),
+        refusal_rates: Vec::new(),
         versions: MessageVersions::default(),
     };
     let bytes = encode_message(&message).expect("the message can be encoded");
--- a/tests/behaviour/soak/faults.rs
+++ b/tests/behaviour/soak/faults.rs
@@ -69,7 +69,7 @@
     },
     Endpoint {
         endpoint: usize,
-        faults: EndpointFaults,
+        faults: Box<EndpointFaults>,
         time: Duration,
     },
     Deregister {
@@ -108,7 +108,7 @@
             },
             9 => Self::Endpoint {
                 endpoint,
-                faults: draw_endpoint_faults(rng, world),
+                faults: Box::new(draw_endpoint_faults(rng, world)),
                 time,
             },
             10 => Self::Deregister { endpoint, time },
@@ -196,7 +196,7 @@
                     || faults.loses_answers
                     || faults.mislabels_answers
                     || faults.truncated_event.is_some();
-                slot.set_faults(faults);
+                slot.set_faults(*faults);
                 sleep(time).await;
                 slot.set_faults(world.no_faults());
                 if is_interrupting {
