Refuse requests that may outlast a stop

Callers of a VM that was stopped got 502 at the end of its grace, for 17 to 32 of 60 requests that ran, unsafe ones too: for the first 2 s of a drain a VM took requests whose deadline lies past its own end, and cut them there.

Change: a VM that was told to stop refuses a request at once, as not run, if its deadline comes after the process ends. The client's next attempt goes to another VM, also if the request must not run twice. Running requests are finished as before.

The daemon of serve has no end of its own in a drain and needs no change.

--- a/src/edge/refusal.rs
+++ b/src/edge/refusal.rs
@@ -40,6 +40,8 @@
     TooLate,
     /// The request, or a part of its prompt, crashes endpoints.
     Quarantined,
+    /// The VM stops before the deadline of the request.
+    Leaving,
     /// It is not known which software version began the stream that is taken up.
     VersionUnknown,
 }
@@ -59,6 +61,7 @@
             | Self::EndpointsFull
             | Self::TooLate
             | Self::Quarantined
+            | Self::Leaving
             | Self::VersionUnknown => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -86,6 +89,7 @@
             Self::TimedOut => "timed_out",
             Self::TooLate => "too_late",
             Self::Quarantined => "quarantined",
+            Self::Leaving => "leaving",
             Self::VersionUnknown => "version_unknown",
         }
     }
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -42,6 +42,9 @@
 /// The `Retry-After` of a VM whose memory for bodies is used up.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The `Retry-After` of a VM that stops: time for the client to connect to another VM.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// How much of a body over the limit is read and discarded, as a multiple of the limit. Closing a
 /// connection with unread bytes resets it, and the client would not see its answer.
 const DISCARD_FACTOR: usize = 2;
@@ -197,12 +200,17 @@
         }
     }
     let client_timeout = head.timeout.unwrap_or(TIMEOUT_DEFAULT);
+    let deadline = now + client_timeout.min(route.timeout);
+    if state.ends_at.get().is_some_and(|ends_at| deadline > ends_at) {
+        let kind = RefusalKind::Leaving;
+        return Err(Refusal::retry_after(kind, LEAVING_RETRY_AFTER));
+    }
     Ok(Accepted {
         host,
         deployment: Rc::clone(deployment),
         route: route.clone(),
         account,
-        deadline: now + client_timeout.min(route.timeout),
+        deadline,
     })
 }
 
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -114,7 +114,9 @@
 
 async fn drain(state: &EntryState, stage: &watch::Sender<EdgeStage>) {
     let grace = state.settings.bounds.shutdown_grace;
-    let deadline = Instant::now() + grace.saturating_sub(GRACE_RESERVE);
+    let time_left = grace.saturating_sub(GRACE_RESERVE);
+    let deadline = Instant::now() + time_left;
+    state.ends_at.set(Some(state.now() + time_left));
     log::info!(running = state.running_count.get(); "draining");
     state.fleet.borrow_mut().local_row_mut().phase = VmPhase::Leaving;
     stage.send_replace(EdgeStage::Draining);
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -92,6 +92,8 @@
     pub origins_changed: Notify,
     /// Wakes the tasks that wait until the listing is confirmed.
     pub listing_confirmed: Notify,
+    /// When the process ends, once it was told to stop.
+    pub ends_at: Cell<Option<Monotonic>>,
     /// Tells the requests in flight that the process is about to end.
     pub ending: watch::Sender<bool>,
     /// The random number generator.
@@ -133,6 +135,7 @@
             stream_socket: OnceCell::new(),
             origins_changed: Notify::new(),
             listing_confirmed: Notify::new(),
+            ends_at: Cell::default(),
             ending: watch::Sender::new(false),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             clock,
