Tests: endpoints that stop within the head of an answer; no user timeout to endpoints of serve

Report: clients got a 200 with a short body, framed as whole, from servers that stopped within a head. Tried in the entry daemon with heads cut after 13 lengths on three kinds of route: no success was seen, as in the measurement beside the issue. Change: these cases as tests, which passed at once. reqwest sets TCP_USER_TIMEOUT by itself, and serve set 15 s: it would end a connection to a sound endpoint that is silent, so it is off; keep-alive probes and the silence timeout stay. Result: the tests of endpoint:: and vm::silent_endpoints pass.

--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -201,7 +201,11 @@
     }
     let client_timeout = head.timeout.unwrap_or(TIMEOUT_DEFAULT);
     let deadline = now + client_timeout.min(route.timeout);
-    if state.ends_at.get().is_some_and(|ends_at| deadline > ends_at) {
+    if state
+        .ends_at
+        .get()
+        .is_some_and(|ends_at| deadline > ends_at)
+    {
         let kind = RefusalKind::Leaving;
         return Err(Refusal::retry_after(kind, LEAVING_RETRY_AFTER));
     }
--- a/src/endpoint/connection_pools.rs
+++ b/src/endpoint/connection_pools.rs
@@ -17,8 +17,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
-/// The value of `TCP_USER_TIMEOUT`: the longest time that sent bytes stay unacknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+const KEEPALIVE_RETRIES: u32 = 2;
 const IDLE_MAX_PER_ENDPOINT: usize = 32;
 
 /// HTTP connection pools, one for each endpoint.
@@ -83,7 +83,10 @@
         .pool_max_idle_per_host(idle_max_per_endpoint)
         .tcp_nodelay(true)
         .tcp_keepalive(KEEPALIVE_IDLE)
-        .tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT)
+        .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
+        .tcp_keepalive_retries(KEEPALIVE_RETRIES)
+        // It would also end a connection to an endpoint that is sound and leaves a long body unread.
+        .tcp_user_timeout(None)
         .build()
         .map_err(|_| {
             GatewayError::new(ErrorKind::Internal, "the HTTP client could not be built")
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod crash_site;
 mod crashing_prompts;
 mod crashing_requests;
+mod cut_heads;
 mod disconnects;
 mod endless_answers;
 mod endpoint_faults;
