Forward within a region only to VMs that reach the service, and count no arrival for what reached no endpoint

Callers of a VM that cannot reach a service would lose time and the retry budget: a forward went to any VM of the region that isn't cut off, also to one that had just failed to reach the same endpoints, and each refusal of such a VM counted as an arrival at the service, so that the next attempt needed a retry of the budget.

Change: in its own region a VM forwards to those that report a wait for the service; a refusal says whether the request reached an endpoint.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -363,13 +363,14 @@
 }
 
 async fn on_refused(mut answer: Answer, retry_after: Option<Duration>) -> AttemptError {
+    let has_arrived = !forward_headers::is_unsent(&answer.parts.headers);
     answer.running.record_outcome(AttemptOutcome::Refused);
     let rest = timeout(REFUSAL_BODY_TIMEOUT, answer.body.collect()).await;
     if matches!(rest, Ok(Ok(_))) {
         answer.running.finish();
     }
     AttemptError::NotRun {
-        has_arrived: true,
+        has_arrived,
         retry_after,
     }
 }
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -50,7 +50,7 @@
     pub(super) state: Rc<EntryState>,
     pub(super) request: Rc<ClientRequest>,
     pub(super) tried: TriedTargets,
-    arrived_count: u32,
+    pub(super) arrived_count: u32,
     pub(super) ran_count: u32,
     retry_after: Option<Duration>,
     /// Whether the retry for the next attempt was already taken from the budget.
--- a/src/edge/forward_headers.rs
+++ b/src/edge/forward_headers.rs
@@ -19,6 +19,9 @@
 /// The value of that mark for a quarantined request.
 const QUARANTINED: &str = "quarantined";
 
+/// The value of that mark for a request that reached no endpoint.
+const UNSENT: &str = "unsent";
+
 /// The headers of a request forwarded by another VM; it is not forwarded again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ForwardHeaders {
@@ -70,6 +73,16 @@
     headers.insert(NOT_RUN, HeaderValue::from_static(value));
 }
 
+/// Marks an answer to a request that reached no endpoint.
+pub(super) fn mark_unsent(headers: &mut HeaderMap) {
+    headers.insert(NOT_RUN, HeaderValue::from_static(UNSENT));
+}
+
+/// Returns whether the request reached no endpoint.
+pub(super) fn is_unsent(headers: &HeaderMap) -> bool {
+    headers.get(NOT_RUN) == Some(&HeaderValue::from_static(UNSENT))
+}
+
 /// Returns whether the request did not run because it is quarantined, so that no endpoint may
 /// get it.
 pub(super) fn is_quarantined(headers: &HeaderMap) -> bool {
--- a/src/edge/refusal.rs
+++ b/src/edge/refusal.rs
@@ -102,6 +102,8 @@
     pub kind: RefusalKind,
     /// The value of `Retry-After`; `None` sends no such header.
     pub retry_after: Option<Duration>,
+    /// Whether the request is known to have reached no endpoint.
+    pub is_unsent: bool,
 }
 
 impl Refusal {
@@ -110,6 +112,7 @@
         Self {
             kind,
             retry_after: None,
+            is_unsent: false,
         }
     }
 
@@ -118,6 +121,7 @@
         Self {
             kind,
             retry_after: Some(retry_after),
+            is_unsent: false,
         }
     }
 
@@ -134,6 +138,9 @@
         if self.kind.is_not_run() {
             forward_headers::mark_not_run(headers, self.kind == RefusalKind::Quarantined);
         }
+        if self.kind == RefusalKind::NoEndpoint && self.is_unsent {
+            forward_headers::mark_unsent(headers);
+        }
         let wait = self
             .retry_after
             .map(|wait| format!("{:.3}", wait.as_secs_f64()));
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -127,7 +127,10 @@
             tried_regions = self.tried.regions().len();
             "no endpoint available"
         );
-        self.refusal(RefusalKind::NoEndpoint, reason.retry_after())
+        Refusal {
+            is_unsent: self.arrived_count == 0,
+            ..self.refusal(RefusalKind::NoEndpoint, reason.retry_after())
+        }
     }
 
     /// Chooses an endpoint that recently refused a request or was silent, if no other is left in any
@@ -248,7 +251,7 @@
         let service = NameHash::from(&self.request.service.name);
         let options = remotes.filter_map(|region| {
             let (_, round_trip_ms) =
-                fleet.forward_target(now, region, self.tried.vms(), &mut *rng)?;
+                fleet.forward_target(now, region, service, self.tried.vms(), &mut *rng)?;
             let wait_ms = fleet.wait_in(now, region, service);
             let has_prefix = prefix_owner == Some(PrefixOwner::Remote(region));
             let prefill_tokens = query.prefill_tokens(has_prefix);
@@ -268,8 +271,9 @@
     fn vm_target(&self, now: Monotonic, region: RegionKey) -> Result<Target, Refusal> {
         let fleet = self.state.fleet.borrow();
         let mut rng = self.state.rng.borrow_mut();
+        let service = NameHash::from(&self.request.service.name);
         let (ip, _) = fleet
-            .forward_target(now, region, self.tried.vms(), &mut *rng)
+            .forward_target(now, region, service, self.tried.vms(), &mut *rng)
             .ok_or_else(|| self.no_endpoint_refusal(NoPlacement::NoneListed))?;
         // One attempt is reserved for the case that the VM fails while it serves the request.
         let left = self.request.attempts_max().saturating_sub(self.ran_count);
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -350,20 +350,25 @@
             .all(|row| rendezvous_score(FETCH_RENDEZVOUS_KEY, row.ip) < local_score)
     }
 
-    /// Returns a random live VM of a region that reaches endpoints, to forward requests to, and the average round-trip time
+    /// Returns a random live VM of a region that reaches endpoints, in the local region also of the
+    /// service, to forward requests to, and the average round-trip time
     /// to it in milliseconds, if it was measured.
     pub fn forward_target(
         &self,
         now: Monotonic,
         region: RegionKey,
+        service: NameHash,
         tried: &[Ipv4Addr],
         rng: &mut impl Rng,
     ) -> Option<(Ipv4Addr, Option<f64>)> {
+        let is_local = region == self.local_region();
         let ready = self.others.values().filter(|vm| {
+            let reaches_service = vm.row.waits.iter().any(|wait| wait.service == service);
             vm.is_alive(now)
                 && vm.row.phase == VmPhase::Ready
                 && !vm.row.is_cut_off
                 && self.region(&vm.row) == region
+                && (!is_local || reaches_service)
                 && !tried.contains(&vm.row.ip)
         });
         let vm = ready.choose(rng)?;
