Count simultaneous failures to reach an endpoint as one

A VM that counted as cut off refused too, although it had no other way than its own endpoints.

Change: failures during a backoff don't extend it. A VM that is cut off tries its endpoints if there is no other way; for another VM's request it refuses, as that one finds another taker.

--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -59,10 +59,12 @@
 
     /// Returns whether the endpoints of the region must not be tried, as this VM does not reach them.
     ///
-    /// Endpoints that are only silent may be sound, and are tried if there is no other way.
+    /// They are tried if there is no other way; a request of another VM has one, as that VM finds another
+    /// taker, unless the endpoints are only silent, as sound ones may be.
     fn leaves_endpoints_alone(&self, others: &[RegionOption]) -> bool {
         let reach = self.state.reach.borrow();
-        reach.is_unreachable() || (reach.is_cut_off() && !others.is_empty())
+        let has_other_taker = self.request.forwarded.is_some() && reach.is_unreachable();
+        reach.is_cut_off() && (!others.is_empty() || has_other_taker)
     }
 
     /// Returns whether the next attempt would find a target.
--- a/src/placement/endpoint_health.rs
+++ b/src/placement/endpoint_health.rs
@@ -55,6 +55,12 @@
                 self.failure_rate.add(1.0, ATTEMPT_WEIGHT);
             }
             AttemptOutcome::Failed => self.failure_rate.add(1.0, ATTEMPT_WEIGHT),
+            // Attempts that were on their way when the backoff began tell nothing new.
+            AttemptOutcome::Unreachable | AttemptOutcome::ConnectionRefused
+                if self.is_unreachable(now) =>
+            {
+                self.failure_rate.add(1.0, ATTEMPT_WEIGHT);
+            }
             AttemptOutcome::Unreachable | AttemptOutcome::ConnectionRefused => {
                 let doublings = self.unreachable_count.min(DOUBLINGS_MAX);
                 let backoff = (BACKOFF_FIRST * (1 << doublings)).min(BACKOFF_MAX);
--- a/tests/behaviour/placement/failures.rs
+++ b/tests/behaviour/placement/failures.rs
@@ -113,11 +113,24 @@
 fn the_backoff_grows_and_is_bounded() {
     let mut table = table(at(0), &["a"]);
     let placement = choose(&mut table, at(0)).expect("an endpoint");
-    for _ in 0..10 {
-        table.on_late_outcome(at(0), &placement, AttemptOutcome::Unreachable);
+    let mut failed_ms = 0;
+    for backoff_ms in [300, 600, 1_200, 2_400, 2_400, 2_400] {
+        table.on_late_outcome(at(failed_ms), &placement, AttemptOutcome::Unreachable);
+        assert!(choose(&mut table, at(failed_ms + backoff_ms - 1)).is_err());
+        assert!(choose(&mut table, at(failed_ms + backoff_ms)).is_ok());
+        failed_ms += backoff_ms;
+    }
+}
+
+#[test]
+fn failures_of_attempts_at_the_same_time_are_one_failure() {
+    let mut table = table(at(0), &["a"]);
+    let placement = choose(&mut table, at(0)).expect("an endpoint");
+    for ms in 0..10 {
+        table.on_late_outcome(at(ms), &placement, AttemptOutcome::Unreachable);
     }
-    assert!(choose(&mut table, at(2_300)).is_err());
-    assert!(choose(&mut table, at(2_500)).is_ok());
+    assert!(choose(&mut table, at(299)).is_err());
+    assert!(choose(&mut table, at(300)).is_ok());
 }
 
 #[test]
