Name the regions of forwards for what they are

Cause: since VMs forward within a region too, the names of remote regions mislead. Change: names and comments only.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt to send a request to an endpoint or to a VM of another region.
+//! One attempt to send a request to an endpoint or to another VM.
 
 use std::fmt;
 use std::net::Ipv4Addr;
@@ -56,7 +56,7 @@
         version: Option<SoftwareVersion>,
         copy_prefix_from: Option<SocketAddr>,
     },
-    /// A VM of another region.
+    /// Another VM.
     Vm { ip: Ipv4Addr, attempts_max: u32 },
 }
 
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -138,7 +138,7 @@
         request
     }
 
-    /// Builds the request to a VM of another region.
+    /// Builds the request to another VM.
     pub(super) fn to_vm(
         &self,
         now: Monotonic,
--- a/src/edge/forward_headers.rs
+++ b/src/edge/forward_headers.rs
@@ -1,4 +1,4 @@
-//! The headers of a request that a VM forwards to a VM of another region.
+//! The headers of a request that a VM forwards to another one.
 
 use http::HeaderMap;
 use http::HeaderName;
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -37,15 +37,15 @@
     /// Chooses the target of the next attempt.
     pub(super) fn choose(&self, now: Monotonic) -> Result<Target, Refusal> {
         let prefix_owner = self.prefix_owner(now);
-        let remotes = self.remote_regions(now, prefix_owner);
-        let local = match self.leaves_endpoints_alone(&remotes) {
+        let others = self.forward_regions(now, prefix_owner);
+        let local = match self.leaves_endpoints_alone(&others) {
             true => Err(NoPlacement::NoneListed),
             false => self.local_placement(now, prefix_owner),
         };
         let local_ms = local.as_ref().ok().map(|placement| placement.expected_ms);
         let target_ms = milliseconds(self.request.route.target_latency);
         let draw = self.state.rng.borrow_mut().random();
-        match (choose_region(local_ms, remotes, target_ms, draw), local) {
+        match (choose_region(local_ms, others, target_ms, draw), local) {
             (RegionChoice::Local, Ok(placement)) => {
                 self.check_overload(&placement, target_ms)?;
                 Ok(self.endpoint_target(placement, prefix_owner))
@@ -71,7 +71,7 @@
     pub(super) fn has_alternative(&self, now: Monotonic) -> bool {
         let prefix_owner = self.prefix_owner(now);
         self.local_placement(now, prefix_owner).is_ok()
-            || !self.remote_regions(now, prefix_owner).is_empty()
+            || !self.forward_regions(now, prefix_owner).is_empty()
     }
 
     fn check_overload(&self, placement: &Placement, target_ms: f64) -> Result<(), Refusal> {
@@ -223,7 +223,9 @@
         }
     }
 
-    fn remote_regions(
+    /// Returns the regions to one of whose VMs the request may be forwarded; the local region is among them
+    /// only if this VM does not reach its endpoints.
+    fn forward_regions(
         &self,
         now: Monotonic,
         prefix_owner: Option<PrefixOwner>,
@@ -236,7 +238,7 @@
         let local_region = self.state.settings.region;
         let needs_others = self.state.reach.borrow().is_cut_off()
             || endpoints.is_out_of_reach(now, &self.request.service.name, self.version);
-        let remotes = topology.regions().filter(|region| {
+        let regions = topology.regions().filter(|region| {
             let service = &self.request.service.name;
             let is_served = match *region == local_region {
                 true => needs_others && endpoints.serves_version(service, self.version),
@@ -251,7 +253,7 @@
         let query = self.query(now, prefix_owner);
         let mut rng = self.state.rng.borrow_mut();
         let service = NameHash::from(&self.request.service.name);
-        let options = remotes.filter_map(|region| {
+        let options = regions.filter_map(|region| {
             let (_, round_trip_ms) =
                 fleet.forward_target(now, region, service, self.tried.vms(), &mut *rng)?;
             let wait_ms = fleet.wait_in(now, region, service);
--- a/src/placement/region_choice.rs
+++ b/src/placement/region_choice.rs
@@ -12,7 +12,8 @@
 /// up to two gossip rounds old.
 const FORWARD_GAIN_MIN_MS: f64 = 60.0;
 
-/// A remote region that may serve a request.
+/// A region whose VMs may serve a request: a remote one, or the local one if this VM does not reach its
+/// endpoints.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RegionOption {
     /// The region.
@@ -28,7 +29,7 @@
 pub enum RegionChoice {
     /// The local region, through one of its endpoints.
     Local,
-    /// A remote region, through one of its VMs.
+    /// A region, through another VM of it.
     Remote(RegionKey),
     /// No region can serve the request.
     None,
