--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -161,11 +161,6 @@
         self.is_cold(now) || self.named_rate.in_force().is_some()
     }
 
-    /// Returns the requests per second that the endpoint named, while they are in force.
-    pub fn named_rate_per_s(&self) -> Option<f64> {
-        self.named_rate.in_force()
-    }
-
     /// Returns the mean time between two requests at the rate that the endpoint named, in
     /// milliseconds; zero if it named none.
     pub(super) fn named_interval_ms(&self) -> f64 {
