--- a/review/3/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/figramp ] && [ -x target/review/cases ] || exit 2
-exec target/review/cases status-changed review/3
+exec target/review/cases status-changed review/4
