--- a/review/stand_ins/vm.rs
+++ b/review/stand_ins/vm.rs
@@ -47,9 +47,17 @@
         .map(|started| started.clone())
         .unwrap_or_default()
     {
-        let _ = Command::new("kill")
-            .args(["-s", "KILL", &pid.to_string()])
-            .status();
+        let _ = send_signal("KILL", pid);
+    }
+}
+
+/// Sends a signal by the `kill` of the shell, as a machine may have no program of that name.
+fn send_signal(signal: &str, pid: u32) -> io::Result<()> {
+    let command = format!("kill -s {signal} {pid}");
+    let status = Command::new("sh").args(["-c", &command]).status()?;
+    match status.success() {
+        true => Ok(()),
+        false => Err(io::Error::other(format!("{command} failed"))),
     }
 }
 
@@ -158,12 +166,7 @@
 
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) -> io::Result<()> {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", signal, &pid]).status()?;
-        match status.success() {
-            true => Ok(()),
-            false => Err(io::Error::other("kill failed")),
-        }
+        send_signal(signal, self.child.id())
     }
 
     /// Returns whether the process has ended.
