--- a/review/stand_ins/slow_readers.rs
+++ b/review/stand_ins/slow_readers.rs
@@ -18,26 +18,28 @@
 use crate::Setup;
 
 /// The clients of each daemon that ask in one wave, and by how much a burst multiplies them.
-const CLIENTS_PER_VM: usize = 38;
+const CLIENTS_PER_VM: usize = 32;
 const BURST_PERCENT: usize = 270;
 
-const WAVES: u32 = 5;
+const WAVES: u32 = 4;
 const WAVE_PERIOD: Duration = Duration::from_secs(10);
 
 /// The time between two clients of a wave.
 const CLIENT_PAUSE: Duration = Duration::from_millis(25);
 
 /// The length of an answer.
-const ANSWER_BYTES: usize = 4_000_000;
+const ANSWER_BYTES: usize = 4_190_000;
 
-/// What a client reads in a second.
-const BYTES_PER_S: f64 = 800_000.0;
+/// What a client reads in a second at first, and from [`SLOW_FOR`] on.
+const SLOW_BYTES_PER_S: f64 = 100_000.0;
+const FAST_BYTES_PER_S: f64 = 1_000_000.0;
+const SLOW_FOR: Duration = Duration::from_secs(3);
 
 /// How often the platform looks at the memory of a process.
 const MEMORY_CHECK: Duration = Duration::from_millis(5);
 
 const CONFIGURATION: &str = r#"{"version":1,"routes":[{"name":"plans","host":"plans.example",
-"prefix":"/plans/","routeType":"safe","timeoutMs":8000,"targetLatencyMs":400,"priority":2,
+"prefix":"/plans/","routeType":"safe","timeoutMs":12000,"targetLatencyMs":400,"priority":2,
 "service":"plan-api","maxAttempts":2,"public":true,"resumable":false,"homeRegions":[]}],
 "services":[{"name":"plan-api","healthCheck":"/health","maxConnections":780,"protocol":"h1",
 "tls":false,"coldStartS":0.0,"coldPerS":0.0}],
@@ -115,13 +117,10 @@
         thread::spawn(move || {
             let head = format!(
                 "GET /plans/{number} HTTP/1.1\r\nHost: plans.example\r\nRequest-Id: {id}\r\n\
-                 Timeout-Ms: 8000\r\n\r\n"
+                 Timeout-Ms: 12000\r\n\r\n"
             );
             let began_at = Instant::now();
-            let answer = client::ask(front, &head, b"", |read| {
-                let due = Duration::from_secs_f64(read as f64 / BYTES_PER_S);
-                thread::sleep(due.saturating_sub(began_at.elapsed()));
-            });
+            let answer = client::ask(front, &head, b"", |read| pace(began_at, read));
             let answer = answer.ok().flatten().unwrap_or_default();
             record.line(format!(
                 "request {id}: status {}, {} bytes, whole: {}",
@@ -133,3 +132,15 @@
         thread::sleep(CLIENT_PAUSE);
     }
 }
+
+/// Waits until a client that has read so many bytes reads on.
+fn pace(began_at: Instant, read: usize) {
+    let slow_bytes = SLOW_BYTES_PER_S * SLOW_FOR.as_secs_f64();
+    let read = read as f64;
+    let due_s = match read < slow_bytes {
+        true => read / SLOW_BYTES_PER_S,
+        false => SLOW_FOR.as_secs_f64() + (read - slow_bytes) / FAST_BYTES_PER_S,
+    };
+    let due = Duration::from_secs_f64(due_s);
+    thread::sleep(due.saturating_sub(began_at.elapsed()));
+}
