Fail requests that ran, rather than sign another status

Cause: 503, 429, 408 and 421 promise that the request did not run, so the status was replaced where the answer is passed on, but the rest of the head went along. It is now: the attempt counts as failed, and the client gets the gateway's 502 without anything of the endpoint's answer. All other failures, and those of requests that may be repeated, pass unchanged as before.

Related: a forwarded answer passed the same code twice; it is replaced where the endpoint was asked. VMs of earlier builds send a signed 502 for a 503; it is taken for the endpoint's own only if the VM names the status (figramp-endpoint-status, a new header between VMs, which earlier builds pass on to clients).

entry::failures_after_runs::a_failure_that_implies_no_run_becomes_the_gateways_own_after_a_run failed before (status 502, signed, Retry-After 0.01, body "done"), passes now; directly and over a VM of another region.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -21,6 +21,7 @@
 use super::running_request::RunningRequest;
 use super::silence::wait_for;
 use super::silence::SilenceLimits;
+use super::AnswerSource;
 use super::UpstreamError;
 use crate::clock::Monotonic;
 use crate::deployment::InstanceId;
@@ -89,6 +90,16 @@
 }
 
 impl Answer {
+    /// Returns where it came from.
+    pub(super) fn source(&self) -> AnswerSource {
+        match self.running.placement() {
+            Some(_) => AnswerSource::Endpoint,
+            None => AnswerSource::Vm {
+                endpoint_status: forward_headers::endpoint_status(&self.parts.headers),
+            },
+        }
+    }
+
     /// Returns whether the body has neither a length nor chunks, so that only the end of the
     /// connection ends it.
     pub(super) fn ends_with_connection(&self) -> bool {
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -17,6 +17,8 @@
 use super::client_request::ClientRequest;
 use super::continuation::Continuation;
 use super::edge_body::whole_answer;
+use super::failure_status::may_pass_status;
+use super::forward_headers;
 use super::relay;
 use super::request_homes::RequestHomes;
 use super::silence::SilenceLimits;
@@ -332,12 +334,21 @@
             Err(_) => return Err(UpstreamError::DeadlinePassed),
         };
         let status = answer.parts.status;
+        let retry_safety = self.request.route.retry_safety;
+        let may_pass = may_pass_status(retry_safety, status, answer.source());
         let fingerprint = self.request.fingerprint;
         answer.running.record_survived(fingerprint, status);
         answer.running.finish();
+        if !may_pass {
+            return Err(UpstreamError::FalseRefusal(status));
+        }
         let mut response = Response::new(whole_answer(body, memory));
-        *response.status_mut() = client_head::client_status(&self.request, status);
-        *response.headers_mut() = client_head::client_headers(answer.parts.headers);
+        *response.status_mut() = status;
+        let mut headers = client_head::client_headers(answer.parts.headers);
+        if self.request.forwarded.is_some() {
+            forward_headers::set_endpoint_status(&mut headers, status);
+        }
+        *response.headers_mut() = headers;
         Ok(response)
     }
 }
--- a/src/edge/client_head.rs
+++ b/src/edge/client_head.rs
@@ -5,7 +5,6 @@
 use http::StatusCode;
 
 use super::attempt::Answer;
-use super::client_request::ClientRequest;
 use super::forward_headers;
 
 /// The headers of an answer that apply to a single connection.
@@ -26,25 +25,6 @@
     headers
 }
 
-/// Returns the status for the client.
-///
-/// Clients take some status codes to mean that the request did not run. Such a status becomes 502
-/// if the request ran and must not be retried.
-pub(super) fn client_status(request: &ClientRequest, status: StatusCode) -> StatusCode {
-    let implies_not_run = matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    );
-    if implies_not_run && !request.route.retry_safety.is_retryable() {
-        StatusCode::BAD_GATEWAY
-    } else {
-        status
-    }
-}
-
 /// The head of the answer that brought the first event, as it is passed on.
 #[derive(Clone, Debug)]
 pub(super) struct ClientHead {
--- a/src/edge/forward_headers.rs
+++ b/src/edge/forward_headers.rs
@@ -3,6 +3,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::StatusCode;
 
 use crate::deployment::SoftwareVersion;
 
@@ -16,6 +17,9 @@
 /// that must run it, in an answer the one that ran it.
 const VERSION: HeaderName = HeaderName::from_static("figramp-version");
 
+/// The status that the endpoint gave, where an answer without it may be one of a VM that replaced it.
+const ENDPOINT_STATUS: HeaderName = HeaderName::from_static("figramp-endpoint-status");
+
 /// The value of that mark for a quarantined request.
 const QUARANTINED: &str = "quarantined";
 
@@ -52,6 +56,7 @@
     headers.remove(ATTEMPTS);
     headers.remove(NOT_RUN);
     headers.remove(VERSION);
+    headers.remove(ENDPOINT_STATUS);
 }
 
 /// Returns the software version that ran, or must run, a request; `None` if it is not known.
@@ -92,3 +97,18 @@
 pub(super) fn is_not_run(headers: &HeaderMap) -> bool {
     headers.contains_key(NOT_RUN)
 }
+
+/// Returns the status that the endpoint gave; `None` if the VM that passed the answer on does not name it.
+pub(super) fn endpoint_status(headers: &HeaderMap) -> Option<StatusCode> {
+    StatusCode::from_bytes(headers.get(ENDPOINT_STATUS)?.as_bytes()).ok()
+}
+
+/// Names the status that the endpoint gave.
+///
+/// Only 502 is named: VMs of earlier builds pass the header on to clients.
+pub(super) fn set_endpoint_status(headers: &mut HeaderMap, status: StatusCode) {
+    headers.remove(ENDPOINT_STATUS);
+    if status == StatusCode::BAD_GATEWAY {
+        headers.insert(ENDPOINT_STATUS, HeaderValue::from(status.as_u16()));
+    }
+}
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::time::Duration;
 
+use http::StatusCode;
 use thiserror::Error as ThisError;
 
 use super::head_limit::HeadTooLong;
@@ -35,6 +36,9 @@
     /// The answer may be of another software version than the one that began the stream.
     #[error("the answer may be of another software version than the one that began the stream")]
     OtherVersion,
+    /// The endpoint ran the request and answered with a status that clients take to mean that it did not.
+    #[error("the request ran and was answered with {0}, which would mean that it did not run")]
+    FalseRefusal(StatusCode),
     /// The answer is longer than the limit for buffered answers, in bytes.
     #[error("the answer is longer than {0} bytes")]
     TooLong(usize),
--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::HeaderValue;
+use http::StatusCode;
 
 use super::CrashingRequest;
 
@@ -11,7 +12,7 @@
 pub struct EndpointFaults {
     /// Refuses requests with a header that says they did not run.
     pub is_full: bool,
-    /// The value of `Retry-After` in refusals; `None` sends no such header.
+    /// The value of `Retry-After` in refusals and failures; `None` sends no such header.
     pub retry_after: Option<HeaderValue>,
     /// The requests per second that it names in all answers as its limit; `None` names none.
     pub rate_limit: Option<HeaderValue>,
@@ -24,6 +25,8 @@
     pub is_leaving: bool,
     /// Runs requests, but resets the connection instead of sending the body of a plain answer.
     pub loses_answers: bool,
+    /// Runs requests and answers them with this status and its signature.
+    pub failure_status: Option<StatusCode>,
     /// Sends answers with the identifier of another request.
     pub mislabels_answers: bool,
     /// Resets streams after half of the event with this number.
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -370,6 +370,7 @@
     sleep(faults.head_delay).await;
     silence.wait().await;
     let body = match is_stream {
+        _ if faults.failure_status.is_some() => plain_body(silence, &faults, running),
         _ if crash_point.is_some() => {
             let has_event = crash_point == Some(CrashPoint::FirstEvent);
             let sent = has_event.then(|| event(first_event, version.as_deref()));
@@ -391,6 +392,10 @@
     headers.insert("server-stamp", HeaderValue::from_static("stamp"));
     headers.insert("server-load", load);
     announce_notices(&faults, headers);
+    if let Some(status) = faults.failure_status {
+        announce_pause(&faults, headers);
+        *response.status_mut() = status;
+    }
     Ok(response)
 }
 
@@ -398,11 +403,15 @@
     let mut response = empty_for(request_id, StatusCode::SERVICE_UNAVAILABLE);
     let headers = response.headers_mut();
     headers.insert("not-executed", HeaderValue::from_static("1"));
+    announce_pause(faults, headers);
+    announce_notices(faults, headers);
+    response
+}
+
+fn announce_pause(faults: &EndpointFaults, headers: &mut HeaderMap) {
     if let Some(value) = &faults.retry_after {
         headers.insert("retry-after", value.clone());
     }
-    announce_notices(faults, headers);
-    response
 }
 
 fn announce_notices(faults: &EndpointFaults, headers: &mut HeaderMap) {
--- a/tests/behaviour/edge/mod.rs
+++ b/tests/behaviour/edge/mod.rs
@@ -1,4 +1,5 @@
 //! Answers and streams as clients receive them.
 
 mod event_splitting;
+mod failure_statuses;
 mod refusals;
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -15,6 +15,7 @@
 mod endless_sums;
 mod endpoint_faults;
 mod endpoint_notices;
+mod failures_after_runs;
 mod keys;
 mod large_configurations;
 mod large_listings;
