Leave silent endpoints in time for them to stop

Cause: the silent answer was kept for 300 ms on the clock of the VM that leaves it, whatever the way to its endpoint. Over a forward the link and the pauses of two daemons come on top. Now what they need is taken off first: a tenth of a second for each daemon, and half of the measured round trip. Directly it is 300 ms as before. The endpoints' stand-ins record when they work on a request; the VM logs and counts (overlap_s) how long it kept a silent answer.

--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -18,6 +18,7 @@
 use super::attempt::Answer;
 use super::attempts::Attempts;
 use super::client_head::ClientHead;
+use super::overlap::overlap_max;
 use super::silence::wait_for;
 use super::silence::SilenceLimits;
 use super::EdgeBody;
@@ -32,10 +33,6 @@
 /// target for the gap between events. Clients abort at eight times that target.
 const SILENCE_TIMEOUT_GAPS: u32 = 5;
 
-/// How long a silent answer is kept beside the attempt to resume it. Two endpoints must not work on a
-/// request for more than 400 ms.
-const OVERLAP_MAX: Duration = Duration::from_millis(300);
-
 /// The longest event of a stream: many times the events of a model's answer. An endpoint that sends
 /// bytes without end would otherwise fill the memory of the VM.
 const EVENT_MAX_BYTES: usize = 256 * 1024;
@@ -322,7 +319,8 @@
 
     /// Returns the answer that continues a silent one.
     ///
-    /// The silent answer is kept until the other endpoint has accepted the request, for a short time.
+    /// The silent answer is kept until the other endpoint has accepted the request, for a short time:
+    /// two endpoints must not work on one request for long.
     ///
     /// # Errors
     ///
@@ -330,12 +328,30 @@
     /// not be resumed later either.
     async fn next_answer_beside(&mut self, silent: Answer) -> Result<Answer, Option<Answer>> {
         let silent_target = self.attempts.tried.last();
+        let state = Rc::clone(&self.attempts.state);
+        let request = Rc::clone(&self.attempts.request);
+        let began_at = state.now();
+        let on_left = |silent: Answer| {
+            let overlap = state.now().since(began_at);
+            drop(silent);
+            state.metrics.on_overlap(overlap);
+            log::info!(
+                request = &*request.head.request_id,
+                overlap_ms = overlap.as_millis() as u64;
+                "silent answer left for another attempt"
+            );
+        };
         {
+            let overlap_max = overlap_max(silent.running.path());
             let mut next = pin!(self.next_answer());
-            if let Ok(answer) = timeout(OVERLAP_MAX, &mut next).await {
-                return answer.ok_or(Some(silent));
+            if let Ok(answer) = timeout(overlap_max, &mut next).await {
+                let Some(answer) = answer else {
+                    return Err(Some(silent));
+                };
+                on_left(silent);
+                return Ok(answer);
             }
-            drop(silent);
+            on_left(silent);
             if let Some(answer) = next.await {
                 return Ok(answer);
             }
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -4,6 +4,7 @@
 
 use http::StatusCode;
 
+use super::overlap::SilentPath;
 use super::pooled_connection::PooledConnection;
 use crate::clock::Monotonic;
 use crate::entry::EntryState;
@@ -113,6 +114,18 @@
         }
     }
 
+    /// Returns the way to the endpoint that works on the request.
+    pub(super) fn path(&self) -> SilentPath {
+        let vm = match (&self.placement, &self.connection) {
+            (None, Some(connection)) => connection.address.ip(),
+            _ => return SilentPath::Direct,
+        };
+        let fleet = self.state.fleet.borrow();
+        SilentPath::Forwarded {
+            round_trip: fleet.round_trip(vm),
+        }
+    }
+
     /// Drops the idle connections to the address that the request was sent to.
     pub(super) fn discard_idle(&self) {
         if let Some(connection) = &self.connection {
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -1,6 +1,7 @@
 //! The VMs that a VM knows from gossip.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -140,6 +141,15 @@
         });
     }
 
+    /// Returns the average round-trip time to a VM; `None` if it was not measured.
+    pub fn round_trip(&self, ip: IpAddr) -> Option<Duration> {
+        let IpAddr::V4(ip) = ip else {
+            return None;
+        };
+        let round_trip_ms = self.others.get(&ip)?.round_trip_ms?;
+        Duration::try_from_secs_f64(round_trip_ms / 1_000.0).ok()
+    }
+
     /// Treats a VM as silent until a newer row of it arrives.
     pub fn on_unreachable(&mut self, ip: Ipv4Addr) {
         if let Some(known) = self.others.get_mut(&ip) {
--- a/src/stand_in/deployment/answer_body.rs
+++ b/src/stand_in/deployment/answer_body.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use super::silence::Silence;
+use super::work_log::RunningWork;
 use super::EndpointFaults;
 
 /// The number of events in a complete stream.
@@ -30,7 +31,7 @@
 pub(super) fn plain_body(
     silence: Arc<Silence>,
     faults: &EndpointFaults,
-    running: Arc<()>,
+    running: RunningWork,
 ) -> AnswerBody {
     let (pause, loses_answers) = (faults.pause, faults.loses_answers);
     let frames = stream::once(async move {
@@ -45,7 +46,7 @@
     Box::pin(StreamBody::new(frames))
 }
 
-fn endless_body(chunk_bytes: usize, pause: Duration, running: Arc<()>) -> AnswerBody {
+fn endless_body(chunk_bytes: usize, pause: Duration, running: RunningWork) -> AnswerBody {
     let chunk = Bytes::from(vec![b'x'; chunk_bytes]);
     let frames = stream::unfold(running, move |running| {
         let chunk = chunk.clone();
@@ -63,7 +64,7 @@
     first_event: u64,
     faults: &EndpointFaults,
     version: Option<String>,
-    running: Arc<()>,
+    running: RunningWork,
 ) -> AnswerBody {
     if let Some(chunk_bytes) = faults.endless_bytes {
         return endless_body(chunk_bytes, faults.pause, running);
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -37,8 +37,11 @@
 use super::endpoint_process::EndpointProcess;
 use super::http_listener;
 use super::silence::Silence;
+use super::work_log::RunningWork;
+use super::work_log::WorkLog;
 use super::Arrival;
 use super::EndpointFaults;
+use super::Work;
 
 /// The time at which the first instance of an endpoint started.
 const FIRST_BORN_UNIX_MS: u64 = 1_000;
@@ -61,8 +64,7 @@
     refusals: Vec<Instant>,
     crashing_arrivals: Vec<Instant>,
     crashing_request_arrivals: Vec<Instant>,
-    /// Each answer in progress holds a clone, so that the strong count gives their number.
-    running: Arc<()>,
+    work_log: Arc<WorkLog>,
     last_headers: HeaderMap,
     sequence: u64,
     replaced_count: u64,
@@ -92,7 +94,7 @@
     /// Returns the running requests, the waiting ones and the slots, as answers report them.
     fn load(&self) -> HeaderValue {
         let running_count = match self.faults.reports_load {
-            true => Arc::strong_count(&self.running) - 1,
+            true => self.work_log.running_count(),
             false => 1,
         };
         let load = format!("{running_count},0,8");
@@ -272,7 +274,12 @@
 
     /// Returns the number of answers in progress.
     pub fn running_count(&self) -> usize {
-        Arc::strong_count(&self.state.lock().running) - 1
+        self.state.lock().work_log.running_count()
+    }
+
+    /// Returns its work on all requests so far, in the order of its beginning.
+    pub fn works(&self) -> Vec<Work> {
+        self.state.lock().work_log.works()
     }
 
     /// Returns a header of the last request received for this endpoint.
@@ -338,7 +345,7 @@
         if crashes_at {
             state.crashing_request_arrivals.push(Instant::now());
         }
-        let running_count = Arc::strong_count(&state.running) - 1;
+        let running_count = state.work_log.running_count();
         let has_room = state.faults.room.is_none_or(|room| running_count < room);
         if state.faults.is_full || !has_room {
             state.refusals.push(Instant::now());
@@ -346,7 +353,8 @@
         }
         let crash_point = crashes_at.then(|| state.next_crash_point(is_stream));
         *state.runs.entry(request_id.clone()).or_insert(0) += 1;
-        let (silence, running) = (Arc::clone(&state.silence), Arc::clone(&state.running));
+        let silence = Arc::clone(&state.silence);
+        let running = state.work_log.begin(&request_id);
         let (faults, version) = (state.faults.clone(), state.version.clone());
         let load = state.load();
         (
@@ -430,7 +438,7 @@
 fn crashing_stream(
     state: Arc<Mutex<EndpointState>>,
     pause: Duration,
-    running: Arc<()>,
+    running: RunningWork,
 ) -> AnswerBody {
     let has_partial_event = state.lock().process.crashes().len().is_multiple_of(2);
     let partial_event = has_partial_event.then(|| Bytes::from_static(b"id: 1\nda"));
@@ -442,7 +450,7 @@
     state: Arc<Mutex<EndpointState>>,
     sent: Option<Bytes>,
     pause: Duration,
-    running: Arc<()>,
+    running: RunningWork,
 ) -> AnswerBody {
     let crash = stream::once(async move {
         crash_after(&state, pause).await;
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -14,6 +14,7 @@
 mod silence;
 mod store_server;
 mod unframed_proxy;
+mod work_log;
 
 pub use arrival::Arrival;
 pub use crashing_request::CrashingRequest;
@@ -32,3 +33,4 @@
 pub use unframed_proxy::ConnectionEnd;
 pub use unframed_proxy::UnframedAnswers;
 pub use unframed_proxy::UnframedProxy;
+pub use work_log::Work;
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -17,6 +17,9 @@
 /// (1.2 s).
 const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.5, 6.0];
 
+/// Upper bounds of the buckets, around the time for which two endpoints may work on one request (0.4 s).
+const OVERLAP_BUCKETS_S: [f64; 6] = [0.05, 0.1, 0.2, 0.3, 0.35, 0.4];
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ReasonLabel {
     reason: &'static str,
@@ -46,6 +49,7 @@
     refusals: Family<ReasonLabel, Counter>,
     failed_attempts: Counter,
     first_event: Histogram,
+    overlap: Histogram,
     configuration_version: Gauge,
     configuration_age_ms: Gauge,
     alive_vms: Gauge,
@@ -63,6 +67,7 @@
             refusals: Family::default(),
             failed_attempts: Counter::default(),
             first_event: Histogram::new(LATENCY_BUCKETS_S),
+            overlap: Histogram::new(OVERLAP_BUCKETS_S),
             configuration_version: Gauge::default(),
             configuration_age_ms: Gauge::default(),
             alive_vms: Gauge::default(),
@@ -87,6 +92,12 @@
             "Arrival to head of the answer",
             first_event,
         );
+        let overlap = self.overlap.clone();
+        registry.register(
+            "overlap_s",
+            "How long a silent answer was kept beside the attempt to resume it",
+            overlap,
+        );
         let version = self.configuration_version.clone();
         registry.register("configuration_version", "Configuration in force", version);
         let age = self.configuration_age_ms.clone();
@@ -106,6 +117,11 @@
         self.first_event.observe(latency.as_secs_f64());
     }
 
+    /// Counts a silent answer that was kept beside the attempt to resume it for this time.
+    pub fn on_overlap(&self, overlap: Duration) {
+        self.overlap.observe(overlap.as_secs_f64());
+    }
+
     /// Counts an attempt that got no answer.
     pub fn on_failed_attempt(&self) {
         self.failed_attempts.inc();
--- a/tests/behaviour/edge/mod.rs
+++ b/tests/behaviour/edge/mod.rs
@@ -2,4 +2,5 @@
 
 mod event_splitting;
 mod failure_statuses;
+mod overlaps;
 mod refusals;
--- /dev/null
+++ b/tests/behaviour/entry/overlapping_work.rs
@@ -0,0 +1,141 @@
+//! Streams that go on at another endpoint leave the one before in time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use figramp::stand_in::deployment::EndpointFaults;
+use figramp::stand_in::deployment::EndpointServer;
+use tokio::time::sleep;
+
+use super::processor_quota::ProcessorQuota;
+use super::region_link::LinkEnd;
+use super::region_link::RegionLink;
+use super::support::any_port;
+use super::support::new_ip;
+use super::support::EntryVm;
+use super::support::PeerPorts;
+use super::support::Site;
+use super::support::EAST;
+use super::support::PEER_PORTS;
+use super::support::WEST;
+
+/// How long two endpoints may work on one request.
+const OVERLAP_MAX: Duration = Duration::from_millis(400);
+
+/// The run time of a daemon in each tenth of a second.
+const RUN_TIME: Duration = Duration::from_millis(17);
+
+/// The delay between two regions, one way.
+const LINK_DELAY: Duration = Duration::from_millis(55);
+
+const EAST_PORTS: PeerPorts = PeerPorts {
+    first: 7700,
+    last: 7715,
+    control: 8329,
+};
+
+/// The time after which the next endpoint answers.
+const HEAD_DELAY: Duration = Duration::from_millis(900);
+
+const STREAMS: usize = 12;
+const PAUSE: Duration = Duration::from_millis(200);
+const GOSSIP_TIME: Duration = Duration::from_millis(2_500);
+const SILENCE: Duration = Duration::from_millis(3_000);
+
+/// The time after which the stream has events.
+const BEGUN: Duration = Duration::from_millis(900);
+
+fn faults(head_delay: Duration) -> EndpointFaults {
+    EndpointFaults {
+        pause: PAUSE,
+        head_delay,
+        ..EndpointFaults::default()
+    }
+}
+
+/// Returns the longest time for which two endpoints worked on one request.
+fn longest_overlap(endpoints: &[&EndpointServer]) -> Duration {
+    let works: Vec<_> = endpoints
+        .iter()
+        .enumerate()
+        .flat_map(|(index, endpoint)| endpoint.works().into_iter().map(move |work| (index, work)))
+        .collect();
+    let now = Instant::now();
+    let mut longest = Duration::ZERO;
+    for (index, work) in &works {
+        for (other, later) in &works {
+            if index == other || work.request_id != later.request_id || later.from < work.from {
+                continue;
+            }
+            let until = work.until.unwrap_or(now).min(later.until.unwrap_or(now));
+            longest = longest.max(until.saturating_duration_since(later.from));
+        }
+    }
+    longest
+}
+
+/// Sends streams from one region to an endpoint of another, which then falls silent; returns the longest
+/// time for which it and the next endpoint worked on one request.
+///
+/// With a phase, both daemons run for a part of each tenth of a second, the client's later by the phase.
+async fn overlap_of_a_forwarded_stream(phase: Option<Duration>) -> Duration {
+    let site = Site::launch(WEST).await;
+    site.store.remove(&site.engines[1].key());
+    let silent = &site.engines[0];
+    silent.set_faults(faults(Duration::ZERO));
+    let next = EndpointServer::launch(any_port(), "e3", "engine", EAST).await;
+    let next = next.expect("an endpoint");
+    next.set_faults(faults(HEAD_DELAY));
+    let (east, west) = (new_ip(), new_ip());
+    let ends = [(east, EAST_PORTS), (west, PEER_PORTS)].map(|(ip, ports)| LinkEnd { ip, ports });
+    let _link = RegionLink::launch(ends, LINK_DELAY).await;
+    let store = site.store.address();
+    let remote = EntryVm::start_on(PEER_PORTS, west, WEST, store, &[east]);
+    let local = EntryVm::start_on(EAST_PORTS, east, EAST, store, &[west]);
+    remote.wait_until(true).await;
+    local.wait_until(true).await;
+    sleep(GOSSIP_TIME).await;
+    let mut quotas = Vec::new();
+    if let Some(phase) = phase {
+        quotas.push(ProcessorQuota::impose(remote.process_id(), RUN_TIME));
+        sleep(phase).await;
+        quotas.push(ProcessorQuota::impose(local.process_id(), RUN_TIME));
+    }
+    let mut answers = Vec::new();
+    for number in 0..STREAMS {
+        let request = local
+            .post("/stream/x", &format!("r{number}"))
+            .header("Timeout-Ms", "4000");
+        answers.push(tokio::spawn(async move {
+            let answer = request.send().await.ok()?.error_for_status().ok()?;
+            answer.text().await.ok()
+        }));
+        sleep(Duration::from_millis(7)).await;
+    }
+    sleep(BEGUN).await;
+    site.store.put(&next.key(), next.record("ready"));
+    silent.fall_silent(SILENCE);
+    for answer in answers {
+        let _ = answer.await;
+    }
+    drop(quotas);
+    assert!(next.total_run_count() > 0, "no stream went on elsewhere");
+    longest_overlap(&[silent, &next])
+}
+
+/// Guards against two endpoints that work on one request for too long, as the VM that asked the first one
+/// learns late that its answer is not wanted any more.
+#[tokio::test]
+async fn a_silent_endpoint_of_another_region_is_left_in_time_by_vms_under_a_quota() {
+    for phase_ms in [50, 75] {
+        let phase = Some(Duration::from_millis(phase_ms));
+        let longest = overlap_of_a_forwarded_stream(phase).await;
+        assert!(longest <= OVERLAP_MAX, "phase {phase_ms} ms: {longest:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_silent_endpoint_of_another_region_is_left_in_time() {
+    let longest = overlap_of_a_forwarded_stream(None).await;
+    assert!(longest <= OVERLAP_MAX, "{longest:?}");
+}
--- a/tests/behaviour/entry/support.rs
+++ b/tests/behaviour/entry/support.rs
@@ -78,14 +78,37 @@
     })
 }
 
-fn settings(ip: Ipv4Addr, zone: &str, store: SocketAddr, seeds: &[Ipv4Addr]) -> Value {
-    let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:8229")).collect();
+/// The ports of the traffic between daemons; each daemon takes them to be the same everywhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PeerPorts {
+    pub(crate) first: u16,
+    pub(crate) last: u16,
+    pub(crate) control: u16,
+}
+
+pub(crate) const PEER_PORTS: PeerPorts = PeerPorts {
+    first: 7600,
+    last: 7615,
+    control: 8229,
+};
+
+fn settings(
+    ip: Ipv4Addr,
+    zone: &str,
+    store: SocketAddr,
+    seeds: &[Ipv4Addr],
+    ports: PeerPorts,
+) -> Value {
+    let seeds: Vec<String> = seeds
+        .iter()
+        .map(|seed| format!("{seed}:{}", ports.control))
+        .collect();
     json!({
         "node": format!("vm-{ip}"), "ip": ip, "zone": zone,
         "zones": {EAST: "east", WEST: "west", NORTH: "north"},
         "listen": {"front": format!("{ip}:{CLIENT_PORT}"), "ready": format!("{ip}:{READY_PORT}"),
-                   "control": format!("{ip}:8229"), "directory": format!("{ip}:8220")},
-        "portRange": [7600, 7615], "seeds": seeds,
+                   "control": format!("{ip}:{}", ports.control), "directory": format!("{ip}:8220")},
+        "portRange": [ports.first, ports.last], "seeds": seeds,
         "limits": {"memoryMb": 182, "maxFds": 2870}, "heartbeatMs": 1200,
         "bounds": {"configDeadlineMs": 3000, "revokeMs": 5000, "graceS": 8, "stableWindowMs": 5000,
                    "ttl_max_s": 5, "coldOverage": 1.5, "coldSlack": 3, "retryBudgetRatio": 0.2,
@@ -135,7 +158,7 @@
         Self {
             vm,
             pipe: pipe.expect("the daemon reads the pipe"),
-            settings: settings(ip, zone, store, &[]).to_string(),
+            settings: settings(ip, zone, store, &[], PEER_PORTS).to_string(),
         }
     }
 
@@ -157,9 +180,22 @@
 impl EntryVm {
     /// Starts a daemon without waiting until it is ready.
     pub(crate) fn start(ip: Ipv4Addr, zone: &str, store: SocketAddr, seeds: &[Ipv4Addr]) -> Self {
+        Self::start_on(PEER_PORTS, ip, zone, store, seeds)
+    }
+
+    /// Starts a daemon with these ports for the traffic between daemons, without waiting until it is
+    /// ready.
+    pub(crate) fn start_on(
+        peer_ports: PeerPorts,
+        ip: Ipv4Addr,
+        zone: &str,
+        store: SocketAddr,
+        seeds: &[Ipv4Addr],
+    ) -> Self {
         let path = std::env::temp_dir().join(format!("figramp-{}-{ip}.json", std::process::id()));
         let mut file = std::fs::File::create(&path).expect("a settings file");
-        file.write_all(settings(ip, zone, store, seeds).to_string().as_bytes())
+        let settings = settings(ip, zone, store, seeds, peer_ports);
+        file.write_all(settings.to_string().as_bytes())
             .expect("the settings are written");
         Self::spawn(ip, path)
     }
@@ -229,6 +265,11 @@
         assert!(status.expect("kill runs").success());
     }
 
+    /// Returns the identifier of the daemon's process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the peak resident memory of the daemon.
     pub(crate) fn peak_memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
