Close the connection of a refusal that may be of another request

An endpoint that wrote an earlier refusal once more, without an identifier, before it answered a resumable stream had the stream sent to another endpoint and worked on it itself for as long as it took (801 ms in the test, 400 allowed): the refusal was believed, and its connection went back to the pool.

The request still goes on elsewhere, as a second run does no harm there, but the connection is closed, so that the endpoint stops. entry::overlapping_work::an_endpoint_whose_refusal_may_be_of_another_request_is_left_in_time failed before (801 ms).

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -327,11 +327,12 @@
     }
     if forward_headers::is_quarantined(&answer.parts.headers) {
         let remaining = head.retry_after.unwrap_or_default();
-        on_refused(answer, None).await;
+        on_refused(answer, None, true).await;
         return Err(AttemptError::Quarantined(remaining));
     }
     if head.is_not_executed || forward_headers::is_not_run(&answer.parts.headers) {
-        return Err(on_refused(answer, head.retry_after).await);
+        let is_certain = head.request_id.is_some() || is_certainly_for(target, &mut answer);
+        return Err(on_refused(answer, head.retry_after, is_certain).await);
     }
     let is_success = answer.parts.status.is_success();
     let has_identifier = head.request_id.is_some();
@@ -365,20 +366,32 @@
     match &head.request_id {
         Some(id) => **id != *request.head.request_id,
         None => {
-            matches!(target, Target::Endpoint { .. })
-                && head.is_not_executed
+            head.is_not_executed
                 && !request.route.retry_safety.is_retryable()
-                && answer.running.connection_mut().is_reused
+                && !is_certainly_for(target, answer)
         }
     }
 }
 
-async fn on_refused(mut answer: Answer, retry_after: Option<Duration>) -> AttemptError {
+/// Returns whether an answer without an identifier is certainly for the request that was sent.
+fn is_certainly_for(target: &Target, answer: &mut Answer) -> bool {
+    matches!(target, Target::Vm { .. }) || !answer.running.connection_mut().is_reused
+}
+
+/// Reads the rest of a refusal; unless it is certainly for this request, its connection is closed, as
+/// the endpoint may work on the request.
+async fn on_refused(
+    mut answer: Answer,
+    retry_after: Option<Duration>,
+    is_certain: bool,
+) -> AttemptError {
     let has_arrived = !forward_headers::is_unsent(&answer.parts.headers);
     answer.running.record_outcome(AttemptOutcome::Refused);
-    let rest = timeout(REFUSAL_BODY_TIMEOUT, answer.body.collect()).await;
-    if matches!(rest, Ok(Ok(_))) {
-        answer.running.finish();
+    if is_certain {
+        let rest = timeout(REFUSAL_BODY_TIMEOUT, answer.body.collect()).await;
+        if matches!(rest, Ok(Ok(_))) {
+            answer.running.finish();
+        }
     }
     AttemptError::NotRun {
         has_arrived,
--- a/src/stand_in/deployment/repeating_refuser.rs
+++ b/src/stand_in/deployment/repeating_refuser.rs
@@ -4,14 +4,33 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::sleep_until;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
 
 use super::raw_head::RawHead;
+use super::work_log::WorkLog;
+use super::Work;
+
+/// A refusal that does not name the request that it is for.
+const UNIDENTIFIED_REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// How an endpoint writes a refusal once more.
+#[derive(Clone, Copy, Debug)]
+enum RepeatedRefusal {
+    /// With the identifier of the refused request.
+    Identified,
+    /// Without an identifier; the next request then takes this time.
+    Unidentified { work: Duration },
+}
 
 type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -21,6 +40,7 @@
 pub struct RepeatingRefuser {
     address: SocketAddr,
     runs: Runs,
+    work_log: Arc<WorkLog>,
     task: JoinHandle<()>,
 }
 
@@ -31,15 +51,35 @@
     ///
     /// Returns an error if the address cannot be bound.
     pub async fn launch(address: SocketAddr, headers: &'static str) -> io::Result<Self> {
+        Self::start(address, headers, RepeatedRefusal::Identified).await
+    }
+
+    /// Starts an endpoint that leaves the identifier out when it writes a refusal once more, and then works
+    /// for this time on the request that it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn launch_unidentified(address: SocketAddr, work: Duration) -> io::Result<Self> {
+        Self::start(address, "", RepeatedRefusal::Unidentified { work }).await
+    }
+
+    async fn start(
+        address: SocketAddr,
+        headers: &'static str,
+        repeated: RepeatedRefusal,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let runs = Runs::default();
-        let shared = Arc::clone(&runs);
+        let work_log = Arc::<WorkLog>::default();
+        let (shared, shared_log) = (Arc::clone(&runs), Arc::clone(&work_log));
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let runs = Arc::clone(&shared);
+                let (runs, work_log) = (Arc::clone(&shared), Arc::clone(&shared_log));
                 tokio::spawn(async move {
-                    if let Err(error) = serve(stream, headers, &runs).await {
+                    let served = serve(stream, headers, repeated, &runs, &work_log).await;
+                    if let Err(error) = served {
                         log::debug!("a connection of a repeating refuser failed: {error}");
                     }
                 });
@@ -48,6 +88,7 @@
         Ok(Self {
             address,
             runs,
+            work_log,
             task,
         })
     }
@@ -57,6 +98,11 @@
         self.address
     }
 
+    /// Returns its work on all requests so far, in the order of its beginning.
+    pub fn works(&self) -> Vec<Work> {
+        self.work_log.works()
+    }
+
     /// Returns how often a request ran.
     pub fn run_count(&self, request_id: &str) -> u32 {
         self.runs.lock().get(request_id).copied().unwrap_or(0)
@@ -69,7 +115,13 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, headers: &str, runs: &Runs) -> io::Result<()> {
+async fn serve(
+    mut stream: TcpStream,
+    headers: &str,
+    repeated: RepeatedRefusal,
+    runs: &Runs,
+    work_log: &Arc<WorkLog>,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     loop {
         let refused = next_request_id(&mut stream).await?;
@@ -79,8 +131,16 @@
         );
         stream.write_all(refusal.as_bytes()).await?;
         let run = next_request_id(&mut stream).await?;
-        stream.write_all(refusal.as_bytes()).await?;
         *runs.lock().entry(run.clone()).or_default() += 1;
+        let work = work_log.begin(&run);
+        match repeated {
+            RepeatedRefusal::Identified => stream.write_all(refusal.as_bytes()).await?,
+            RepeatedRefusal::Unidentified { work } => {
+                stream.write_all(UNIDENTIFIED_REFUSAL).await?;
+                work_while_open(&stream, work).await?;
+            }
+        }
+        drop(work);
         let answer = format!(
             "HTTP/1.1 200 OK\r\nrequest-id: {}\r\nserver-stamp: stamp\r\ncontent-length: 4\r\n\r\ndone",
             run
@@ -89,6 +149,22 @@
     }
 }
 
+/// Waits for this time, or returns an error as soon as the connection is closed.
+async fn work_while_open(stream: &TcpStream, time: Duration) -> io::Result<()> {
+    let mut byte = [0];
+    let ends_at = Instant::now() + time;
+    match timeout_at(ends_at, stream.peek(&mut byte)).await {
+        Err(_) => Ok(()),
+        Ok(Err(error)) => Err(error),
+        Ok(Ok(0)) => Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
+        // The next request; it is read after this one.
+        Ok(Ok(_)) => {
+            sleep_until(ends_at).await;
+            Ok(())
+        }
+    }
+}
+
 async fn next_request_id(stream: &mut TcpStream) -> io::Result<String> {
     let head = RawHead::read(stream).await?;
     head.read_body(stream).await?;
--- a/tests/behaviour/entry/overlapping_work.rs
+++ b/tests/behaviour/entry/overlapping_work.rs
@@ -5,6 +5,8 @@
 
 use figramp::stand_in::deployment::EndpointFaults;
 use figramp::stand_in::deployment::EndpointServer;
+use figramp::stand_in::deployment::RepeatingRefuser;
+use figramp::stand_in::deployment::Work;
 use tokio::time::sleep;
 
 use super::processor_quota::ProcessorQuota;
@@ -37,6 +39,11 @@
 /// The time after which the next endpoint answers.
 const HEAD_DELAY: Duration = Duration::from_millis(900);
 
+const REFUSED_STREAMS: usize = 12;
+
+/// Longer than an endpoint that refused is avoided.
+const REFUSED_INTERVAL: Duration = Duration::from_millis(80);
+
 const STREAMS: usize = 12;
 const PAUSE: Duration = Duration::from_millis(200);
 const GOSSIP_TIME: Duration = Duration::from_millis(2_500);
@@ -139,3 +146,31 @@
     let longest = overlap_of_a_forwarded_stream(None).await;
     assert!(longest <= OVERLAP_MAX, "{longest:?}");
 }
+
+/// Guards against a refusal of another request that leaves the endpoint at work on this one.
+#[tokio::test]
+async fn an_endpoint_whose_refusal_may_be_of_another_request_is_left_in_time() {
+    let site = Site::launch(EAST).await;
+    let work_time = OVERLAP_MAX * 2;
+    let mut refusers = Vec::new();
+    for engine in &site.engines {
+        let refuser = RepeatingRefuser::launch_unidentified(any_port(), work_time).await;
+        let refuser = refuser.expect("an endpoint");
+        let record = engine.record_at(refuser.address(), "ready");
+        site.store.put(&engine.key(), record);
+        refusers.push(refuser);
+    }
+    let vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    for number in 0..REFUSED_STREAMS {
+        let _ = vm.post("/stream/x", &format!("r{number}")).send().await;
+        sleep(REFUSED_INTERVAL).await;
+    }
+    sleep(work_time).await;
+    let works: Vec<Work> = refusers.iter().flat_map(RepeatingRefuser::works).collect();
+    assert!(!works.is_empty());
+    for work in works {
+        let until = work.until.expect("the work has ended");
+        let time = until - work.from;
+        assert!(time <= OVERLAP_MAX, "{}: {time:?}", work.request_id);
+    }
+}
