--- a/tests/behaviour/soak/checks.rs
+++ b/tests/behaviour/soak/checks.rs
@@ -1,6 +1,9 @@
 //! The invariants of a run, checked against what clients received and what endpoints ran.
 
 use std::time::Duration;
+use std::time::Instant;
+
+use figramp::stand_in::deployment::Work;
 
 use super::history::Exchange;
 use super::history::History;
@@ -11,6 +14,9 @@
 /// The time after which a revoked key must not be accepted, as the settings of the daemons have it.
 const KEY_REVOCATION: Duration = Duration::from_millis(5_000);
 
+/// How long two endpoints may work on one request.
+const OVERLAP_MAX: Duration = Duration::from_millis(400);
+
 /// How much later than its timeout a request may be answered.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
@@ -57,6 +63,10 @@
                 "no answer from a VM that was in order",
             ),
             (is_late(history, exchange), "not answered in time"),
+            (
+                is_worked_on_twice(world, history, exchange),
+                "two endpoints worked on it for too long",
+            ),
         ];
         let violated = checks.iter().filter(|(is_violated, _)| *is_violated);
         found.extend(violated.map(|(_, what)| format!("{what}: {exchange:?}, {runs} runs")));
@@ -223,3 +233,38 @@
         .any(|span| span.overlaps(exchange, EFFECTS_MAX));
     !is_disturbed && exchange.ended_at - exchange.sent_at > exchange.timeout + ANSWER_SLACK
 }
+
+/// Returns whether two endpoints worked on a request at the same time for too long, though no fault kept a
+/// daemon or a link from stopping one of them.
+fn is_worked_on_twice(world: &World, history: &History, exchange: &Exchange) -> bool {
+    let reached = world.reached(&exchange.id);
+    if reached.len() < 2 {
+        return false;
+    }
+    let works: Vec<Work> = reached
+        .iter()
+        .flat_map(|endpoint| world.endpoints[*endpoint].server.works())
+        .filter(|work| work.request_id == exchange.id)
+        .collect();
+    let mut vm_faults = history.vm_faults.iter().map(|(_, span)| span);
+    let mut link_faults = history.link_faults.iter();
+    let is_disturbed = vm_faults.any(|span| span.overlaps(exchange, EFFECTS_MAX))
+        || link_faults.any(|(endpoint, span)| {
+            reached.contains(endpoint) && span.overlaps(exchange, EFFECTS_MAX)
+        });
+    !is_disturbed && longest_overlap(&works) > OVERLAP_MAX
+}
+
+/// Returns the longest time for which two of these works went on together.
+fn longest_overlap(works: &[Work]) -> Duration {
+    let now = Instant::now();
+    let end = |work: &Work| work.until.unwrap_or(now);
+    let overlaps = works.iter().enumerate().flat_map(|(index, work)| {
+        let later = works[index + 1..].iter();
+        later.map(move |other| {
+            let from = work.from.max(other.from);
+            end(work).min(end(other)).saturating_duration_since(from)
+        })
+    });
+    overlaps.max().unwrap_or_default()
+}
