Wait in a stop until answers are written

Cause: the stop waited for running requests, and a request whose answer was read whole no longer ran once the answer was handed to the HTTP library, before a byte was written. A stop now also waits, until its deadline, for the connections of clients and other VMs to close: each does after its answer, and idle ones at once. That covers the last events of streams and answers to other VMs too.

--- a/src/edge/edge_listener.rs
+++ b/src/edge/edge_listener.rs
@@ -49,6 +49,13 @@
     Metrics,
 }
 
+impl EdgeRole {
+    /// Returns whether a shutdown waits until the connections of the port are closed.
+    const fn is_awaited(self) -> bool {
+        matches!(self, Self::Clients | Self::Peers)
+    }
+}
+
 /// The stages of a shutdown, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EdgeStage {
@@ -104,9 +111,15 @@
             match accepted {
                 Ok((stream, _)) if open_count.get() < open_max => {
                     let open = OpenConnection::new(&open_count);
-                    let state = Rc::clone(&state);
-                    let stage = stage.clone();
-                    spawn_local(serve(self.role, stream, state, stage, open));
+                    let awaited = self
+                        .role
+                        .is_awaited()
+                        .then(|| OpenConnection::new(&state.connection_count));
+                    let served = serve(self.role, stream, Rc::clone(&state), stage.clone());
+                    spawn_local(async move {
+                        served.await;
+                        drop((open, awaited));
+                    });
                 }
                 Ok(_) => log::warn!(
                     open = open_count.get();
@@ -141,7 +154,6 @@
     stream: TcpStream,
     state: Rc<EntryState>,
     mut stage: watch::Receiver<EdgeStage>,
-    _open: OpenConnection,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "setting TCP_NODELAY on an accepted connection failed");
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -122,11 +122,20 @@
     stage.send_replace(EdgeStage::Draining);
     sleep(LEAVE_DELAY).await;
     stage.send_replace(EdgeStage::Closing);
-    while state.running_count.get() > 0 && Instant::now() < deadline {
+    // A connection is open until its answer is written; a request no longer runs by then.
+    while is_in_use(state) && Instant::now() < deadline {
         sleep(DRAIN_CHECK_PERIOD).await;
     }
     state.ending.send_replace(true);
     // Lets the kernel send complete answers that are still in socket buffers.
     sleep(DRAIN_CHECK_PERIOD).await;
-    log::info!(running = state.running_count.get(); "stopped");
+    log::info!(
+        running = state.running_count.get(),
+        connections = state.connection_count.get();
+        "stopped"
+    );
+}
+
+fn is_in_use(state: &EntryState) -> bool {
+    state.running_count.get() > 0 || state.connection_count.get() > 0
 }
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -78,6 +78,8 @@
     pub answer_memory: MemoryBudget,
     /// The number of requests in flight.
     pub running_count: Rc<Cell<u32>>,
+    /// The number of open connections of clients and other VMs.
+    pub connection_count: Rc<Cell<u64>>,
     /// The counters and histograms.
     pub metrics: EntryMetrics,
     /// Wakes the task that reads the store.
@@ -131,6 +133,7 @@
             memory: MemoryBudget::new(settings.memory_max_bytes),
             answer_memory: MemoryBudget::new(settings.memory_max_bytes),
             running_count: Rc::default(),
+            connection_count: Rc::default(),
             metrics: EntryMetrics::new(),
             read_now: Notify::new(),
             versions: RefCell::default(),
--- a/src/stand_in/deployment/answer_body.rs
+++ b/src/stand_in/deployment/answer_body.rs
@@ -34,13 +34,17 @@
     running: RunningWork,
 ) -> AnswerBody {
     let (pause, loses_answers) = (faults.pause, faults.loses_answers);
+    let answer = match faults.answer_bytes {
+        Some(length) => Bytes::from(vec![b'x'; length]),
+        None => Bytes::from_static(b"done"),
+    };
     let frames = stream::once(async move {
         sleep(pause).await;
         silence.wait().await;
         drop(running);
         match loses_answers {
             true => Err(connection_reset()),
-            false => Ok(Frame::data(Bytes::from_static(b"done"))),
+            false => Ok(Frame::data(answer)),
         }
     });
     Box::pin(StreamBody::new(frames))
--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -27,6 +27,8 @@
     pub loses_answers: bool,
     /// Runs requests and answers them with this status and its signature.
     pub failure_status: Option<StatusCode>,
+    /// The length of plain answers; `None` for a short one.
+    pub answer_bytes: Option<usize>,
     /// Sends answers with the identifier of another request.
     pub mislabels_answers: bool,
     /// Resets streams after half of the event with this number.
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -32,6 +32,7 @@
 mod restored_store;
 mod silent_endpoints;
 mod silent_past_deadline;
+mod slow_readers;
 mod software_versions;
 mod stale_configurations;
 mod stopping;
