--- a/src/edge/edge_body.rs
+++ b/src/edge/edge_body.rs
@@ -19,10 +19,24 @@
     Box::pin(Full::new(bytes.into()).map_err(|never| match never {}))
 }
 
-/// Creates the body of an answer that is complete; its memory is released with the body.
+/// Creates the body of an answer that is complete; its memory is released when the last byte was written.
+///
+/// `hyper` takes the whole body at once and drops it, but keeps the bytes until they are written.
 pub(super) fn whole_answer(bytes: Bytes, memory: AnswerMemory) -> EdgeBody {
-    Box::pin(whole(bytes).map_frame(move |frame| {
-        let _held = &memory;
-        frame
+    whole(Bytes::from_owner(HeldBytes {
+        bytes,
+        _memory: memory,
     }))
 }
+
+/// The bytes of an answer and the memory that they hold.
+struct HeldBytes {
+    bytes: Bytes,
+    _memory: AnswerMemory,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/tests/behaviour/entry/slow_readers.rs
+++ b/tests/behaviour/entry/slow_readers.rs
@@ -11,6 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::support::configuration;
 use super::support::new_ip;
@@ -25,6 +26,9 @@
 /// Keeps the kernel from taking over most of an answer.
 const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 
+/// The memory that the settings allow the process.
+const MEMORY_MAX_KB: u64 = 182 * 1024;
+
 const TIMEOUT_MS: u64 = 20_000;
 
 /// Longer than the time that a VM which leaves goes on accepting connections.
@@ -34,6 +38,7 @@
 
 const READ_CHUNKS: u32 = 80;
 const READERS: usize = 6;
+const BURST_READERS: usize = 90;
 
 async fn launch() -> (Site, EntryVm) {
     let site = Site::launch(EAST).await;
@@ -110,3 +115,23 @@
     }
     assert_eq!(vm.wait_for_exit(), Some(0));
 }
+
+/// Guards against answers in writing that no budget counts.
+#[tokio::test]
+async fn answers_that_nobody_reads_take_a_bounded_part_of_the_memory() {
+    let (_site, vm) = launch().await;
+    let mut streams = Vec::new();
+    for number in 0..BURST_READERS {
+        streams.push(ask(vm.ip, &format!("r{number}")).await);
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_millis(1_000)).await;
+    let peak_kb = vm.peak_memory_kb();
+    assert!(peak_kb < MEMORY_MAX_KB, "{peak_kb} KB");
+    drop(streams);
+    // The memory of the answers is free again.
+    sleep(Duration::from_millis(500)).await;
+    let answer = timeout(READ_DELAY, vm.post("/read/x", "after").send());
+    let answer = answer.await.expect("in time").expect("an answer");
+    assert_eq!(answer.status(), 200);
+}
