--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -1,6 +1,5 @@
 //! A stand-in for an endpoint that registers in the platform's store.
 
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::pending;
 use std::io;
@@ -34,11 +33,9 @@
 use super::answer_body::plain_body;
 use super::answer_body::AnswerBody;
 use super::crashing_request::CrashPoint;
-use super::endpoint_process::EndpointProcess;
+use super::endpoint_state::EndpointState;
 use super::http_listener;
-use super::silence::Silence;
 use super::work_log::RunningWork;
-use super::work_log::WorkLog;
 use super::Arrival;
 use super::EndpointFaults;
 use super::Work;
@@ -46,78 +43,12 @@
 /// The time at which the first instance of an endpoint started.
 const FIRST_BORN_UNIX_MS: u64 = 1_000;
 
-/// The software version of endpoints that were given none.
-const USUAL_VERSION: &str = "v1";
-
 /// Requests whose path contains this are answered with a stream.
 const STREAM_PATH: &str = "stream";
 
 /// The delay between the head of an answer and the crash under it, in which the head is sent.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 
-#[derive(Debug, Default)]
-struct EndpointState {
-    process: EndpointProcess,
-    faults: EndpointFaults,
-    runs: HashMap<String, u32>,
-    arrivals: Vec<Arrival>,
-    refusals: Vec<Instant>,
-    crashing_arrivals: Vec<Instant>,
-    crashing_request_arrivals: Vec<Instant>,
-    work_log: Arc<WorkLog>,
-    last_headers: HeaderMap,
-    sequence: u64,
-    replaced_count: u64,
-    silence: Arc<Silence>,
-    /// The version of the software; `None` for the usual one, which events do not name.
-    version: Option<String>,
-    /// What stands in the record in place of the version.
-    odd_version: Option<Value>,
-}
-
-impl EndpointState {
-    /// Returns where the next crash under a request comes.
-    fn next_crash_point(&self, is_stream: bool) -> CrashPoint {
-        let points: &[CrashPoint] = match is_stream {
-            true => &CrashPoint::OF_STREAMS,
-            false => &CrashPoint::OF_PLAIN_ANSWERS,
-        };
-        points[self.process.crashes().len() % points.len()]
-    }
-
-    /// Returns the version that the records name.
-    fn recorded_version(&self) -> Value {
-        let version = self.version.as_deref().unwrap_or(USUAL_VERSION);
-        self.odd_version.clone().unwrap_or_else(|| json!(version))
-    }
-
-    /// Returns the running requests, the waiting ones and the slots, as answers report them.
-    fn load(&self) -> HeaderValue {
-        let running_count = match self.faults.reports_load {
-            true => self.work_log.running_count(),
-            false => 1,
-        };
-        let load = format!("{running_count},0,8");
-        HeaderValue::try_from(load).expect("digits and commas")
-    }
-
-    /// Describes a request that arrives now.
-    fn arrival(&self, request_id: &str) -> Arrival {
-        let retry_after = self.faults.retry_after.as_ref();
-        let retry_after_s = retry_after
-            .filter(|_| self.faults.is_full)
-            .and_then(|value| value.to_str().ok()?.parse().ok());
-        Arrival {
-            request_id: request_id.to_owned(),
-            at: Instant::now(),
-            replaced_count: self.replaced_count,
-            is_leaving: self.faults.is_leaving,
-            rate_per_s: self.faults.rate_per_s(),
-            retry_after: retry_after_s.and_then(|value| Duration::try_from_secs_f64(value).ok()),
-        }
-    }
-}
-
 /// An endpoint that counts how often it ran each request.
 #[derive(Debug)]
 pub struct EndpointServer {
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_faults;
 mod endpoint_process;
 mod endpoint_server;
+mod endpoint_state;
 mod http_listener;
 mod late_reader;
 mod link_proxy;
--- a/tests/behaviour/entry/failures_after_runs.rs
+++ b/tests/behaviour/entry/failures_after_runs.rs
@@ -34,6 +34,26 @@
     body: String,
 }
 
+/// The answer to a request that the endpoints failed with a status.
+struct Case {
+    id: String,
+    code: u16,
+    answer: ClientAnswer,
+}
+
+impl Case {
+    fn check_unchanged(&self) {
+        let ClientAnswer {
+            status,
+            is_signed,
+            body,
+            ..
+        } = &self.answer;
+        assert_eq!((*status, *is_signed), (self.code, true), "{}", self.id);
+        assert_eq!(body, "done", "{}", self.id);
+    }
+}
+
 impl TwoRegions {
     async fn launch() -> Self {
         let site = Site::launch(WEST).await;
@@ -78,58 +98,56 @@
     }
 }
 
-/// Guards against a 502 that carries the signature of an endpoint that answered with 503.
-#[tokio::test]
-async fn a_failure_that_implies_no_run_becomes_the_gateways_own_after_a_run() {
-    let regions = TwoRegions::launch().await;
-    for code in IMPLYING_NO_RUN {
+/// Lets the endpoints fail with each status, and returns the answers on each path, directly and forwarded.
+async fn answers(
+    regions: &TwoRegions,
+    codes: impl IntoIterator<Item = u16>,
+    paths: [&str; 2],
+) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for code in codes {
         regions.fail_with(code);
         for (way, vm) in regions.vms() {
-            for path in AT_MOST_ONCE {
+            for path in paths {
                 let id = format!("{way}-{code}{path}");
                 let answer = answer(vm, path, &id).await;
-                let own = ClientAnswer {
-                    status: 502,
-                    is_signed: false,
-                    retry_after: None,
-                    body: "{\"error\":\"failed\"}".to_owned(),
-                };
-                assert_eq!(answer, own, "{id}");
-                assert_eq!(regions.site.runs(&id), 1, "{id}");
+                cases.push(Case { id, code, answer });
             }
         }
     }
+    cases
+}
+
+/// Guards against a 502 that carries the signature of an endpoint that answered with 503.
+#[tokio::test]
+async fn a_failure_that_implies_no_run_becomes_the_gateways_own_after_a_run() {
+    let regions = TwoRegions::launch().await;
+    for case in answers(&regions, IMPLYING_NO_RUN, AT_MOST_ONCE).await {
+        let own = ClientAnswer {
+            status: 502,
+            is_signed: false,
+            retry_after: None,
+            body: "{\"error\":\"failed\"}".to_owned(),
+        };
+        assert_eq!(case.answer, own, "{}", case.id);
+        assert_eq!(regions.site.runs(&case.id), 1, "{}", case.id);
+    }
 }
 
 #[tokio::test]
 async fn any_other_failure_passes_unchanged() {
     let regions = TwoRegions::launch().await;
-    for code in OTHERS {
-        regions.fail_with(code);
-        for (way, vm) in regions.vms() {
-            for path in AT_MOST_ONCE {
-                let id = format!("{way}-{code}{path}");
-                let answer = answer(vm, path, &id).await;
-                assert_eq!((answer.status, answer.is_signed), (code, true), "{id}");
-                assert_eq!(answer.body, "done", "{id}");
-                assert_eq!(regions.site.runs(&id), 1, "{id}");
-            }
-        }
+    for case in answers(&regions, OTHERS, AT_MOST_ONCE).await {
+        case.check_unchanged();
+        assert_eq!(regions.site.runs(&case.id), 1, "{}", case.id);
     }
 }
 
 #[tokio::test]
 async fn all_failures_of_retryable_requests_pass_unchanged() {
     let regions = TwoRegions::launch().await;
-    for code in IMPLYING_NO_RUN.into_iter().chain(OTHERS) {
-        regions.fail_with(code);
-        for (way, vm) in regions.vms() {
-            for path in RETRYABLE {
-                let id = format!("{way}-{code}{path}");
-                let answer = answer(vm, path, &id).await;
-                assert_eq!((answer.status, answer.is_signed), (code, true), "{id}");
-                assert_eq!(answer.body, "done", "{id}");
-            }
-        }
+    let codes = IMPLYING_NO_RUN.into_iter().chain(OTHERS);
+    for case in answers(&regions, codes, RETRYABLE).await {
+        case.check_unchanged();
     }
 }
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -43,3 +43,4 @@
 mod unframed_answers;
 mod unread_bodies;
 mod versioned_site;
+pub(crate) mod work_overlap;
--- a/tests/behaviour/entry/overlapping_work.rs
+++ b/tests/behaviour/entry/overlapping_work.rs
@@ -1,7 +1,6 @@
 //! Streams that go on at another endpoint leave the one before in time.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use figramp::stand_in::deployment::EndpointFaults;
 use figramp::stand_in::deployment::EndpointServer;
@@ -20,9 +19,8 @@
 use super::support::EAST;
 use super::support::PEER_PORTS;
 use super::support::WEST;
-
-/// How long two endpoints may work on one request.
-const OVERLAP_MAX: Duration = Duration::from_millis(400);
+use super::work_overlap::longest_overlap;
+use super::work_overlap::OVERLAP_MAX;
 
 /// The run time of a daemon in each tenth of a second.
 const RUN_TIME: Duration = Duration::from_millis(17);
@@ -60,27 +58,6 @@
     }
 }
 
-/// Returns the longest time for which two endpoints worked on one request.
-fn longest_overlap(endpoints: &[&EndpointServer]) -> Duration {
-    let works: Vec<_> = endpoints
-        .iter()
-        .enumerate()
-        .flat_map(|(index, endpoint)| endpoint.works().into_iter().map(move |work| (index, work)))
-        .collect();
-    let now = Instant::now();
-    let mut longest = Duration::ZERO;
-    for (index, work) in &works {
-        for (other, later) in &works {
-            if index == other || work.request_id != later.request_id || later.from < work.from {
-                continue;
-            }
-            let until = work.until.unwrap_or(now).min(later.until.unwrap_or(now));
-            longest = longest.max(until.saturating_duration_since(later.from));
-        }
-    }
-    longest
-}
-
 /// Sends streams from one region to an endpoint of another, which then falls silent; returns the longest
 /// time for which it and the next endpoint worked on one request.
 ///
@@ -127,7 +104,12 @@
     }
     drop(quotas);
     assert!(next.total_run_count() > 0, "no stream went on elsewhere");
-    longest_overlap(&[silent, &next])
+    let endpoints = [silent, &next];
+    let works: Vec<Work> = endpoints
+        .iter()
+        .flat_map(|endpoint| endpoint.works())
+        .collect();
+    longest_overlap(&works)
 }
 
 /// Guards against two endpoints that work on one request for too long, as the VM that asked the first one
--- a/tests/behaviour/soak/checks.rs
+++ b/tests/behaviour/soak/checks.rs
@@ -1,7 +1,6 @@
 //! The invariants of a run, checked against what clients received and what endpoints ran.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use figramp::stand_in::deployment::Work;
 
@@ -10,13 +9,12 @@
 use super::history::Received;
 use super::world::World;
 use crate::entry::support::KEY;
+use crate::entry::work_overlap::longest_overlap;
+use crate::entry::work_overlap::OVERLAP_MAX;
 
 /// The time after which a revoked key must not be accepted, as the settings of the daemons have it.
 const KEY_REVOCATION: Duration = Duration::from_millis(5_000);
 
-/// How long two endpoints may work on one request.
-const OVERLAP_MAX: Duration = Duration::from_millis(400);
-
 /// How much later than its timeout a request may be answered.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
@@ -192,23 +190,25 @@
     if !is_incomplete || reached.is_empty() {
         return false;
     }
-    // A VM of the endpoint's region forwarded the request if its client asked another region.
-    let may_have_served = |vm: usize| {
-        let zone = world.vms[vm].zone;
-        let own_zone = world.vms[exchange.vm].zone;
-        let mut zones = reached
-            .iter()
-            .map(|endpoint| world.endpoints[*endpoint].zone);
-        vm == exchange.vm || (zone != own_zone && zones.any(|reached| reached == zone))
-    };
     let vm_faults = history.vm_faults.iter();
-    let vm_faults = vm_faults.filter(|(vm, _)| may_have_served(*vm));
+    let vm_faults = vm_faults.filter(|(vm, _)| may_have_served(world, exchange, &reached, *vm));
     let endpoint_faults = history.endpoint_faults.iter();
     let endpoint_faults = endpoint_faults.filter(|(endpoint, _)| reached.contains(endpoint));
     let mut spans = vm_faults.chain(endpoint_faults).map(|(_, span)| span);
     !spans.any(|span| span.overlaps(exchange, EFFECTS_MAX))
 }
 
+/// Returns whether a VM got a request from its client, or may have got it as a forward: a VM of the region of
+/// an endpoint that the request reached, if its client asked another region.
+fn may_have_served(world: &World, exchange: &Exchange, reached: &[usize], vm: usize) -> bool {
+    let zone = world.vms[vm].zone;
+    let own_zone = world.vms[exchange.vm].zone;
+    let mut zones = reached
+        .iter()
+        .map(|endpoint| world.endpoints[*endpoint].zone);
+    vm == exchange.vm || (zone != own_zone && zones.any(|reached| reached == zone))
+}
+
 /// Returns whether a VM did not answer at all, though it neither failed nor was stopped before it had
 /// accepted the request.
 fn is_unanswered(history: &History, exchange: &Exchange) -> bool {
@@ -246,25 +246,11 @@
         .flat_map(|endpoint| world.endpoints[*endpoint].server.works())
         .filter(|work| work.request_id == exchange.id)
         .collect();
-    let mut vm_faults = history.vm_faults.iter().map(|(_, span)| span);
+    let mut vm_faults = history.vm_faults.iter();
     let mut link_faults = history.link_faults.iter();
-    let is_disturbed = vm_faults.any(|span| span.overlaps(exchange, EFFECTS_MAX))
-        || link_faults.any(|(endpoint, span)| {
-            reached.contains(endpoint) && span.overlaps(exchange, EFFECTS_MAX)
-        });
+    let is_disturbed = vm_faults.any(|(vm, span)| {
+        may_have_served(world, exchange, &reached, *vm) && span.overlaps(exchange, EFFECTS_MAX)
+    }) || link_faults
+        .any(|(endpoint, span)| reached.contains(endpoint) && span.overlaps(exchange, EFFECTS_MAX));
     !is_disturbed && longest_overlap(&works) > OVERLAP_MAX
 }
-
-/// Returns the longest time for which two of these works went on together.
-fn longest_overlap(works: &[Work]) -> Duration {
-    let now = Instant::now();
-    let end = |work: &Work| work.until.unwrap_or(now);
-    let overlaps = works.iter().enumerate().flat_map(|(index, work)| {
-        let later = works[index + 1..].iter();
-        later.map(move |other| {
-            let from = work.from.max(other.from);
-            end(work).min(end(other)).saturating_duration_since(from)
-        })
-    });
-    overlaps.max().unwrap_or_default()
-}
