Log the crashes that a quarantine rests on; tests of outages noticed late, known to fail

The log named the quarantined parts but not the crashes that blame them, so that outages that pass for single crashes could not be told from other causes.

Change: the log line names the crashed instances and the ages of the crashes.

--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::Ipv4Addr;
@@ -263,7 +264,7 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let parts = prefix.shared_parts().map(PartHash::from);
         if quarantine.on_answered(now, instance, parts) {
-            log_quarantine(&quarantine);
+            log_quarantine(now, &quarantine);
         }
     }
 
@@ -277,7 +278,7 @@
     ) {
         let mut quarantine = self.quarantine.borrow_mut();
         if quarantine.on_survived(now, instance, fingerprint) {
-            log_quarantine(&quarantine);
+            log_quarantine(now, &quarantine);
         }
     }
 
@@ -292,7 +293,7 @@
     ) {
         let mut quarantine = self.quarantine.borrow_mut();
         if quarantine.on_crashed(now, instance, began_at, parts) {
-            log_quarantine(&quarantine);
+            log_quarantine(now, &quarantine);
         }
     }
 
@@ -300,7 +301,7 @@
     pub fn on_crashes_reported(&self, now: Monotonic, reports: CrashReports) {
         let mut quarantine = self.quarantine.borrow_mut();
         if quarantine.merge(now, reports) {
-            log_quarantine(&quarantine);
+            log_quarantine(now, &quarantine);
         }
     }
 
@@ -374,11 +375,20 @@
     }
 }
 
-fn log_quarantine(quarantine: &RequestQuarantine) {
+fn log_quarantine(now: Monotonic, quarantine: &RequestQuarantine) {
     let sets = quarantine.quarantined().iter().map(|set| {
         let parts: Vec<String> = set.iter().map(ToString::to_string).collect();
         parts.join("+")
     });
     let sets: Vec<String> = sets.collect();
-    log::warn!(parts = sets.join(",").as_str(); "the quarantined parts of requests changed");
+    let crashes = quarantine.evident_crashes().map(|crash| {
+        let age_ms = crash.crashed_at.age(now).as_millis();
+        format!("{:08x}:{age_ms}", crash.endpoint.0)
+    });
+    let crashes: BTreeSet<String> = crashes.collect();
+    let crashes: Vec<String> = crashes.into_iter().collect();
+    log::warn!(
+        parts = sets.join(",").as_str(), crashes = crashes.join(",").as_str();
+        "the quarantined parts of requests changed"
+    );
 }
--- a/src/quarantine/request_quarantine.rs
+++ b/src/quarantine/request_quarantine.rs
@@ -223,6 +223,14 @@
         &self.quarantined
     }
 
+    /// Returns the crashes that the quarantine rests on.
+    pub fn evident_crashes(&self) -> impl Iterator<Item = &CrashReport> {
+        let evidence = self.evidence().into_iter();
+        evidence
+            .map(|evidence| evidence.crash)
+            .filter(|crash| self.supports(crash))
+    }
+
     /// Adds a report unless it is known or void; returns whether it was added or dated anew.
     fn add(&mut self, now: Monotonic, report: CrashReport) -> bool {
         let blamed_at = EventTime::from(now);
--- a/tests/behaviour/entry/crashing_prompts.rs
+++ b/tests/behaviour/entry/crashing_prompts.rs
@@ -16,6 +16,7 @@
 use super::crash_site::SoundResult;
 use super::crash_site::SOUND_CLASS_COUNT;
 use super::crash_site::STABLE_WINDOW;
+use super::processor_quota::ProcessorQuota;
 use super::support::new_ip;
 use super::support::EntryVm;
 use super::support::EAST;
@@ -46,6 +47,12 @@
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(400);
 const OUTAGE_TIME: Duration = Duration::from_millis(500);
 
+/// The part of each tenth of a second in which a VM under a quota runs.
+const QUOTA_RUN_TIME: Duration = Duration::from_millis(17);
+
+/// The time by which the quotas of VMs begin one after the other.
+const QUOTA_OFFSET: Duration = Duration::from_millis(33);
+
 /// The time after crashes until the engines are listed and trusted again.
 const RECOVERY_TIME: Duration = Duration::from_millis(2_500);
 
@@ -254,18 +261,38 @@
     }
 }
 
-#[tokio::test]
-async fn sound_requests_are_not_refused_after_outages_of_all_endpoints() {
-    let site = CrashSite::launch(SLOW_EVENT_PAUSE, OUTAGE_TIME).await;
-    let vms = site.launch_vms([EAST, EAST, WEST]).await;
+/// Crashes all endpoints at once, four times, while streams of these VMs run.
+async fn crash_all_repeatedly(site: &CrashSite, vms: &[Arc<EntryVm>], name: &str) {
     for round in 0..4 {
-        open_streams(&vms, &format!("6{round}"), 36);
-        wait_for_streams(&site, 30).await;
+        open_streams(vms, &format!("{name}{round}"), 36);
+        wait_for_streams(site, 30).await;
         for engine in &site.engines {
             engine.crash();
         }
         sleep(RECOVERY_TIME).await;
     }
+}
+
+#[tokio::test]
+async fn sound_requests_are_not_refused_after_outages_of_all_endpoints() {
+    let site = CrashSite::launch(SLOW_EVENT_PAUSE, OUTAGE_TIME).await;
+    let vms = site.launch_vms([EAST, EAST, WEST]).await;
+    crash_all_repeatedly(&site, &vms, "6").await;
+    check_serves_sound_requests(&vms).await;
+}
+
+/// VMs that get no processor notice a crash late, each at another time.
+#[tokio::test]
+async fn sound_requests_are_not_refused_after_outages_that_vms_under_a_quota_notice_late() {
+    let site = CrashSite::launch(SLOW_EVENT_PAUSE, OUTAGE_TIME).await;
+    let vms = site.launch_vms([EAST, EAST, WEST]).await;
+    let mut quotas = Vec::new();
+    for vm in &vms {
+        quotas.push(ProcessorQuota::impose(vm.process_id(), QUOTA_RUN_TIME));
+        sleep(QUOTA_OFFSET).await;
+    }
+    crash_all_repeatedly(&site, &vms, "8").await;
+    drop(quotas);
     check_serves_sound_requests(&vms).await;
 }
 
--- a/tests/behaviour/quarantine/mod.rs
+++ b/tests/behaviour/quarantine/mod.rs
@@ -4,4 +4,5 @@
 mod culprits;
 mod fingerprints;
 mod fleet;
+mod outages;
 mod support;
