--- a/tests/behaviour/entry/crashing_prompts.rs
+++ b/tests/behaviour/entry/crashing_prompts.rs
@@ -261,15 +261,23 @@
     }
 }
 
-/// Crashes all endpoints at once, four times, while streams of these VMs run.
-async fn crash_all_repeatedly(site: &CrashSite, vms: &[Arc<EntryVm>], name: &str) {
+/// Crashes all endpoints at once, four times, while streams of these VMs run; before each time
+/// `impose_quotas` may slow the VMs down until their recovery.
+async fn crash_all_repeatedly(
+    site: &CrashSite,
+    vms: &[Arc<EntryVm>],
+    name: &str,
+    impose_quotas: impl AsyncFn() -> Vec<ProcessorQuota>,
+) {
     for round in 0..4 {
         open_streams(vms, &format!("{name}{round}"), 36);
         wait_for_streams(site, 30).await;
+        let quotas = impose_quotas().await;
         for engine in &site.engines {
             engine.crash();
         }
         sleep(RECOVERY_TIME).await;
+        drop(quotas);
     }
 }
 
@@ -277,7 +285,7 @@
 async fn sound_requests_are_not_refused_after_outages_of_all_endpoints() {
     let site = CrashSite::launch(SLOW_EVENT_PAUSE, OUTAGE_TIME).await;
     let vms = site.launch_vms([EAST, EAST, WEST]).await;
-    crash_all_repeatedly(&site, &vms, "6").await;
+    crash_all_repeatedly(&site, &vms, "6", async || Vec::new()).await;
     check_serves_sound_requests(&vms).await;
 }
 
@@ -286,13 +294,15 @@
 async fn sound_requests_are_not_refused_after_outages_that_vms_under_a_quota_notice_late() {
     let site = CrashSite::launch(SLOW_EVENT_PAUSE, OUTAGE_TIME).await;
     let vms = site.launch_vms([EAST, EAST, WEST]).await;
-    let mut quotas = Vec::new();
-    for vm in &vms {
-        quotas.push(ProcessorQuota::impose(vm.process_id(), QUOTA_RUN_TIME));
-        sleep(QUOTA_OFFSET).await;
-    }
-    crash_all_repeatedly(&site, &vms, "8").await;
-    drop(quotas);
+    let impose_quotas = async || {
+        let mut quotas = Vec::new();
+        for vm in &vms {
+            quotas.push(ProcessorQuota::impose(vm.process_id(), QUOTA_RUN_TIME));
+            sleep(QUOTA_OFFSET).await;
+        }
+        quotas
+    };
+    crash_all_repeatedly(&site, &vms, "8", impose_quotas).await;
     check_serves_sound_requests(&vms).await;
 }
 
