--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -8,12 +8,9 @@
 
 use http::header;
 use http::response::Parts;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
-use super::answer_notices::record_notices;
-use super::answer_notices::record_rates;
+use super::answer_check::check_head;
 use super::client_request::ClientRequest;
 use super::continuation::Continuation;
 use super::forward_headers;
@@ -29,7 +26,6 @@
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
-use crate::platform::AnswerHead;
 
 /// The connect timeout within a region, where the one-way latency is 1 ms. A full accept queue
 /// drops the SYN, so it shows as a timeout rather than as an error.
@@ -42,9 +38,6 @@
 /// endpoint may be about to close it.
 const NON_RETRYABLE_IDLE_MAX: Duration = Duration::from_millis(1_500);
 
-/// The longest wait for the body of a refusal; the connection is closed if the body is late.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// The destination of an attempt.
 #[derive(Clone, Debug)]
 pub(super) enum Target {
@@ -283,118 +276,3 @@
     });
     AttemptError::MayHaveRun(error)
 }
-
-async fn check_head(
-    state: &EntryState,
-    request: &ClientRequest,
-    target: &Target,
-    sent_at: Monotonic,
-    mut answer: Answer,
-) -> Result<Answer, AttemptError> {
-    let now = state.now();
-    answer.running.on_head(now);
-    let head = AnswerHead::decode(&answer.parts);
-    if is_for_other(request, target, &head, &mut answer) {
-        answer.running.record_outcome(AttemptOutcome::Failed);
-        return Err(AttemptError::MayHaveRun(UpstreamError::Unverified));
-    }
-    if let Some(keep_alive) = head.keep_alive {
-        answer.running.connection_mut().on_keep_alive(keep_alive);
-    }
-    if let Some(placement) = answer.running.placement() {
-        state.reach.borrow_mut().on_sign_of_life();
-        let mut endpoints = state.endpoints.borrow_mut();
-        if let Some((running, waiting)) = head.load {
-            endpoints.on_load(now, placement.endpoint, running, waiting);
-        }
-        if let Some(remaining) = head.cold_remaining {
-            if endpoints.on_cold(now, placement.endpoint, remaining) {
-                log::info!(
-                    to:% = target,
-                    remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-                    listing_age_ms = state.belief.borrow().listing_age_ms(now);
-                    "an endpoint that counted as warm is cold"
-                );
-            }
-        }
-        if head.is_other_instance {
-            endpoints.on_replaced(placement.endpoint);
-        }
-    }
-    if !head.is_other_instance {
-        record_notices(state, now, target, &head);
-        record_rates(state, now, target, &head);
-    }
-    if forward_headers::is_quarantined(&answer.parts.headers) {
-        let remaining = head.retry_after.unwrap_or_default();
-        on_refused(answer, None, true).await;
-        return Err(AttemptError::Quarantined(remaining));
-    }
-    if head.is_not_executed || forward_headers::is_not_run(&answer.parts.headers) {
-        let is_certain = head.request_id.is_some() || is_certainly_for(target, &mut answer);
-        return Err(on_refused(answer, head.retry_after, is_certain).await);
-    }
-    let is_success = answer.parts.status.is_success();
-    let has_identifier = head.request_id.is_some();
-    if head.is_encoded || (is_success && !(head.is_signed && has_identifier)) {
-        answer.running.record_outcome(AttemptOutcome::Failed);
-        return Err(AttemptError::MayHaveRun(UpstreamError::Unverified));
-    }
-    answer
-        .running
-        .record_outcome(if answer.parts.status.is_server_error() {
-            AttemptOutcome::Failed
-        } else {
-            AttemptOutcome::Answered {
-                latency: now.since(sent_at),
-            }
-        });
-    Ok(answer)
-}
-
-/// Returns whether an answer may belong to an earlier request on the connection: endpoints may write
-/// an answer once more, which then says nothing about this request or the endpoint's present state.
-///
-/// Without an identifier, a refusal on a connection that was used before may do so; it is believed
-/// where a second run does no harm.
-fn is_for_other(
-    request: &ClientRequest,
-    target: &Target,
-    head: &AnswerHead,
-    answer: &mut Answer,
-) -> bool {
-    match &head.request_id {
-        Some(id) => **id != *request.head.request_id,
-        None => {
-            head.is_not_executed
-                && !request.route.retry_safety.is_retryable()
-                && !is_certainly_for(target, answer)
-        }
-    }
-}
-
-/// Returns whether an answer without an identifier is certainly for the request that was sent.
-fn is_certainly_for(target: &Target, answer: &mut Answer) -> bool {
-    matches!(target, Target::Vm { .. }) || !answer.running.connection_mut().is_reused
-}
-
-/// Reads the rest of a refusal; unless it is certainly for this request, its connection is closed, as
-/// the endpoint may work on the request.
-async fn on_refused(
-    mut answer: Answer,
-    retry_after: Option<Duration>,
-    is_certain: bool,
-) -> AttemptError {
-    let has_arrived = !forward_headers::is_unsent(&answer.parts.headers);
-    answer.running.record_outcome(AttemptOutcome::Refused);
-    if is_certain {
-        let rest = timeout(REFUSAL_BODY_TIMEOUT, answer.body.collect()).await;
-        if matches!(rest, Ok(Ok(_))) {
-            answer.running.finish();
-        }
-    }
-    AttemptError::NotRun {
-        has_arrived,
-        retry_after,
-    }
-}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,7 @@
 //! It uses `hyper` directly: `rocket` cannot abort an answer, detect that a client disconnected, or
 //! stream a body through unchanged.
 
+mod answer_check;
 mod answer_memory;
 mod answer_notices;
 mod attempt;
