--- a/src/edge/answer_check.rs
+++ b/src/edge/answer_check.rs
@@ -74,6 +74,7 @@
         return Err(AttemptError::Quarantined(remaining));
     }
     if head.is_not_executed || forward_headers::is_not_run(&answer.parts.headers) {
+        log_refusal(request, target, &mut answer);
         let is_certain = head.request_id.is_some() || is_certainly_for(target, &mut answer);
         return Err(on_refused(answer, head.retry_after, is_certain).await);
     }
@@ -121,6 +122,26 @@
     matches!(target, Target::Vm { .. }) || !answer.running.connection_mut().is_reused
 }
 
+/// Logs and remembers a refusal of an endpoint.
+fn log_refusal(request: &ClientRequest, target: &Target, answer: &mut Answer) {
+    let status = answer.parts.status.as_u16();
+    let connection = answer.running.connection_mut();
+    let request_id = &*request.head.request_id;
+    let was_refused = connection.refused.contains(request_id);
+    if matches!(target, Target::Endpoint { .. }) {
+        connection.refused.add(request_id);
+    }
+    log::info!(
+        request = request_id,
+        to:% = target,
+        address:% = connection.address,
+        status,
+        request_number = connection.request_count,
+        was_refused;
+        "the attempt was refused"
+    );
+}
+
 /// Reads the rest of a refusal; unless it is certainly for this request, its connection is closed, as
 /// the endpoint may work on the request.
 async fn on_refused(
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -27,6 +27,7 @@
 mod peer_fetch;
 mod pooled_connection;
 mod refusal;
+mod refused_requests;
 mod relay;
 mod request_homes;
 mod request_intake;
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -12,6 +12,7 @@
 use tokio::task::AbortHandle;
 
 use super::head_limit::HeadLimit;
+use super::refused_requests::RefusedRequests;
 use super::UpstreamError;
 use crate::clock::Monotonic;
 
@@ -25,6 +26,10 @@
 pub(super) struct PooledConnection {
     pub(super) address: SocketAddr,
     pub(super) is_reused: bool,
+    /// The number of requests sent on it.
+    pub(super) request_count: u32,
+    /// The requests that the endpoint refused on it.
+    pub(super) refused: RefusedRequests,
     /// When it was opened.
     pub(super) opened_at: Monotonic,
     sender: SendRequest<Full<Bytes>>,
@@ -35,7 +40,7 @@
 }
 
 impl PooledConnection {
-    pub(super) const fn new(
+    pub(super) fn new(
         opened_at: Monotonic,
         address: SocketAddr,
         sender: SendRequest<Full<Bytes>>,
@@ -45,6 +50,8 @@
         Self {
             address,
             is_reused: false,
+            request_count: 0,
+            refused: RefusedRequests::default(),
             opened_at,
             sender,
             head_limit,
@@ -62,6 +69,7 @@
         if self.sender.ready().await.is_err() {
             return Err(UpstreamError::NotSent);
         }
+        self.request_count = self.request_count.saturating_add(1);
         self.head_limit.start();
         let sent = self.sender.try_send_request(request).await;
         self.head_limit.lift();
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -48,6 +48,7 @@
     answers: Counter,
     refusals: Family<ReasonLabel, Counter>,
     failed_attempts: Counter,
+    repeated_requests: Counter,
     first_event: Histogram,
     overlap: Histogram,
     configuration_version: Gauge,
@@ -66,6 +67,7 @@
             answers: Counter::default(),
             refusals: Family::default(),
             failed_attempts: Counter::default(),
+            repeated_requests: Counter::default(),
             first_event: Histogram::new(LATENCY_BUCKETS_S),
             overlap: Histogram::new(OVERLAP_BUCKETS_S),
             configuration_version: Gauge::default(),
@@ -86,6 +88,11 @@
         registry.register("refusals", "Answers of the gateway itself", refusals);
         let failed = self.failed_attempts.clone();
         registry.register("failed_attempts", "Attempts without an answer", failed);
+        registry.register(
+            "repeated_requests",
+            "Requests sent again on a connection on which they were refused",
+            self.repeated_requests.clone(),
+        );
         let first_event = self.first_event.clone();
         registry.register(
             "first_event_s",
@@ -127,6 +134,11 @@
         self.failed_attempts.inc();
     }
 
+    /// Counts a request that was sent again on a connection on which it was refused.
+    pub fn on_repeated_request(&self) {
+        self.repeated_requests.inc();
+    }
+
     /// Counts a request that the gateway itself refused.
     pub fn on_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
