Tests: copies of refusals that make requests run twice, known to fail

CopyingRefuser writes a copy of a refusal, with its identifier, while it runs the request that it refused on that connection.

--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod arrival;
+mod copying_refuser;
 mod crashing_request;
 mod endpoint_faults;
 mod endpoint_process;
@@ -10,6 +11,7 @@
 mod http_listener;
 mod late_reader;
 mod link_proxy;
+mod open_work;
 mod raw_head;
 mod repeating_refuser;
 mod silence;
@@ -18,6 +20,9 @@
 mod work_log;
 
 pub use arrival::Arrival;
+pub use copying_refuser::CopyTiming;
+pub use copying_refuser::CopyingRefuser;
+pub use copying_refuser::FirstRefusal;
 pub use crashing_request::CrashingRequest;
 pub use endpoint_faults::EndpointFaults;
 pub use endpoint_server::EndpointServer;
--- a/src/stand_in/deployment/repeating_refuser.rs
+++ b/src/stand_in/deployment/repeating_refuser.rs
@@ -11,10 +11,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::sleep_until;
-use tokio::time::timeout_at;
-use tokio::time::Instant;
 
+use super::open_work::work_while_open;
 use super::raw_head::RawHead;
 use super::work_log::WorkLog;
 use super::Work;
@@ -149,22 +147,6 @@
     }
 }
 
-/// Waits for this time, or returns an error as soon as the connection is closed.
-async fn work_while_open(stream: &TcpStream, time: Duration) -> io::Result<()> {
-    let mut byte = [0];
-    let ends_at = Instant::now() + time;
-    match timeout_at(ends_at, stream.peek(&mut byte)).await {
-        Err(_) => Ok(()),
-        Ok(Err(error)) => Err(error),
-        Ok(Ok(0)) => Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
-        // The next request; it is read after this one.
-        Ok(Ok(_)) => {
-            sleep_until(ends_at).await;
-            Ok(())
-        }
-    }
-}
-
 async fn next_request_id(stream: &mut TcpStream) -> io::Result<String> {
     let head = RawHead::read(stream).await?;
     head.read_body(stream).await?;
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -4,6 +4,7 @@
 mod cold_endpoint_groups;
 mod cold_endpoints;
 mod cold_load;
+mod copied_refusals;
 pub(crate) mod crash_site;
 mod crashing_prompts;
 mod crashing_requests;
