Send no request again on a connection on which it has failed

Callers saw a booking run twice, answered with 503 or with the second run's answer. An endpoint's copy of a refusal bears the identifier of the refused request. The pool gave the next attempt of that request the connection that had just refused it, so the copy was taken for the answer and the request went to a further endpoint while this one worked on it.

The gateway does so itself where an address is listed under two identifiers: the 421 of the first attempt leaves the connection in the pool, the second attempt is for the other identifier. By the log of the test: "a request is sent again on a connection on which it was refused", then "the attempt was refused" with was_refused=true, then the run at the other endpoint.

A connection remembers the requests that were answered without success on it, and the pool passes it over for those, whichever attempt, client or VM sends them. The log line and the counter now tell how often a connection is passed over.

--- a/src/edge/answer_check.rs
+++ b/src/edge/answer_check.rs
@@ -70,13 +70,13 @@
     }
     if forward_headers::is_quarantined(&answer.parts.headers) {
         let remaining = head.retry_after.unwrap_or_default();
-        on_refused(answer, None, true).await;
+        on_refused(request, answer, None, true).await;
         return Err(AttemptError::Quarantined(remaining));
     }
     if head.is_not_executed || forward_headers::is_not_run(&answer.parts.headers) {
         log_refusal(request, target, &mut answer);
         let is_certain = head.request_id.is_some() || is_certainly_for(target, &mut answer);
-        return Err(on_refused(answer, head.retry_after, is_certain).await);
+        return Err(on_refused(request, answer, head.retry_after, is_certain).await);
     }
     let is_success = answer.parts.status.is_success();
     let has_identifier = head.request_id.is_some();
@@ -122,22 +122,16 @@
     matches!(target, Target::Vm { .. }) || !answer.running.connection_mut().is_reused
 }
 
-/// Logs and remembers a refusal of an endpoint.
+/// Logs a refusal of an endpoint or a VM.
 fn log_refusal(request: &ClientRequest, target: &Target, answer: &mut Answer) {
     let status = answer.parts.status.as_u16();
     let connection = answer.running.connection_mut();
-    let request_id = &*request.head.request_id;
-    let was_refused = connection.refused.contains(request_id);
-    if matches!(target, Target::Endpoint { .. }) {
-        connection.refused.add(request_id);
-    }
     log::info!(
-        request = request_id,
+        request = &*request.head.request_id,
         to:% = target,
         address:% = connection.address,
         status,
-        request_number = connection.request_count,
-        was_refused;
+        request_number = connection.request_count;
         "the attempt was refused"
     );
 }
@@ -145,6 +139,7 @@
 /// Reads the rest of a refusal; unless it is certainly for this request, its connection is closed, as
 /// the endpoint may work on the request.
 async fn on_refused(
+    request: &ClientRequest,
     mut answer: Answer,
     retry_after: Option<Duration>,
     is_certain: bool,
@@ -154,7 +149,8 @@
     if is_certain {
         let rest = timeout(REFUSAL_BODY_TIMEOUT, answer.body.collect()).await;
         if matches!(rest, Ok(Ok(_))) {
-            answer.running.finish();
+            let status = answer.parts.status;
+            answer.running.finish(&request.head.request_id, status);
         }
     }
     AttemptError::NotRun {
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -12,10 +12,10 @@
 
 use super::answer_check::check_head;
 use super::client_request::ClientRequest;
+use super::connection_query::ConnectionQuery;
 use super::continuation::Continuation;
 use super::forward_headers;
 use super::listing_confirmation::wait_for_listing;
-use super::pooled_connection::PooledConnection;
 use super::running_request::RunningRequest;
 use super::silence::wait_for;
 use super::silence::SilenceLimits;
@@ -145,7 +145,6 @@
     if running.placement().is_some() {
         state.reach.borrow_mut().on_sent(sent_at);
     }
-    log_repeat(state, request, target, running.connection_mut());
     let sending = running.connection_mut().send(message);
     let sent = wait_for(state, limits, sending, try_leave).await;
     let response = match sent.and_then(|response| response) {
@@ -171,28 +170,6 @@
     Ok(answer)
 }
 
-/// Logs and counts a request that was refused before on the connection on which it is sent: a copy of that
-/// refusal would pass for the answer.
-fn log_repeat(
-    state: &EntryState,
-    request: &ClientRequest,
-    target: &Target,
-    connection: &PooledConnection,
-) {
-    let request_id = &*request.head.request_id;
-    if !connection.refused.contains(request_id) {
-        return;
-    }
-    state.metrics.on_repeated_request();
-    log::warn!(
-        request = request_id,
-        to:% = target,
-        address:% = connection.address,
-        request_number = connection.request_count + 1;
-        "a request is sent again on a connection on which it was refused"
-    );
-}
-
 /// Returns whether an answer is certainly of the software version that began the stream, if it has
 /// begun.
 ///
@@ -236,10 +213,13 @@
     };
     let mut running = RunningRequest::new(Rc::clone(state), placement);
     let now = state.now();
-    let connected = state
-        .connection_pool
-        .acquire(now, address, idle_max, connect_timeout)
-        .await;
+    let query = ConnectionQuery {
+        address,
+        idle_max,
+        connect_timeout,
+        request_id: Some(&request.head.request_id),
+    };
+    let connected = state.connection_pool.acquire(now, query).await;
     match connected {
         Ok(mut connection) => {
             if !connection.is_reused {
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -338,7 +338,8 @@
         let may_pass = may_pass_status(retry_safety, status, answer.source());
         let fingerprint = self.request.fingerprint;
         answer.running.record_survived(fingerprint, status);
-        answer.running.finish();
+        let request_id = &self.request.head.request_id;
+        answer.running.finish(request_id, status);
         if !may_pass {
             return Err(UpstreamError::FalseRefusal(status));
         }
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::connection_query::ConnectionQuery;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimitedStream;
 use super::head_limit::HEAD_MAX_BYTES;
@@ -34,6 +35,7 @@
 pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<PooledConnection>>>,
     opened_count: Cell<u64>,
+    passed_over_count: Cell<u64>,
 }
 
 impl ConnectionPool {
@@ -42,41 +44,61 @@
         self.opened_count.get()
     }
 
-    /// Takes an idle connection that was used within `idle_max`, or opens one.
+    /// Returns how often a request was not sent on an idle connection, as it had failed there before.
+    pub fn passed_over_count(&self) -> u64 {
+        self.passed_over_count.get()
+    }
+
+    /// Takes an idle connection that was used within the time and on which the request has not failed, or
+    /// opens one.
     pub(super) async fn acquire(
         &self,
         now: Monotonic,
-        address: SocketAddr,
-        idle_max: Duration,
-        connect_timeout: Duration,
+        query: ConnectionQuery<'_>,
     ) -> Result<PooledConnection, UpstreamError> {
-        if let Some(connection) = self.take_idle(now, address, idle_max) {
+        if let Some(connection) = self.take_idle(now, query) {
             return Ok(connection);
         }
         self.opened_count.set(self.opened_count.get() + 1);
-        match timeout(connect_timeout, connect(now, address)).await {
+        match timeout(query.connect_timeout, connect(now, query.address)).await {
             Ok(connected) => connected,
-            Err(_) => Err(UpstreamError::ConnectTimeout(connect_timeout)),
+            Err(_) => Err(UpstreamError::ConnectTimeout(query.connect_timeout)),
         }
     }
 
-    fn take_idle(
-        &self,
-        now: Monotonic,
-        address: SocketAddr,
-        idle_max: Duration,
-    ) -> Option<PooledConnection> {
+    fn take_idle(&self, now: Monotonic, query: ConnectionQuery<'_>) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&address)?;
+        let connections = idle.get_mut(&query.address)?;
         connections.retain(|connection| connection.is_usable(now, Duration::MAX));
-        let index = connections
-            .iter()
-            .rposition(|connection| connection.is_usable(now, idle_max))?;
+        let index = connections.iter().rposition(|connection| {
+            connection.is_usable(now, query.idle_max) && !self.has_failed(connection, query)
+        })?;
         Some(connections.remove(index))
     }
 
-    /// Returns a connection to the pool after its answer was read to the end.
+    /// Returns whether the request has failed on a connection; such a connection is passed over.
+    fn has_failed(&self, connection: &PooledConnection, query: ConnectionQuery<'_>) -> bool {
+        let request_id = query
+            .request_id
+            .filter(|request_id| connection.failed.contains(request_id));
+        if let Some(request_id) = request_id {
+            self.passed_over_count.set(self.passed_over_count.get() + 1);
+            log::info!(
+                request = request_id,
+                address:% = query.address,
+                request_count = connection.request_count;
+                "a connection is passed over, as the request has failed on it"
+            );
+        }
+        request_id.is_some()
+    }
+
+    /// Returns a connection to the pool after its answer was read to the end, or closes it if too many requests
+    /// have failed on it.
     pub(super) fn release(&self, now: Monotonic, mut connection: PooledConnection) {
+        if connection.failed.is_full() {
+            return;
+        }
         connection.on_idle(now);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address).or_default();
--- a/src/edge/peer_fetch.rs
+++ b/src/edge/peer_fetch.rs
@@ -15,6 +15,7 @@
 use http_body_util::Limited;
 use tokio::time::timeout;
 
+use super::connection_query::ConnectionQuery;
 use super::edge_body::whole;
 use super::peer_encoding::compress;
 use super::peer_encoding::decompress;
@@ -154,9 +155,13 @@
     path: &'static str,
 ) -> Result<Bytes, UpstreamError> {
     let pool = &state.connection_pool;
-    let mut connection = pool
-        .acquire(state.now(), address, Duration::MAX, CONNECT_TIMEOUT)
-        .await?;
+    let query = ConnectionQuery {
+        address,
+        idle_max: Duration::MAX,
+        connect_timeout: CONNECT_TIMEOUT,
+        request_id: None,
+    };
+    let mut connection = pool.acquire(state.now(), query).await?;
     let request = Request::get(path)
         .header(header::HOST, address.to_string())
         .header(header::ACCEPT_ENCODING, ENCODING)
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -11,8 +11,8 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::AbortHandle;
 
+use super::failed_requests::FailedRequests;
 use super::head_limit::HeadLimit;
-use super::refused_requests::RefusedRequests;
 use super::UpstreamError;
 use crate::clock::Monotonic;
 
@@ -28,8 +28,8 @@
     pub(super) is_reused: bool,
     /// The number of requests sent on it.
     pub(super) request_count: u32,
-    /// The requests that the endpoint refused on it.
-    pub(super) refused: RefusedRequests,
+    /// The requests that must not be sent on it again.
+    pub(super) failed: FailedRequests,
     /// When it was opened.
     pub(super) opened_at: Monotonic,
     sender: SendRequest<Full<Bytes>>,
@@ -51,7 +51,7 @@
             address,
             is_reused: false,
             request_count: 0,
-            refused: RefusedRequests::default(),
+            failed: FailedRequests::default(),
             opened_at,
             sender,
             head_limit,
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -131,10 +131,10 @@
                 Ok(Chunk::End) => match self.check_end() {
                     Ok(()) => {
                         if let Some(answer) = self.answer.take() {
-                            let fingerprint = self.attempts.request.fingerprint;
+                            let request = &self.attempts.request;
                             let status = answer.parts.status;
-                            answer.running.record_survived(fingerprint, status);
-                            answer.running.finish();
+                            answer.running.record_survived(request.fingerprint, status);
+                            answer.running.finish(&request.head.request_id, status);
                         }
                         return Ok(None);
                     }
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -134,8 +134,13 @@
     }
 
     /// Returns the connection to the pool after the answer was read to its end.
-    pub(super) fn finish(mut self) {
-        if let Some(connection) = self.connection.take() {
+    ///
+    /// A request without success may be sent again under its identifier; VMs write no answer twice.
+    pub(super) fn finish(mut self, request_id: &str, status: StatusCode) {
+        if let Some(mut connection) = self.connection.take() {
+            if self.placement.is_some() && !status.is_success() {
+                connection.failed.add(request_id);
+            }
             let now = self.state.now();
             self.state.connection_pool.release(now, connection);
         }
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -38,6 +38,8 @@
     pub running_requests: u64,
     /// The connections opened to endpoints and other VMs since the daemon started.
     pub opened_connections: u64,
+    /// The idle connections that were passed over, as the request had failed on them.
+    pub passed_over_connections: u64,
     /// The sets of prompt parts that are quarantined.
     pub quarantined_parts: u64,
 }
@@ -48,7 +50,6 @@
     answers: Counter,
     refusals: Family<ReasonLabel, Counter>,
     failed_attempts: Counter,
-    repeated_requests: Counter,
     first_event: Histogram,
     overlap: Histogram,
     configuration_version: Gauge,
@@ -56,6 +57,7 @@
     alive_vms: Gauge,
     running_requests: Gauge,
     opened_connections: Gauge,
+    passed_over_connections: Gauge,
     quarantined_parts: Gauge,
 }
 
@@ -67,7 +69,6 @@
             answers: Counter::default(),
             refusals: Family::default(),
             failed_attempts: Counter::default(),
-            repeated_requests: Counter::default(),
             first_event: Histogram::new(LATENCY_BUCKETS_S),
             overlap: Histogram::new(OVERLAP_BUCKETS_S),
             configuration_version: Gauge::default(),
@@ -75,6 +76,7 @@
             alive_vms: Gauge::default(),
             running_requests: Gauge::default(),
             opened_connections: Gauge::default(),
+            passed_over_connections: Gauge::default(),
             quarantined_parts: Gauge::default(),
         };
         metrics.register();
@@ -88,11 +90,6 @@
         registry.register("refusals", "Answers of the gateway itself", refusals);
         let failed = self.failed_attempts.clone();
         registry.register("failed_attempts", "Attempts without an answer", failed);
-        registry.register(
-            "repeated_requests",
-            "Requests sent again on a connection on which they were refused",
-            self.repeated_requests.clone(),
-        );
         let first_event = self.first_event.clone();
         registry.register(
             "first_event_s",
@@ -114,6 +111,12 @@
         registry.register("running_requests", "Requests being served", running);
         let opened = self.opened_connections.clone();
         registry.register("opened_connections", "Connections opened", opened);
+        let passed_over = self.passed_over_connections.clone();
+        registry.register(
+            "passed_over_connections",
+            "Idle connections not used for a request that had failed on them",
+            passed_over,
+        );
         let parts = self.quarantined_parts.clone();
         registry.register("quarantined_parts", "Request parts not sent on", parts);
     }
@@ -134,11 +137,6 @@
         self.failed_attempts.inc();
     }
 
-    /// Counts a request that was sent again on a connection on which it was refused.
-    pub fn on_repeated_request(&self) {
-        self.repeated_requests.inc();
-    }
-
     /// Counts a request that the gateway itself refused.
     pub fn on_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
@@ -159,6 +157,8 @@
         self.running_requests.set(signed(gauges.running_requests));
         self.opened_connections
             .set(signed(gauges.opened_connections));
+        self.passed_over_connections
+            .set(signed(gauges.passed_over_connections));
         self.quarantined_parts.set(signed(gauges.quarantined_parts));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
--- a/tests/behaviour/edge/mod.rs
+++ b/tests/behaviour/edge/mod.rs
@@ -1,6 +1,7 @@
 //! Answers and streams as clients receive them.
 
 mod event_splitting;
+mod failed_requests;
 mod failure_statuses;
 mod overlaps;
 mod refusals;
