Store: escape keys in queries

A page of the store that ended with a key with a space or another character that is none of a query ended every daemon that read it ("keys of the store form a valid path: InvalidUriChar"), and none became ready: other writers may have put any key there. Keys are percent-encoded.

--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -14,6 +14,9 @@
 use http_body_util::Limited;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use percent_encoding::utf8_percent_encode;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -28,6 +31,14 @@
 const EVACUATION_PREFIX: &str = "op/evacuate/";
 const ENDPOINT_PREFIX: &str = "servers/";
 
+/// The characters of a key that are escaped in a query; any writer may have put a key into the store.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 /// The prefix of all keys, so that one read returns configuration, evacuations and endpoints.
 const READ_PREFIX: &str = "";
 
@@ -145,9 +156,13 @@
     }
 
     async fn read_page(&mut self, prefix: &str, after: &str) -> Result<Page, StoreError> {
+        let prefix = utf8_percent_encode(prefix, ESCAPED);
         let query = match after {
             "" => format!("/kv-range?prefix={prefix}"),
-            after => format!("/kv-range?prefix={prefix}&after={after}"),
+            after => {
+                let after = utf8_percent_encode(after, ESCAPED);
+                format!("/kv-range?prefix={prefix}&after={after}")
+            }
         };
         let limit = Duration::from_millis(CALL_TIMEOUT_MS);
         let result = match timeout(limit, self.get(&query)).await {
@@ -173,7 +188,7 @@
         let request = Request::get(path_and_query)
             .header(header::HOST, address.to_string())
             .body(Empty::new())
-            .expect("keys of the store form a valid path");
+            .expect("escaped keys form a valid query");
         let (parts, body) = connection.send_request(request).await?.into_parts();
         let body = Limited::new(body, PAGE_MAX_BYTES).collect().await;
         let body = body.map_err(StoreError::Body)?.to_bytes();
--- a/src/stand_in/deployment/store_server.rs
+++ b/src/stand_in/deployment/store_server.rs
@@ -14,6 +14,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 use parking_lot::Mutex;
+use percent_encoding::percent_decode_str;
 use serde_json::json;
 use tokio::task::JoinHandle;
 
@@ -40,6 +41,8 @@
     era: u64,
     fault: StoreFault,
     call_count: u64,
+    /// The number of items after which a page is truncated; `None` for one page.
+    page_size: Option<usize>,
 }
 
 /// The content of a store at some time, which it can be restored from.
@@ -49,7 +52,7 @@
     revision: u64,
 }
 
-/// A store whose items are listed by prefix; each listing fits one page.
+/// A store whose items are listed by prefix.
 #[derive(Debug)]
 pub struct StoreServer {
     address: SocketAddr,
@@ -140,6 +143,11 @@
         self.state.lock().fault = fault;
     }
 
+    /// Truncates pages after this number of items.
+    pub fn set_page_size(&self, page_size: usize) {
+        self.state.lock().page_size = Some(page_size);
+    }
+
     /// Returns the number of calls received so far.
     pub fn call_count(&self) -> u64 {
         self.state.lock().call_count
@@ -157,23 +165,25 @@
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         pairs
             .filter(|(key, _)| *key == name)
-            .map(|(_, value)| value)
+            .map(|(_, value)| percent_decode_str(value).decode_utf8_lossy())
             .next()
             .unwrap_or_default()
-            .to_owned()
     };
     let (prefix, after) = (value("prefix"), value("after"));
-    let items = state
+    let mut items = state
         .items
         .iter()
-        .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
+        .filter(|(key, _)| key.starts_with(&*prefix) && ***key > *after)
         .map(|(key, value)| {
             json!({"key": key, "value": STANDARD.encode(value), "lease": 0}).to_string()
         });
-    let items: Vec<String> = state.odd_items.iter().cloned().chain(items).collect();
+    let page_size = state.page_size.unwrap_or(usize::MAX);
+    let listed = items.by_ref().take(page_size);
+    let listed: Vec<String> = state.odd_items.iter().cloned().chain(listed).collect();
     let page = format!(
-        "{{\"items\":[{}],\"truncated\":false,\"storeRevision\":{}}}",
-        items.join(","),
+        "{{\"items\":[{}],\"truncated\":{},\"storeRevision\":{}}}",
+        listed.join(","),
+        items.next().is_some(),
         state.revision
     );
     let mut response = Response::new(Full::from(page));
--- a/tests/behaviour/entry/odd_entries.rs
+++ b/tests/behaviour/entry/odd_entries.rs
@@ -72,3 +72,22 @@
     let answer = vm.post("/book/x", "r1").send().await.expect("an answer");
     assert_eq!(answer.status(), 200);
 }
+
+/// Guards against a VM that never becomes ready, as it cannot ask for the page after such a key.
+#[tokio::test]
+async fn a_vm_starts_though_a_page_ends_with_a_key_that_is_no_query() {
+    for odd_key in [
+        "servers/a b",
+        "servers/a&b=c#d",
+        "servers/a%41+?",
+        "servers/\u{e9}\"<",
+    ] {
+        let site = Site::launch(EAST).await;
+        site.store.set_page_size(1);
+        site.store.put(odd_key, "no record at all");
+        let vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+        let answer = vm.post("/book/x", "r1").send().await.expect("an answer");
+        assert_eq!(answer.status(), 200, "{odd_key}");
+        assert_eq!(site.runs("r1"), 1, "{odd_key}");
+    }
+}
