Close a connection that is replaced as a request has failed on it

The connection that had refused a request stayed open beside the new one for that request. Endpoints bound the connections of all VMs together and reset those beyond, which would make a 502 of a booking that did not run. The pool closes it if it has no other one. The test saw two open connections of a VM that sends one request at a time before, and one now; x86_64.

--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -35,7 +35,7 @@
 pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<PooledConnection>>>,
     opened_count: Cell<u64>,
-    passed_over_count: Cell<u64>,
+    replaced_count: Cell<u64>,
 }
 
 impl ConnectionPool {
@@ -44,13 +44,13 @@
         self.opened_count.get()
     }
 
-    /// Returns how often a request was not sent on an idle connection, as it had failed there before.
-    pub fn passed_over_count(&self) -> u64 {
-        self.passed_over_count.get()
+    /// Returns the number of idle connections closed for new ones, as a request had failed on them before.
+    pub fn replaced_count(&self) -> u64 {
+        self.replaced_count.get()
     }
 
     /// Takes an idle connection that was used within the time and on which the request has not failed, or
-    /// opens one.
+    /// opens one, in place of one on which it has.
     pub(super) async fn acquire(
         &self,
         now: Monotonic,
@@ -70,27 +70,31 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&query.address)?;
         connections.retain(|connection| connection.is_usable(now, Duration::MAX));
+        let has_failed = |connection: &PooledConnection| {
+            let mut request_id = query.request_id.into_iter();
+            request_id.any(|request_id| connection.failed.contains(request_id))
+        };
         let index = connections.iter().rposition(|connection| {
-            connection.is_usable(now, query.idle_max) && !self.has_failed(connection, query)
-        })?;
-        Some(connections.remove(index))
+            connection.is_usable(now, query.idle_max) && !has_failed(connection)
+        });
+        if let Some(index) = index {
+            return Some(connections.remove(index));
+        }
+        let index = connections.iter().rposition(has_failed)?;
+        self.on_replaced(&connections.remove(index), query);
+        None
     }
 
-    /// Returns whether the request has failed on a connection; such a connection is passed over.
-    fn has_failed(&self, connection: &PooledConnection, query: ConnectionQuery<'_>) -> bool {
-        let request_id = query
-            .request_id
-            .filter(|request_id| connection.failed.contains(request_id));
-        if let Some(request_id) = request_id {
-            self.passed_over_count.set(self.passed_over_count.get() + 1);
-            log::info!(
-                request = request_id,
-                address:% = query.address,
-                request_count = connection.request_count;
-                "a connection is passed over, as the request has failed on it"
-            );
-        }
-        request_id.is_some()
+    /// Records that a connection is closed for a new one, so that the endpoint has no more connections than
+    /// before.
+    fn on_replaced(&self, connection: &PooledConnection, query: ConnectionQuery<'_>) {
+        self.replaced_count.set(self.replaced_count.get() + 1);
+        log::info!(
+            request = query.request_id,
+            address:% = query.address,
+            request_count = connection.request_count;
+            "a connection is replaced, as the request has failed on it"
+        );
     }
 
     /// Returns a connection to the pool after its answer was read to the end, or closes it if too many requests
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -235,7 +235,7 @@
             alive_vms: self.fleet.borrow().alive_count(now) as u64,
             running_requests: u64::from(self.running_count.get()),
             opened_connections: self.connection_pool.opened_count(),
-            passed_over_connections: self.connection_pool.passed_over_count(),
+            replaced_connections: self.connection_pool.replaced_count(),
             quarantined_parts: self.quarantine.borrow().quarantined().len() as u64,
         })
     }
--- a/src/stand_in/deployment/copying_refuser.rs
+++ b/src/stand_in/deployment/copying_refuser.rs
@@ -58,6 +58,7 @@
     timing: CopyTiming,
     refused: Mutex<HashSet<String>>,
     connection_count: Mutex<usize>,
+    open_count: Mutex<usize>,
     work_log: Arc<WorkLog>,
 }
 
@@ -81,6 +82,7 @@
             timing,
             refused: Mutex::default(),
             connection_count: Mutex::default(),
+            open_count: Mutex::default(),
             work_log: Arc::default(),
         });
         let endpoint = Arc::clone(&shared);
@@ -88,9 +90,11 @@
             while let Ok((stream, _)) = listener.accept().await {
                 let endpoint = Arc::clone(&endpoint);
                 tokio::spawn(async move {
+                    *endpoint.open_count.lock() += 1;
                     if let Err(error) = endpoint.serve(stream).await {
                         log::debug!("a connection of a copying refuser ended: {error}");
                     }
+                    *endpoint.open_count.lock() -= 1;
                 });
             }
         });
@@ -121,6 +125,11 @@
         self.shared.refused.lock().len()
     }
 
+    /// Returns the number of open connections.
+    pub fn open_count(&self) -> usize {
+        *self.shared.open_count.lock()
+    }
+
     /// Returns the number of connections that it has accepted.
     pub fn connection_count(&self) -> usize {
         *self.shared.connection_count.lock()
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -38,8 +38,8 @@
     pub running_requests: u64,
     /// The connections opened to endpoints and other VMs since the daemon started.
     pub opened_connections: u64,
-    /// The idle connections that were passed over, as the request had failed on them.
-    pub passed_over_connections: u64,
+    /// The idle connections closed for new ones, as a request had failed on them.
+    pub replaced_connections: u64,
     /// The sets of prompt parts that are quarantined.
     pub quarantined_parts: u64,
 }
@@ -57,7 +57,7 @@
     alive_vms: Gauge,
     running_requests: Gauge,
     opened_connections: Gauge,
-    passed_over_connections: Gauge,
+    replaced_connections: Gauge,
     quarantined_parts: Gauge,
 }
 
@@ -76,7 +76,7 @@
             alive_vms: Gauge::default(),
             running_requests: Gauge::default(),
             opened_connections: Gauge::default(),
-            passed_over_connections: Gauge::default(),
+            replaced_connections: Gauge::default(),
             quarantined_parts: Gauge::default(),
         };
         metrics.register();
@@ -111,11 +111,11 @@
         registry.register("running_requests", "Requests being served", running);
         let opened = self.opened_connections.clone();
         registry.register("opened_connections", "Connections opened", opened);
-        let passed_over = self.passed_over_connections.clone();
+        let replaced = self.replaced_connections.clone();
         registry.register(
-            "passed_over_connections",
-            "Idle connections not used for a request that had failed on them",
-            passed_over,
+            "replaced_connections",
+            "Idle connections closed for a request that had failed on them",
+            replaced,
         );
         let parts = self.quarantined_parts.clone();
         registry.register("quarantined_parts", "Request parts not sent on", parts);
@@ -157,8 +157,8 @@
         self.running_requests.set(signed(gauges.running_requests));
         self.opened_connections
             .set(signed(gauges.opened_connections));
-        self.passed_over_connections
-            .set(signed(gauges.passed_over_connections));
+        self.replaced_connections
+            .set(signed(gauges.replaced_connections));
         self.quarantined_parts.set(signed(gauges.quarantined_parts));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
--- a/tests/behaviour/entry/copied_refusals.rs
+++ b/tests/behaviour/entry/copied_refusals.rs
@@ -180,6 +180,26 @@
     }
 }
 
+/// Guards against connections that add up beside those on which a request has failed.
+#[tokio::test]
+async fn an_endpoint_has_no_more_connections_after_requests_are_sent_again() {
+    let site = Site::launch(EAST).await;
+    let refusers = launch_refusers(&site, FirstRefusal::Full, QUICK).await;
+    let vm = EntryVm::launch(new_ip(), EAST, &site.store, &[]).await;
+    for number in 0..REQUESTS {
+        let request_id = format!("r{number}");
+        for _ in 0..2 {
+            let answer = vm.post("/book/x", &request_id).send().await;
+            answer.expect("an answer");
+        }
+    }
+    sleep(INTERVAL).await;
+    for refuser in &refusers[..site.plain.len()] {
+        let connections = refuser.open_count();
+        assert!(connections <= 1, "{connections} open connections");
+    }
+}
+
 /// The identifier of the process that listens at the reused address.
 const PRESENT: &str = "p1";
 
