Endpoint: believe an answer on a kept connection only if it names its attempt

Callers of the serve daemon could see a request run at two endpoints at once, a completion that ran recorded as not run, and the answer to another caller's read.

An endpoint may send the copy of a refusal where the answer to the next request of the connection is due. The client of endpoints believed a 429 or 503 with the run state header on a pooled connection, for completions and for safe service calls, and then cancelled nothing. The answers that were due came one call late from then on; those of services name nothing, so the next caller got them. Unsafe service calls were not affected, as they use a new connection each.

The client already sends a random number for each attempt. Endpoints now repeat it, as the stand-ins do, and the client keeps connections only to endpoints that do. On a kept connection an answer without that number is an attempt that may have run: its pool is dropped, so that the cancellation does not queue behind the attempt, and the cancellation stays armed. Endpoints that don't repeat it get a new connection for each call, where the first answer is the only one. Successful completions need no number, as their events name the request.

Tests with an endpoint that copies its refusals, on the code before: the completion was EndpointRefused and NotRun though it ran, with the name and without; the read of /third got the answer to /second. All pass now. The two tests of endpoints that stop repeating the header are of the new rule.

The stand-in of pooled_connections now repeats the header, and both tests make one call more first, as otherwise no connection would be kept: with unsafe calls on pooled connections the one fails, without dropped pools the other.

--- a/src/endpoint/call_guard.rs
+++ b/src/endpoint/call_guard.rs
@@ -42,6 +42,11 @@
         self.attempt
     }
 
+    /// Returns the address of the endpoint.
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Prevents the cancellation, as nothing is left to cancel.
     pub(super) fn disarm(&mut self) {
         self.is_armed = false;
--- a/src/endpoint/engine_wire.rs
+++ b/src/endpoint/engine_wire.rs
@@ -17,7 +17,8 @@
 /// The header with the identifier of the request.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The header that identifies an attempt of a request, so that one attempt can be cancelled without
-/// the others.
+/// the others. An endpoint repeats it in each answer, refusals included; calls to one that does not
+/// get a new connection each.
 pub const ATTEMPT_HEADER: &str = "x-attempt";
 /// The header with the priority of the class of work; higher numbers are served first.
 pub const PRIORITY_HEADER: &str = "x-priority";
--- a/src/endpoint/http_endpoint_client.rs
+++ b/src/endpoint/http_endpoint_client.rs
@@ -7,12 +7,14 @@
 use async_trait::async_trait;
 use reqwest::header::CONTENT_TYPE;
 use reqwest::header::RETRY_AFTER;
+use reqwest::Client;
 use reqwest::Method;
 use reqwest::RequestBuilder;
 use reqwest::Response;
 use reqwest::StatusCode;
 use serde::de::DeserializeOwned;
 
+use super::attempt_names::AttemptNames;
 use super::call_guard::send_cancel;
 use super::call_guard::CallGuard;
 use super::connection_pools::ConnectionPools;
@@ -62,10 +64,20 @@
 
 const JSON_TYPE: &str = "application/json";
 
+/// The connection that a call is sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connection {
+    /// One from the pool, on which answers of earlier calls may be outstanding.
+    Kept,
+    /// A new one, for this call alone.
+    New,
+}
+
 /// Sends calls, cancellations, load requests and orders over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpEndpointClient {
     pools: Arc<ConnectionPools>,
+    names: Arc<AttemptNames>,
     events: AnswerBudget,
 }
 
@@ -73,6 +85,7 @@
     fn default() -> Self {
         Self {
             pools: Arc::default(),
+            names: Arc::default(),
             events: AnswerBudget::new(EVENT_MAX_BYTES, EVENTS_MAX_BYTES),
         }
     }
@@ -84,44 +97,53 @@
         Self::default()
     }
 
-    fn completion_request(
-        &self,
-        endpoint: &Endpoint,
-        call: &EndpointCall,
-        completion: &CompletionCall,
-    ) -> Result<RequestBuilder, GatewayError> {
-        let url = format!("http://{}/v1/chat/completions", endpoint.address);
-        let request = self
-            .pools
-            .pooled(endpoint.address)?
-            .post(url)
-            .header(CONTENT_TYPE, JSON_TYPE)
-            .header(PRIORITY_HEADER, priority_of(call.class))
-            .header(RESUME_OFFSET_HEADER, call.resume_offset)
-            .header(ANSWER_MAX_TOKENS_HEADER, completion.answer_max_tokens)
-            .body(completion.body.clone());
-        Ok(request)
+    fn connection_for(&self, endpoint: &Endpoint, body: &CallBody) -> Connection {
+        // An idle connection may be dead, and an unsafe call can't be retried.
+        let is_unsafe = matches!(body, CallBody::Service(call) if !call.method.is_safe());
+        if is_unsafe || !self.names.is_reliable(endpoint.address) {
+            return Connection::New;
+        }
+        Connection::Kept
+    }
+
+    fn client_for(&self, address: SocketAddr, on: Connection) -> Result<Client, GatewayError> {
+        match on {
+            Connection::Kept => self.pools.pooled(address),
+            Connection::New => self.pools.unpooled(),
+        }
     }
 
-    fn service_request(
+    /// Returns the response, or an error if it may be the answer to an earlier call.
+    fn check_attempt(
         &self,
-        endpoint: &Endpoint,
-        service: &ServiceCall,
-    ) -> Result<RequestBuilder, GatewayError> {
-        // An idle connection may be dead, and an unsafe call can't be retried.
-        let client = if service.method.is_safe() {
-            self.pools.pooled(endpoint.address)?
-        } else {
-            self.pools.unpooled()?
-        };
-        let url = format!("http://{}{}", endpoint.address, service.path_and_query);
-        let method = Method::from_bytes(service.method.as_str().as_bytes())
-            .map_err(|_| transport_errors::malformed("the method is not a valid HTTP method"))?;
-        let mut request = client.request(method, url).body(service.body.clone());
-        if let Some(content_type) = &service.content_type {
-            request = request.header(CONTENT_TYPE, content_type);
+        response: Response,
+        sent_on: Connection,
+        call: &EndpointCall,
+        guard: &CallGuard,
+    ) -> Result<Response, GatewayError> {
+        let name = response.headers().get(ATTEMPT_HEADER);
+        if name.is_some_and(|name| *name == guard.attempt().to_string()) {
+            self.names.on_named(guard.address());
+            return Ok(response);
+        }
+        if sent_on == Connection::New {
+            return Ok(response);
+        }
+        if name.is_none() {
+            self.names.on_unnamed(guard.address());
+            let is_completion = matches!(call.body, CallBody::Completion(_));
+            if is_completion && response.status().is_success() {
+                // Its events name the request.
+                return Ok(response);
+            }
         }
-        Ok(request)
+        let status = response.status().as_u16();
+        log::warn!(request_id:% = call.request_id, address:% = guard.address(), status;
+            "an answer that may be of another attempt is dropped");
+        guard.discard_pool();
+        Err(transport_errors::malformed(
+            "the endpoint's answer may be of another attempt",
+        ))
     }
 
     /// Sends a load request or an order and returns the response, whose body is not read yet.
@@ -145,11 +167,13 @@
         endpoint: &Endpoint,
         call: EndpointCall,
     ) -> Result<AnswerStream, GatewayError> {
+        let sent_on = self.connection_for(endpoint, &call.body);
+        let client = self.client_for(endpoint.address, sent_on)?;
         let request = match &call.body {
             CallBody::Completion(completion) => {
-                self.completion_request(endpoint, &call, completion)?
+                completion_request(&client, endpoint, &call, completion)
             }
-            CallBody::Service(service) => self.service_request(endpoint, service)?,
+            CallBody::Service(service) => service_request(&client, endpoint, service)?,
         };
         let limits = TimeLimits::start(&call);
         let pools = Arc::clone(&self.pools);
@@ -161,6 +185,7 @@
             .header(REQUEST_ID_HEADER, call.request_id.to_string())
             .header(ATTEMPT_HEADER, guard.attempt());
         let response = send(request, &limits, &mut guard).await?;
+        let response = self.check_attempt(response, sent_on, &call, &guard)?;
         match call.body {
             CallBody::Completion(completion) => {
                 let response = check_success(response, &mut guard)?;
@@ -222,6 +247,37 @@
     }
 }
 
+fn completion_request(
+    client: &Client,
+    endpoint: &Endpoint,
+    call: &EndpointCall,
+    completion: &CompletionCall,
+) -> RequestBuilder {
+    let url = format!("http://{}/v1/chat/completions", endpoint.address);
+    client
+        .post(url)
+        .header(CONTENT_TYPE, JSON_TYPE)
+        .header(PRIORITY_HEADER, priority_of(call.class))
+        .header(RESUME_OFFSET_HEADER, call.resume_offset)
+        .header(ANSWER_MAX_TOKENS_HEADER, completion.answer_max_tokens)
+        .body(completion.body.clone())
+}
+
+fn service_request(
+    client: &Client,
+    endpoint: &Endpoint,
+    service: &ServiceCall,
+) -> Result<RequestBuilder, GatewayError> {
+    let url = format!("http://{}{}", endpoint.address, service.path_and_query);
+    let method = Method::from_bytes(service.method.as_str().as_bytes())
+        .map_err(|_| transport_errors::malformed("the method is not a valid HTTP method"))?;
+    let mut request = client.request(method, url).body(service.body.clone());
+    if let Some(content_type) = &service.content_type {
+        request = request.header(CONTENT_TYPE, content_type);
+    }
+    Ok(request)
+}
+
 async fn parse_json<T: DeserializeOwned>(response: Response) -> Result<T, GatewayError> {
     let body = read_body(response).await?;
     serde_json::from_slice(&body).map_err(|_| {
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_budget;
 mod answer_checker;
+mod attempt_names;
 mod call_guard;
 mod connection_pools;
 mod endpoint_call;
--- a/src/stand_in/engine/engine_server.rs
+++ b/src/stand_in/engine/engine_server.rs
@@ -15,6 +15,7 @@
 use super::EngineOptions;
 use crate::caller::HttpServer;
 use crate::caller::LaunchError;
+use crate::stand_in::attempt_name::name_attempts;
 
 /// A running stand-in engine; it stops when it is dropped.
 #[derive(Debug)]
@@ -33,6 +34,7 @@
         let state = Arc::new(EngineState::new(options));
         let rocket = HttpServer::build(options.bind_address)
             .manage(Arc::clone(&state))
+            .attach(name_attempts())
             .mount("/", routes![completion_route::complete])
             .mount("/", routes![operation_routes::load])
             .mount("/", routes![operation_routes::cancel])
--- a/src/stand_in/service/service_server.rs
+++ b/src/stand_in/service/service_server.rs
@@ -15,6 +15,7 @@
 use super::ServiceOptions;
 use crate::caller::HttpServer;
 use crate::caller::LaunchError;
+use crate::stand_in::attempt_name::name_attempts;
 use crate::stand_in::silence::Silence;
 
 /// A running stand-in service; it stops when it is dropped.
@@ -39,6 +40,7 @@
         });
         let rocket = HttpServer::build(options.bind_address)
             .manage(Arc::clone(&state))
+            .attach(name_attempts())
             .mount("/", service_routes())
             .mount("/", routes![control_routes::faults])
             .mount("/", routes![control_routes::set_faults])
--- a/tests/behaviour/endpoint/mod.rs
+++ b/tests/behaviour/endpoint/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of the HTTP client for endpoints.
 
 mod answer_checks;
+mod copied_refusals;
+mod copying_endpoint;
 mod endless_bytes;
 mod engine_faults;
 mod operations;
--- a/tests/behaviour/endpoint/pooled_connections.rs
+++ b/tests/behaviour/endpoint/pooled_connections.rs
@@ -6,6 +6,7 @@
 
 use figramp::endpoint::EndpointClient;
 use figramp::endpoint::HttpEndpointClient;
+use figramp::endpoint::ATTEMPT_HEADER;
 use figramp::errors::ErrorKind;
 use figramp::request::HttpMethod;
 use tokio::io::AsyncReadExt;
@@ -19,7 +20,14 @@
 use super::support::short_timeouts;
 use crate::caller::support::LOOPBACK;
 
-const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+/// Returns an answer that names the attempt of `request`, as only then its connection is kept.
+fn answer_to(request: &[u8]) -> String {
+    let head = String::from_utf8_lossy(request);
+    let mut lines = head.lines();
+    let attempt = lines.find(|line| line.starts_with(ATTEMPT_HEADER));
+    let attempt = attempt.unwrap_or_default();
+    format!("HTTP/1.1 200 OK\r\n{attempt}\r\ncontent-length: 2\r\n\r\nok")
+}
 
 /// Answers each request of a connection until `is_silent` is set.
 async fn serve(mut socket: TcpStream, is_silent: Arc<AtomicBool>) {
@@ -29,7 +37,8 @@
             std::future::pending().await
         }
         if buffer[..count].windows(4).any(|bytes| bytes == b"\r\n\r\n") {
-            socket.write_all(ANSWER).await.unwrap();
+            let answer = answer_to(&buffer[..count]);
+            socket.write_all(answer.as_bytes()).await.unwrap();
         }
     }
 }
@@ -61,6 +70,7 @@
     let endpoint = service_at(address);
     let client = HttpEndpointClient::new();
     let call = || client.call(&endpoint, short_timeouts(service_call(HttpMethod::Get, "")));
+    assert_eq!(outcome(call().await).await.end, Ok(()));
     for answer in futures::future::join_all((0..4).map(|_| call())).await {
         assert_eq!(outcome(answer).await.end, Ok(()));
     }
@@ -78,7 +88,9 @@
     let endpoint = service_at(address);
     let client = HttpEndpointClient::new();
     let call = |method| client.call(&endpoint, short_timeouts(service_call(method, "")));
-    assert_eq!(outcome(call(HttpMethod::Get).await).await.end, Ok(()));
+    for _ in 0..2 {
+        assert_eq!(outcome(call(HttpMethod::Get).await).await.end, Ok(()));
+    }
     is_silent.store(true, Ordering::SeqCst);
     assert_eq!(outcome(call(HttpMethod::Post).await).await.end, Ok(()));
 }
