Endpoint: take no earlier answer for that to an order or a load request

After the copy of a refusal each answer of a connection is one request late, so a fenced order was called accepted and the load report before was taken for the latest.

An order now gets a new connection; no VM decides on orders yet. A load request carries the header x-attempt, and a report that names another attempt is dropped with its pool. A report without a name is believed as before, and may be an earlier one.

--- a/src/endpoint/http_endpoint_client.rs
+++ b/src/endpoint/http_endpoint_client.rs
@@ -141,9 +141,7 @@
         log::warn!(request_id:% = call.request_id, address:% = guard.address(), status;
             "an answer that may be of another attempt is dropped");
         guard.discard_pool();
-        Err(transport_errors::malformed(
-            "the endpoint's answer may be of another attempt",
-        ))
+        Err(another_attempt())
     }
 
     /// Sends a load request or an order and returns the response, whose body is not read yet.
@@ -217,7 +215,14 @@
         let client = self.pools.pooled(endpoint.address)?;
         let address = endpoint.address;
         let url = format!("http://{address}/v1/load?after={cache_sequence}");
-        let response = self.exchange(address, client.get(url)).await?;
+        let attempt: u64 = rand::random();
+        let request = client.get(url).header(ATTEMPT_HEADER, attempt);
+        let response = self.exchange(address, request).await?;
+        let name = response.headers().get(ATTEMPT_HEADER);
+        if name.is_some_and(|name| *name != attempt.to_string()) {
+            self.pools.discard(address);
+            return Err(another_attempt());
+        }
         if !response.status().is_success() {
             return Err(unexpected_status(&response));
         }
@@ -230,7 +235,8 @@
         endpoint: &Endpoint,
         order: EndpointOrder,
     ) -> Result<OrderOutcome, GatewayError> {
-        let client = self.pools.pooled(endpoint.address)?;
+        // The answer to an order names nothing that tells it from that to an earlier one.
+        let client = self.pools.unpooled()?;
         let address = endpoint.address;
         let url = format!("http://{address}/v1/orders");
         let request = client.post(url).json(&OrderWire::from(order));
@@ -301,6 +307,10 @@
     }
 }
 
+fn another_attempt() -> GatewayError {
+    transport_errors::malformed("the endpoint's answer may be of another attempt")
+}
+
 fn unexpected_status(response: &Response) -> GatewayError {
     let status = response.status().as_u16();
     transport_errors::malformed(format!("the endpoint answered with status {status}"))
--- a/tests/behaviour/endpoint/copied_refusals.rs
+++ b/tests/behaviour/endpoint/copied_refusals.rs
@@ -4,9 +4,13 @@
 
 use figramp::catalog::Endpoint;
 use figramp::catalog::EndpointKind;
+use figramp::catalog::Name;
+use figramp::catalog::TicketNumber;
 use figramp::endpoint::EndpointCall;
 use figramp::endpoint::EndpointClient;
+use figramp::endpoint::EndpointOrder;
 use figramp::endpoint::HttpEndpointClient;
+use figramp::endpoint::OrderOutcome;
 use figramp::errors::ErrorKind;
 use figramp::errors::RunState;
 use figramp::request::CallBody;
@@ -156,3 +160,44 @@
     client.be_refused(completion).await;
     assert_eq!(client.call(completion()).await.text, "whole");
 }
+
+#[tokio::test]
+async fn a_fenced_order_is_not_called_accepted() {
+    for is_naming in [true, false] {
+        let client = Client::launch(EndpointKind::Engine, is_naming).await;
+        let order = || EndpointOrder {
+            fencing: TicketNumber(6),
+            model: Name::new("advice").unwrap(),
+            version: Name::new("v2").unwrap(),
+        };
+        client.copying.set_refusing(true);
+        let refused = client.client.order(&client.endpoint, order()).await;
+        assert!(refused.is_err());
+        client.copying.set_refusing(false);
+        let accepted = client.client.order(&client.endpoint, order()).await;
+        client.copying.start_fencing();
+        let fenced = client.client.order(&client.endpoint, order()).await;
+        let highest = TicketNumber(7);
+        assert_eq!(
+            (accepted, fenced),
+            (
+                Ok(OrderOutcome::Accepted),
+                Ok(OrderOutcome::Fenced { highest })
+            )
+        );
+    }
+}
+
+#[tokio::test]
+async fn an_earlier_load_report_is_not_taken_for_the_latest() {
+    let client = Client::launch(EndpointKind::Engine, true).await;
+    client.copying.set_refusing(true);
+    assert!(client.client.load(&client.endpoint, 1).await.is_err());
+    client.copying.set_refusing(false);
+    assert!(client.client.load(&client.endpoint, 2).await.is_err());
+    let report = client.client.load(&client.endpoint, 3).await.unwrap();
+    assert_eq!(
+        (report.cache_sequence, client.copying.state().copies),
+        (3, 1)
+    );
+}
--- a/tests/behaviour/endpoint/copying_endpoint.rs
+++ b/tests/behaviour/endpoint/copying_endpoint.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use figramp::endpoint::EngineEventWire;
+use figramp::endpoint::LoadReport;
+use figramp::endpoint::LoadReportWire;
 use figramp::endpoint::ATTEMPT_HEADER;
 use figramp::endpoint::REQUEST_ID_HEADER;
 use figramp::endpoint::RUN_STATE_HEADER;
@@ -23,6 +25,9 @@
 use crate::caller::support::LOOPBACK;
 
 const CANCEL_PATH: &str = "/v1/cancel/";
+const LOAD_PATH: &str = "/v1/load?after=";
+const ORDERS_PATH: &str = "/v1/orders";
+const FENCED: &str = r#"{"highest":7}"#;
 
 /// An endpoint that sends each refusal twice, the second time where the answer to the next request
 /// of the connection is due; from then on, each answer of the connection is one request late.
@@ -35,6 +40,7 @@
 #[derive(Clone, Default)]
 pub struct State {
     pub is_refusing: bool,
+    pub is_fencing: bool,
     /// Whether answers name the attempt.
     pub is_naming: bool,
     /// The attempts that ran.
@@ -72,6 +78,10 @@
         self.state.lock().is_refusing = is_refusing;
     }
 
+    pub fn start_fencing(&self) {
+        self.state.lock().is_fencing = true;
+    }
+
     pub fn stop_naming(&self) {
         self.state.lock().is_naming = false;
     }
@@ -116,6 +126,21 @@
             head += &format!("{RUN_STATE_HEADER}: {run}\r\n");
             return (raw_answer("503 Service Unavailable", &head, ""), true);
         }
+        if request.path == ORDERS_PATH {
+            let (status, body) = match self.is_fencing {
+                true => ("409 Conflict", FENCED),
+                false => ("200 OK", ""),
+            };
+            return (raw_answer(status, &head, body), false);
+        }
+        if let Some(after) = request.path.strip_prefix(LOAD_PATH) {
+            let report = LoadReport {
+                cache_sequence: after.parse().unwrap(),
+                ..LoadReport::default()
+            };
+            let body = serde_json::to_string(&LoadReportWire::from(report)).unwrap();
+            return (raw_answer("200 OK", &head, &body), false);
+        }
         self.runs.push(request.attempt.clone());
         let body = match request.path.as_str() {
             "/v1/chat/completions" => completion_events(request.request_id),
