Let a duplicate wait for the outcome of the first submission

A caller that repeated a booking right after its answer got 409 call_in_progress in place of the stored answer, at times, on another VM.

The VM that coordinates a call passes the end of the answer on before it records the outcome, and the replicas get the outcome in a message after that. A duplicate that comes in between finds a record without an outcome.

A duplicate that finds the call in progress now asks again for up to 2 s, within its deadline and while its caller is there, before it is refused. 2 s covers a lost message too, as replicas without the outcome ask the coordinator each second. What may run is decided as before, by the same request to the records; a duplicate may run only once the record of a submission that did not run is released, as one sent later would. Price: while a call runs on, its duplicates are refused 2 s later than before.

To hold back the end of the answer alone would not do, as the replicas have to have acknowledged the outcome, for which VMs have no message.

--- a/src/vm/coordinator.rs
+++ b/src/vm/coordinator.rs
@@ -1,8 +1,10 @@
 //! Runs a call; a non-idempotent one is recorded in its home region first.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::time::sleep;
 
 use super::call_end::AnswerSink;
 use super::call_end::CallEnd;
@@ -39,6 +41,13 @@
 /// The most VMs of the home region that a non-idempotent call is forwarded to in turn.
 const HOME_VMS_TRIED_MAX: usize = 2;
 
+/// The longest wait of a duplicate for the outcome of the first submission. A caller may have the
+/// answer before the replicas have the outcome, and a replica that missed it asks each second.
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(2);
+
+const OUTCOME_POLL_MIN: Duration = Duration::from_millis(10);
+const OUTCOME_POLL_MAX: Duration = Duration::from_millis(200);
+
 /// Where a call came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -134,12 +143,7 @@
             max_bytes: self.context.stored_answer_max_bytes,
         };
         let mut task = self.task(DisconnectPolicy::Finish, 0, storage);
-        match self
-            .context
-            .control
-            .begin_call(Call::clone(&self.call))
-            .await
-        {
+        match self.begin().await {
             Ok(BeginReply::Proceed) => {
                 let end = task.run().await;
                 let outcome = call_outcome(&end, &task.progress);
@@ -164,6 +168,26 @@
         }
     }
 
+    /// Records the submission; a duplicate waits for the outcome of the first submission.
+    async fn begin(&self) -> Result<BeginReply, GatewayError> {
+        let now = self.context.clock.now();
+        let give_up_at = (now + OUTCOME_TIMEOUT).min(self.deadline);
+        let mut pause = OUTCOME_POLL_MIN;
+        loop {
+            let call = Call::clone(&self.call);
+            let reply = self.context.control.begin_call(call).await?;
+            let next_poll = self.context.clock.now() + pause;
+            if !is_in_progress(&reply) || next_poll >= give_up_at {
+                return Ok(reply);
+            }
+            sleep(pause).await;
+            if self.sink.is_closed() {
+                return Ok(reply);
+            }
+            pause = (pause * 2).min(OUTCOME_POLL_MAX);
+        }
+    }
+
     /// Forwards the call to a VM of its home region.
     async fn forward_home(self, home: RegionKey, record_id: &RecordId) -> CallReport {
         let mut task = self.task(
@@ -260,6 +284,11 @@
     }
 }
 
+fn is_in_progress(reply: &BeginReply) -> bool {
+    matches!(reply, BeginReply::Answer(IdempotencyAnswer::Failed(error))
+        if error.kind == ErrorKind::CallInProgress)
+}
+
 fn call_outcome(end: &CallEnd, progress: &Progress) -> CallOutcome {
     match end {
         CallEnd::Completed(usage) => progress.completed_outcome(*usage),
--- a/tests/behaviour/vm/bookings.rs
+++ b/tests/behaviour/vm/bookings.rs
@@ -1,16 +1,23 @@
 //! Non-idempotent calls, their duplicates, and faults of the service.
 
+use std::time::Duration;
+
 use figramp::clock::Clock;
 use figramp::clock::SystemClock;
 use figramp::demo::Deployment;
 use figramp::demo::DeploymentPlan;
 use figramp::stand_in::service::ServiceFaults;
+use futures::future::join_all;
+use tokio::time::sleep;
 
 use super::support::booking;
 use super::support::executions;
 use super::support::launch;
 use super::support::refusal;
 
+const CALL_TIME_MS: u64 = 200;
+const SUBMISSION_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Returns the bookings that all VMs together count as run and as repeated.
 fn counted_bookings(deployment: &Deployment) -> (u64, u64) {
     let now = SystemClock::new().wall_time();
@@ -107,3 +114,34 @@
         ("idempotency_key_reused", "not_run")
     );
 }
+
+/// The replicas learn of the outcome only after the duplicates have come.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_duplicate_that_comes_before_the_outcome_gets_the_first_answer() {
+    let deployment = launch(&DeploymentPlan::three_regions()).await;
+    for service in &deployment.services {
+        service.server.set_faults(ServiceFaults {
+            delay_ms: CALL_TIME_MS,
+            ..ServiceFaults::default()
+        });
+    }
+    let submissions = (0..deployment.vms.len()).map(|vm| {
+        let submission = booking(&deployment, vm, "truck", "soil");
+        async move {
+            sleep(SUBMISSION_INTERVAL * u32::try_from(vm).unwrap()).await;
+            let response = submission.send().await.expect("the VM answers");
+            let status = response.status().as_u16();
+            (
+                status,
+                response.text().await.expect("the answer is complete"),
+            )
+        }
+    });
+    let answers = join_all(submissions).await;
+    assert!(
+        answers.iter().all(|answer| *answer == answers[0]),
+        "{answers:?}"
+    );
+    assert_eq!(answers[0].0, 200);
+    assert_eq!(executions(&deployment, "soil"), 1);
+}
