Edge: send a request again to its only endpoint if its connection passes nothing

All requests on the kept connections of an endpoint failed together.

Cause: a silent attempt ends only for another target; the endpoint itself over a new connection is none, and the idle connections to it are closed only when an attempt ends. The peer's kernel acknowledges the bytes and answers keep-alives, so the connection does not fail either.

A lost connection cannot be told from a slow sound run: the endpoint answers others in both cases. Leaving the attempt would begin such a run anew, too late. So the silent attempt goes on, and an idempotent request that is no stream is sent a second time beside it (hedged) over a new connection; the first answer counts, the other attempt is closed. That happens once for an attempt, after half of its time, on a kept connection only, without another target, within maxAttempts, and if

- the same endpoint would be chosen (listing, rates, brittleness, limits),
- it answers a probe on a new connection, of which a VM makes one at a time,
- it has not reported since that all of its slots are taken,
- the attempt is silent for another 200 ms, and
- the retry budget grants it.

A sound request that is alone at its endpoint and takes longer than half of its time on a kept connection may thus run twice, within the retry budget.

The stand-in answers GET /report as endpoints do: without a slot, so neither refused as full nor delayed like an answer, but not while it is silent. It still counts as an arrival.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -117,6 +117,13 @@
     MayHaveRun(UpstreamError),
 }
 
+/// An attempt whose answer has not begun after the silence timeout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SilentAttempt {
+    pub(super) now: Monotonic,
+    pub(super) is_connection_reused: bool,
+}
+
 /// Sends a request and waits for the head of its answer, or until `try_leave` returns true after a
 /// silence.
 pub(super) async fn send(
@@ -125,7 +132,7 @@
     target: &Target,
     continuation: Continuation,
     limits: SilenceLimits,
-    try_leave: impl FnMut(Monotonic) -> bool,
+    mut try_leave: impl FnMut(SilentAttempt) -> bool,
 ) -> Result<Answer, AttemptError> {
     let mut running = connect(state, request, target).await?;
     let sent_at = state.now();
@@ -145,8 +152,15 @@
     if running.placement().is_some() {
         state.reach.borrow_mut().on_sent(sent_at);
     }
-    let sending = running.connection_mut().send(message);
-    let sent = wait_for(state, limits, sending, try_leave).await;
+    let connection = running.connection_mut();
+    let is_connection_reused = connection.is_reused;
+    let try_leave = |now| {
+        try_leave(SilentAttempt {
+            now,
+            is_connection_reused,
+        })
+    };
+    let sent = wait_for(state, limits, connection.send(message), try_leave).await;
     let response = match sent.and_then(|response| response) {
         Ok(response) => response,
         Err(error) => return Err(on_failed(request, running, error)),
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -9,7 +9,6 @@
 use tokio::time::timeout;
 
 use super::answer_memory::AnswerMemory;
-use super::attempt;
 use super::attempt::Answer;
 use super::attempt::AttemptError;
 use super::attempt::Target;
@@ -132,15 +131,11 @@
             }
             self.record_target(&target);
             let limits = self.head_limits(time_left);
-            let (state, request) = (Rc::clone(&self.state), Rc::clone(&self.request));
             let continuation = Continuation {
                 after_event,
                 version: self.version,
             };
-            let try_leave = |now| self.try_leave(now);
-            let sent =
-                attempt::send(&state, &request, &target, continuation, limits, try_leave).await;
-            match sent {
+            match self.send(&target, continuation, limits).await {
                 Ok(answer) => {
                     self.arrived_count += 1;
                     self.ran_count += 1;
@@ -176,7 +171,7 @@
     }
 
     /// Reads the homes of the request from a newer configuration, if there is one.
-    fn update_homes(&mut self) {
+    pub(super) fn update_homes(&mut self) {
         let belief = self.state.belief.borrow();
         let newer = belief
             .deployment()
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -23,6 +23,7 @@
 mod forward_headers;
 mod handlers;
 mod head_limit;
+mod hedge;
 mod listing_confirmation;
 mod overlap;
 mod peer_encoding;
--- a/src/edge/tried_targets.rs
+++ b/src/edge/tried_targets.rs
@@ -14,7 +14,7 @@
 }
 
 /// The targets of the earlier attempts of a request, which later ones leave out.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct TriedTargets {
     endpoints: Vec<EndpointKey>,
     vms: Vec<Ipv4Addr>,
@@ -45,6 +45,20 @@
         self.last
     }
 
+    /// Returns the targets of the attempts before the last one.
+    pub(super) fn without_last(&self) -> Self {
+        let is_last = |target| self.last == Some(target);
+        let mut earlier = self.clone();
+        earlier
+            .endpoints
+            .retain(|endpoint| !is_last(TriedTarget::Endpoint(*endpoint)));
+        earlier.vms.retain(|vm| !is_last(TriedTarget::Vm(*vm)));
+        earlier
+            .regions
+            .retain(|region| !is_last(TriedTarget::Region(*region)));
+        earlier
+    }
+
     /// Records that the attempt at a target was given up because of its silence.
     pub(super) fn on_silent(&mut self, target: Option<TriedTarget>) {
         self.silent.extend(target);
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -15,6 +15,7 @@
 use rand::SeedableRng;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::sync::Mutex;
 use tokio::sync::Notify;
 
 use super::incarnation::incarnation;
@@ -73,6 +74,8 @@
     pub retry_budgets: RefCell<HashMap<Name, FleetRetryBudget>>,
     /// The connections to endpoints and other VMs.
     pub connection_pool: ConnectionPool,
+    /// Held while an endpoint is probed for a silent request.
+    pub probe_turn: Mutex<()>,
     /// The memory for request bodies.
     pub memory: MemoryBudget,
     /// The memory for answers of which a part has arrived.
@@ -131,6 +134,7 @@
             quota: RefCell::new(QuotaLimiter::new(settings.bounds.quota_overage)),
             retry_budgets: RefCell::default(),
             connection_pool: ConnectionPool::default(),
+            probe_turn: Mutex::default(),
             memory: MemoryBudget::new(settings.memory_max_bytes),
             answer_memory: MemoryBudget::new(settings.memory_max_bytes),
             running_count: Rc::default(),
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -196,6 +196,13 @@
         self.load.total_requests(now) * 2 > self.record.slots
     }
 
+    /// Returns whether the endpoint has reported since a time, and lately, that all of its slots are taken.
+    pub fn is_reported_full(&self, now: Monotonic, since: Monotonic) -> bool {
+        self.load
+            .reported_requests(now, since)
+            .is_some_and(|requests| requests >= self.record.slots)
+    }
+
     /// Returns for how long the endpoint is unavailable to a request, or `None` if it is available.
     pub(super) fn unavailable_for(
         &self,
--- a/src/placement/load_estimate.rs
+++ b/src/placement/load_estimate.rs
@@ -72,6 +72,14 @@
         self.report.filter(|report| now.since(report.at) < age_max)
     }
 
+    /// Returns the requests that ran or waited at the endpoint by its last report, if that is recent and
+    /// not older than `since`.
+    pub(super) fn reported_requests(&self, now: Monotonic, since: Monotonic) -> Option<u32> {
+        let report = self.recent_report(now, REPORT_AGE_MAX);
+        let report = report.filter(|report| report.at >= since)?;
+        Some(report.total_requests)
+    }
+
     /// Returns the requests of all VMs that run or wait at the endpoint.
     pub(super) fn total_requests(&self, now: Monotonic) -> u32 {
         let others = self.recent_report(now, REPORT_AGE_MAX);
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -46,6 +46,9 @@
 /// Requests whose path contains this are answered with a stream.
 const STREAM_PATH: &str = "stream";
 
+/// The path of its report, which takes no slot.
+const REPORT_PATH: &str = "/report";
+
 /// The delay between the head of an answer and the crash under it, in which the head is sent.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 
@@ -251,6 +254,16 @@
         return Ok(empty(StatusCode::BAD_REQUEST));
     };
     let body = body.to_bytes();
+    if parts.uri.path() == REPORT_PATH {
+        let silence = {
+            let mut state = state.lock();
+            let arrival = state.arrival("");
+            state.arrivals.push(arrival);
+            Arc::clone(&state.silence)
+        };
+        silence.wait().await;
+        return Ok(empty(StatusCode::OK));
+    }
     let header = |name: &str| {
         let value = parts.headers.get(name)?;
         value.to_str().ok().map(str::to_owned)
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -17,6 +17,7 @@
 mod endpoint_faults;
 mod endpoint_notices;
 mod failures_after_runs;
+mod hedged_requests;
 mod keys;
 mod large_configurations;
 mod large_listings;
