--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -8,34 +8,30 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
-use futures::stream;
-use futures::StreamExt;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::StreamBody;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::json;
 use serde_json::Value;
 use tokio::time::sleep;
 
-use super::answer_body::connection_reset;
 use super::answer_body::empty;
 use super::answer_body::empty_for;
 use super::answer_body::event;
 use super::answer_body::event_stream;
 use super::answer_body::plain_body;
 use super::answer_body::AnswerBody;
+use super::crashing_answer::crash_after;
+use super::crashing_answer::crashing_body;
+use super::crashing_answer::crashing_stream;
 use super::crashing_request::CrashPoint;
 use super::endpoint_state::EndpointState;
 use super::http_listener;
-use super::work_log::RunningWork;
 use super::Arrival;
 use super::EndpointFaults;
 use super::Work;
@@ -49,9 +45,6 @@
 /// The path of its report, which takes no slot.
 const REPORT_PATH: &str = "/report";
 
-/// The delay between the head of an answer and the crash under it, in which the head is sent.
-const CRASH_DELAY: Duration = Duration::from_millis(10);
-
 /// An endpoint that counts how often it ran each request.
 #[derive(Debug)]
 pub struct EndpointServer {
@@ -377,35 +370,3 @@
         headers.insert("server-leaving", HeaderValue::from_static("1"));
     }
 }
-
-/// Crashes the endpoint within its first event, every other time before its first byte.
-fn crashing_stream(
-    state: Arc<Mutex<EndpointState>>,
-    pause: Duration,
-    running: RunningWork,
-) -> AnswerBody {
-    let has_partial_event = state.lock().process.crashes().len().is_multiple_of(2);
-    let partial_event = has_partial_event.then(|| Bytes::from_static(b"id: 1\nda"));
-    crashing_body(state, partial_event, pause, running)
-}
-
-/// Crashes the endpoint after these bytes.
-fn crashing_body(
-    state: Arc<Mutex<EndpointState>>,
-    sent: Option<Bytes>,
-    pause: Duration,
-    running: RunningWork,
-) -> AnswerBody {
-    let crash = stream::once(async move {
-        crash_after(&state, pause).await;
-        drop(running);
-        Err(connection_reset())
-    });
-    let sent = sent.map(|bytes| Ok(Frame::data(bytes)));
-    Box::pin(StreamBody::new(stream::iter(sent).chain(crash)))
-}
-
-async fn crash_after(state: &Mutex<EndpointState>, pause: Duration) {
-    sleep(pause.max(CRASH_DELAY)).await;
-    state.lock().process.crash();
-}
--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -3,6 +3,7 @@
 mod answer_body;
 mod arrival;
 mod copying_refuser;
+mod crashing_answer;
 mod crashing_request;
 mod endpoint_faults;
 mod endpoint_process;
