Soak: copies of refusals, addresses under two identifiers, requests sent again

No soak had endpoints that write a refusal twice, so none saw a request run twice by a copy that bears its identifier.

With FIGRAMP_SOAK_COPIES a proxy before each endpoint writes copies of the refusals of a connection, right after them or before the answer to a later request, preferably to the one that was refused. Entries of previous processes stay listed at the address of the present one, which answers 421; services are full for a time; clients send bookings and streams that are not resumable again under their identifiers after a 503. The copies that met their own request are counted and printed.

The exchange that was sent again counts what ran until then, the last one counts all runs of the identifier. The check of false refusals now holds for 408 and 421, too. No other check changed.

--- a/src/stand_in/deployment/mod.rs
+++ b/src/stand_in/deployment/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod arrival;
+mod copying_proxy;
 mod copying_refuser;
 mod crashing_answer;
 mod crashing_request;
@@ -21,6 +22,8 @@
 mod work_log;
 
 pub use arrival::Arrival;
+pub use copying_proxy::CopyCounts;
+pub use copying_proxy::CopyingProxy;
 pub use copying_refuser::CopyTiming;
 pub use copying_refuser::CopyingRefuser;
 pub use copying_refuser::FirstRefusal;
--- a/src/stand_in/deployment/raw_head.rs
+++ b/src/stand_in/deployment/raw_head.rs
@@ -1,4 +1,4 @@
-//! The head of a request, read from a socket by stand-ins that do without an HTTP library.
+//! The head of a request or an answer, read by stand-ins that do without an HTTP library.
 
 use std::io;
 
@@ -41,7 +41,15 @@
     }
 }
 
-fn header(head: &str, name: &str) -> Option<String> {
+/// Returns the position after the end of the head that the bytes begin with; `None` if it has not come.
+pub(super) fn position_after_head(bytes: &[u8]) -> Option<usize> {
+    let mut windows = bytes.windows(HEAD_END.len());
+    let start = windows.position(|window| window == HEAD_END)?;
+    Some(start + HEAD_END.len())
+}
+
+/// Returns the value of a header of a request or an answer.
+pub(super) fn header(head: &str, name: &str) -> Option<String> {
     let lines = head.lines().filter_map(|line| line.split_once(':'));
     let mut values = lines.filter(|(other, _)| other.eq_ignore_ascii_case(name));
     values.next().map(|(_, value)| value.trim().to_owned())
--- a/tests/behaviour/soak/checks.rs
+++ b/tests/behaviour/soak/checks.rs
@@ -28,7 +28,10 @@
 pub(super) fn violations(world: &World, history: &History) -> Vec<String> {
     let mut found = Vec::new();
     for exchange in &history.exchanges {
-        let (runs, eastern_runs) = world.runs(&exchange.id);
+        let (runs, eastern_runs) = match exchange.sent_again_at {
+            Some(until) => world.runs_before(&exchange.id, until),
+            None => world.runs(&exchange.id),
+        };
         let checks = [
             (runs > exchange.kind.runs_max(), "ran too often"),
             (
@@ -80,7 +83,8 @@
 }
 
 fn is_false_refusal(exchange: &Exchange, runs: u32) -> bool {
-    runs > 0 && matches!(status(exchange), Some(401 | 404 | 429 | 503))
+    let statuses = [401, 404, 408, 421, 429, 503];
+    runs > 0 && status(exchange).is_some_and(|status| statuses.contains(&status))
 }
 
 fn is_corrupted(exchange: &Exchange) -> bool {
--- a/tests/behaviour/soak/clients.rs
+++ b/tests/behaviour/soak/clients.rs
@@ -80,8 +80,8 @@
     pub(super) vm: usize,
 }
 
-/// Sends a request and adds its result to the history.
-pub(super) async fn send_once(world: &World, http: &reqwest::Client, request: Request) {
+/// Sends a request and adds its result to the history; returns its index there.
+pub(super) async fn send_once(world: &World, http: &reqwest::Client, request: Request) -> usize {
     let slot = &world.vms[request.vm];
     let start_count = *slot.start_count.lock();
     let mut message = http
@@ -110,8 +110,11 @@
         sent_at,
         ended_at: Instant::now(),
         received,
+        sent_again_at: None,
     };
-    world.history.lock().exchanges.push(exchange);
+    let exchanges = &mut world.history.lock().exchanges;
+    exchanges.push(exchange);
+    exchanges.len() - 1
 }
 
 async fn receive(request: reqwest::RequestBuilder) -> Received {
--- a/tests/behaviour/soak/endpoint_slot.rs
+++ b/tests/behaviour/soak/endpoint_slot.rs
@@ -1,6 +1,7 @@
 //! An endpoint of a run, with the proxies before it.
 
 use figramp::stand_in::deployment::AnswerFraming;
+use figramp::stand_in::deployment::CopyingProxy;
 use figramp::stand_in::deployment::EndpointFaults;
 use figramp::stand_in::deployment::EndpointServer;
 use figramp::stand_in::deployment::UnframedAnswers;
@@ -23,15 +24,18 @@
     rate: Mutex<Option<HeaderValue>>,
     /// Passes streams on without a length and chunks.
     unframed: Option<UnframedProxy>,
+    /// Writes copies of refusals.
+    pub(super) copying: Option<CopyingProxy>,
 }
 
 impl EndpointSlot {
-    /// Starts an endpoint whose answers have this framing.
+    /// Starts an endpoint whose answers have this framing; with a seed, copies of its refusals are drawn from it.
     pub(super) async fn launch(
         zone: &'static str,
         service: &'static str,
         id: &str,
         framing: AnswerFraming,
+        copy_seed: Option<u64>,
     ) -> Self {
         let server = EndpointServer::launch(any_port(), id, service, zone).await;
         let server = server.expect("an endpoint");
@@ -47,6 +51,13 @@
             address = proxy.address();
             unframed = Some(proxy);
         }
+        let mut copying = None;
+        if let Some(seed) = copy_seed {
+            let proxy = CopyingProxy::launch(any_port(), address, seed).await;
+            let proxy = proxy.expect("a proxy");
+            address = proxy.address();
+            copying = Some(proxy);
+        }
         Self {
             server,
             link: LoopbackProxy::launch(address).await,
@@ -56,6 +67,7 @@
             notice: Mutex::default(),
             rate: Mutex::default(),
             unframed,
+            copying,
         }
     }
 
--- a/tests/behaviour/soak/history.rs
+++ b/tests/behaviour/soak/history.rs
@@ -94,6 +94,8 @@
     pub(super) sent_at: Instant,
     pub(super) ended_at: Instant,
     pub(super) received: Received,
+    /// When the client sent it again under its identifier, as an exchange of its own.
+    pub(super) sent_again_at: Option<Instant>,
 }
 
 /// The period of a fault.
--- a/tests/behaviour/soak/mod.rs
+++ b/tests/behaviour/soak/mod.rs
@@ -6,11 +6,13 @@
 //! endpoints also announce that they stop, or want no requests for a time; `FIGRAMP_SOAK_CRASHES=1`
 //! sends prompts that crash endpoints, `FIGRAMP_SOAK_UNFRAMED=1` ends streams with their connection,
 //! `FIGRAMP_SOAK_SILENCES=1` lets endpoints fall silent for a time,
-//! `FIGRAMP_SOAK_CRASHING_REQUESTS=1` repeats requests that crash endpoints;
+//! `FIGRAMP_SOAK_CRASHING_REQUESTS=1` repeats requests that crash endpoints,
+//! `FIGRAMP_SOAK_COPIES=1` lets endpoints write copies of refusals;
 //! `FIGRAMP_TEST_LOGS` names a directory for the logs of the daemons and for what failed in a run.
 
 mod checks;
 mod clients;
+mod copies;
 mod crashing_prompts;
 mod crashing_requests;
 mod endpoint_slot;
--- a/tests/behaviour/soak/runs.rs
+++ b/tests/behaviour/soak/runs.rs
@@ -13,6 +13,7 @@
 
 use super::checks::violations;
 use super::clients::send_requests;
+use super::copies;
 use super::crashing_prompts;
 use super::crashing_prompts::CrashingPrompts;
 use super::crashing_requests::CrashingRequests;
@@ -76,6 +77,7 @@
     has_crashing_requests: bool,
     has_named_rates: bool,
     has_versions: bool,
+    has_copies: bool,
 }
 
 impl Default for RunOptions {
@@ -91,6 +93,7 @@
             has_crashing_requests: false,
             has_named_rates: false,
             has_versions: false,
+            has_copies: false,
         }
     }
 }
@@ -109,6 +112,7 @@
             has_crashing_requests: is_set("FIGRAMP_SOAK_CRASHING_REQUESTS"),
             has_named_rates: is_set("FIGRAMP_SOAK_RATES"),
             has_versions: is_set("FIGRAMP_SOAK_VERSIONS"),
+            has_copies: is_set("FIGRAMP_SOAK_COPIES"),
             fault_time: match is_set("FIGRAMP_SOAK_RATES") {
                 true => LONG_FAULT_TIME,
                 false => FAULT_TIME,
@@ -132,6 +136,7 @@
         options.vm_count,
         options.has_unframed_streams,
         options.has_silences,
+        options.has_copies.then_some(seed),
     )
     .await;
     if options.has_versions {
@@ -142,6 +147,9 @@
     for client in 0..options.client_count() {
         clients.spawn(send_requests(world.clone(), client, seed, is_over.clone()));
     }
+    if options.has_copies {
+        copies::start_clients(&mut clients, &world, seed, &is_over);
+    }
     let mut crashing_prompts = None;
     if options.has_crashing_prompts {
         crashing_prompts::start_sound(&mut clients, &world, seed, &is_over);
@@ -167,6 +175,10 @@
         let rng = StdRng::seed_from_u64(seed.rotate_left(32));
         tokio::spawn(named_rates::inject(world.clone(), rng, options.fault_time))
     });
+    let copies = options.has_copies.then(|| {
+        let rng = StdRng::seed_from_u64(seed.rotate_left(16));
+        tokio::spawn(copies::inject(world.clone(), rng, options.fault_time))
+    });
     inject(&world, StdRng::seed_from_u64(seed), options.fault_time).await;
     if let Some(restorations) = restorations {
         restorations.await.expect("the restorations end");
@@ -180,6 +192,9 @@
     if let Some(named_rates) = named_rates {
         named_rates.await.expect("the rates end");
     }
+    if let Some(copies) = copies {
+        copies.await.expect("the copies end");
+    }
     world.clear_faults();
     let is_ready = timeout(RECOVERY_MAX, world.wait_until_ready()).await;
     let mut found = match crashing_prompts {
@@ -226,6 +241,7 @@
         history.actions.len(),
         started.elapsed().as_secs()
     );
+    found.extend(copies::too_few(&world));
     if history.exchanges.len() < EXCHANGES_MIN {
         found.push("too few requests".to_owned());
     }
@@ -326,6 +342,17 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_run_with_copies_of_refusals() {
+    let options = RunOptions {
+        has_copies: true,
+        ..RunOptions::default()
+    };
+    if let Err(failure) = run(1000, options).await {
+        panic!("{failure}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_short_run_with_two_software_versions() {
     let options = RunOptions {
@@ -342,8 +369,9 @@
 /// `FIGRAMP_SOAK_NOTICES` lets endpoints announce that they stop or want no requests.
 /// `FIGRAMP_SOAK_CRASHES` sends prompts that crash endpoints; with `FIGRAMP_SOAK_SILENCES` endpoints
 /// fall silent for a time; `FIGRAMP_SOAK_CRASHING_REQUESTS` repeats requests that crash endpoints, and
-/// with `FIGRAMP_SOAK_RATES` endpoints name the rate that they take. With `FIGRAMP_SOAK_UNFRAMED` streams
-/// end with their connection; a crash between two events then looks like the end.
+/// with `FIGRAMP_SOAK_RATES` endpoints name the rate that they take; with `FIGRAMP_SOAK_COPIES` they write
+/// copies of refusals. With `FIGRAMP_SOAK_UNFRAMED` streams end with their connection; a crash between two
+/// events then looks like the end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_by_hand() {
     let Ok(seeds) = std::env::var("FIGRAMP_SOAK_SEEDS") else {
--- a/tests/behaviour/soak/world.rs
+++ b/tests/behaviour/soak/world.rs
@@ -71,7 +71,7 @@
     keys: Mutex<Keys>,
     /// Whether endpoints fall silent, so that answers need longer timeouts.
     has_silences: bool,
-    /// The store keys of endpoints that crashed.
+    /// The store keys of processes that ended.
     expired_endpoints: Mutex<Vec<String>>,
 }
 
@@ -83,11 +83,13 @@
 
 impl World {
     /// Starts the store, the endpoints, the proxies and the daemons; every other daemon is in the
-    /// western region. With `has_unframed_streams`, streams end with their connection.
+    /// western region. With `has_unframed_streams`, streams end with their connection; copies of refusals
+    /// are drawn from `copy_seed`.
     pub(super) async fn launch(
         vm_count: usize,
         has_unframed_streams: bool,
         has_silences: bool,
+        copy_seed: Option<u64>,
     ) -> Arc<Self> {
         let store = StoreServer::launch(any_port()).await.expect("a store");
         let mut endpoints = Vec::new();
@@ -99,7 +101,9 @@
                         true => FRAMINGS[endpoints.len() % FRAMINGS.len()],
                         false => AnswerFraming::Length,
                     };
-                    endpoints.push(EndpointSlot::launch(zone, service, &id, framing).await);
+                    let seed = copy_seed.map(|seed| seed ^ (endpoints.len() as u64 + 1) << 32);
+                    let slot = EndpointSlot::launch(zone, service, &id, framing, seed).await;
+                    endpoints.push(slot);
                 }
             }
         }
@@ -175,14 +179,18 @@
 
     /// Starts an endpoint again after a crash, under another identifier.
     pub(super) async fn restart_endpoint(&self, endpoint: &EndpointSlot, id: &str) {
-        let expired = endpoint.server.key();
-        self.store.remove(&expired);
-        self.expired_endpoints.lock().push(expired);
+        self.expire(endpoint.server.key());
         let restarted = endpoint.server.restart(id).await;
         restarted.expect("the endpoint restarts");
         self.register(endpoint, "ready");
     }
 
+    /// Removes the entry of a process that ended, for good.
+    pub(super) fn expire(&self, key: String) {
+        self.store.remove(&key);
+        self.expired_endpoints.lock().push(key);
+    }
+
     /// Returns the timeout of a client's request with this number.
     pub(super) fn timeout(&self, kind: RequestKind, number: usize) -> Duration {
         match self.has_silences && (kind.is_stream() || number.is_multiple_of(2)) {
@@ -218,7 +226,7 @@
     }
 
     /// Publishes the newest configuration again, registers the endpoints that are not in the store,
-    /// and removes those that crashed.
+    /// and removes the entries of processes that ended.
     pub(super) fn repeat_writes(&self) {
         let keys = self.keys.lock();
         let valid: Vec<&str> = keys.valid.iter().map(String::as_str).collect();
@@ -351,6 +359,20 @@
         (count(None), count(Some(EAST)))
     }
 
+    /// Returns the same of what ran before a time.
+    pub(super) fn runs_before(&self, request_id: &str, until: Instant) -> (u32, u32) {
+        let (mut all, mut eastern) = (0, 0);
+        for endpoint in &self.endpoints {
+            let works = endpoint.server.works();
+            let works = works.iter();
+            let ran = works.filter(|work| work.request_id == request_id && work.from < until);
+            let count = ran.count() as u32;
+            all += count;
+            eastern += u32::from(endpoint.zone == EAST) * count;
+        }
+        (all, eastern)
+    }
+
     /// Returns the endpoints of the service of these requests.
     pub(super) fn endpoints_for(&self, kind: RequestKind) -> impl Iterator<Item = &EndpointSlot> {
         let endpoints = self.endpoints.iter();
