Write no request whose client has left or whose deadline has passed

A request takes several turns of the run queue from its read to the write to its endpoint, which is the work of a further task. The deadline was checked once, before the target is chosen, and the close of the client was known only when the task of its connection had its turn, so one that came in between was not seen.

The connection asks at the first write of a request whether it is still wanted: its deadline has not passed, and the kernel has no close of the client for it (a peek at the socket). If not, nothing is written, and the attempt counts as not sent. The same question replaces the check of the deadline before each attempt. A new log line tells why a request was not sent.

The tests play daemons that run 4 ms of each tenth of a second.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -128,7 +128,7 @@
 /// silence.
 pub(super) async fn send(
     state: &Rc<EntryState>,
-    request: &ClientRequest,
+    request: &Rc<ClientRequest>,
     target: &Target,
     continuation: Continuation,
     limits: SilenceLimits,
@@ -160,7 +160,10 @@
             is_connection_reused,
         })
     };
-    let sent = wait_for(state, limits, connection.send(message), try_leave).await;
+    let (clock, wanted) = (Rc::clone(state), Rc::clone(request));
+    let is_wanted = move || wanted.is_wanted(clock.now());
+    let sending = connection.send_if(message, is_wanted);
+    let sent = wait_for(state, limits, sending, try_leave).await;
     let response = match sent.and_then(|response| response) {
         Ok(response) => response,
         Err(error) => return Err(on_failed(request, running, error)),
@@ -273,6 +276,11 @@
     error: UpstreamError,
 ) -> AttemptError {
     if error.is_not_sent() {
+        log::info!(
+            request = &*request.head.request_id,
+            error:% = error;
+            "the request was not sent"
+        );
         // The peer closed an idle connection, which does not mean that the endpoint is unreachable.
         return AttemptError::NotRun {
             has_arrived: false,
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -115,7 +115,7 @@
         loop {
             let now = self.state.now();
             let time_left = self.request.time_left(now);
-            if time_left.is_zero() {
+            if !self.request.is_wanted(now) {
                 return Err(self.deadline_refusal());
             }
             if let Some(remaining) = self.state.quarantine_remaining(now, self.request.parts()) {
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -10,6 +10,7 @@
 use http::Uri;
 use http_body_util::Full;
 
+use super::client_connection::ClientConnection;
 use super::continuation::Continuation;
 use super::forward_headers::ForwardHeaders;
 use super::served_request::ServedRequest;
@@ -48,6 +49,8 @@
     pub(super) account: Option<AccountPolicy>,
     pub(super) deadline: Monotonic,
     pub(super) forwarded: Option<ForwardHeaders>,
+    /// The connection on which the request came.
+    pub(super) client: ClientConnection,
     pub(super) _permit: BodyPermit,
     pub(super) _served: ServedRequest,
 }
@@ -58,6 +61,11 @@
         self.deadline.since(now)
     }
 
+    /// Returns whether its client still waits for an answer.
+    pub(super) fn is_wanted(&self, now: Monotonic) -> bool {
+        now < self.deadline && !self.client.is_closed()
+    }
+
     /// Returns the maximum number of endpoints that may run the request.
     pub(super) fn attempts_max(&self) -> u32 {
         self.forwarded
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -18,6 +18,7 @@
 use super::head_limit::HeadLimitedStream;
 use super::head_limit::HEAD_MAX_BYTES;
 use super::pooled_connection::PooledConnection;
+use super::send_gate::SendGate;
 use super::UpstreamError;
 use crate::clock::Monotonic;
 
@@ -135,7 +136,8 @@
         .map_err(UpstreamError::Connect)?;
     set_options(&stream).map_err(UpstreamError::Connect)?;
     let limit = HeadLimit::default();
-    let stream = HeadLimitedStream::new(stream, limit.clone());
+    let gate = SendGate::default();
+    let stream = HeadLimitedStream::new(stream, limit.clone(), gate.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(HEAD_MAX_BYTES)
         .handshake(TokioIo::new(stream))
@@ -151,6 +153,7 @@
         address,
         sender,
         limit,
+        gate,
         driver.abort_handle(),
     ))
 }
--- a/src/edge/edge_listener.rs
+++ b/src/edge/edge_listener.rs
@@ -20,6 +20,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::client_connection::ClientConnection;
 use super::handlers;
 use crate::entry::EntryState;
 
@@ -166,16 +167,18 @@
         .map(|deployment| deployment.limits())
         .unwrap_or_default();
     let current_stage = stage.clone();
+    let client = ClientConnection::new(stream);
+    let io = TokioIo::new(client.clone());
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
         let is_draining = *current_stage.borrow() != EdgeStage::Serving;
-        handlers::handle(role, state, request, is_draining)
+        handlers::handle(role, state, client.clone(), request, is_draining)
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(io, service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/src/edge/handlers.rs
+++ b/src/edge/handlers.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 
+use super::client_connection::ClientConnection;
 use super::directory;
 use super::edge_body::whole;
 use super::forward_headers;
@@ -26,6 +27,7 @@
 pub(super) async fn handle(
     role: EdgeRole,
     state: Rc<EntryState>,
+    client: ClientConnection,
     mut request: Request<Incoming>,
     is_draining: bool,
 ) -> Result<Response<EdgeBody>, Infallible> {
@@ -34,12 +36,12 @@
         EdgeRole::Readiness => readiness(&state, &request),
         EdgeRole::Metrics => metrics(&state),
         EdgeRole::Peers => match ForwardHeaders::decode(request.headers()) {
-            Some(forwarded) => request_intake::serve(state, request, Some(forwarded)).await,
+            Some(forwarded) => request_intake::serve(state, client, request, Some(forwarded)).await,
             None => peer_fetch::answer(&state, &request),
         },
         EdgeRole::Clients => {
             forward_headers::strip(request.headers_mut());
-            let mut response = request_intake::serve(state, request, None).await;
+            let mut response = request_intake::serve(state, client, request, None).await;
             forward_headers::strip(response.headers_mut());
             response
         }
--- a/src/edge/head_limit.rs
+++ b/src/edge/head_limit.rs
@@ -14,6 +14,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::send_gate::SendGate;
+
 /// The most bytes before the body of an answer: its head, and informational heads before it.
 pub(super) const HEAD_MAX_BYTES: usize = 64 * 1024;
 
@@ -59,11 +61,16 @@
 pub(super) struct HeadLimitedStream {
     stream: TcpStream,
     limit: HeadLimit,
+    gate: SendGate,
 }
 
 impl HeadLimitedStream {
-    pub(super) const fn new(stream: TcpStream, limit: HeadLimit) -> Self {
-        Self { stream, limit }
+    pub(super) const fn new(stream: TcpStream, limit: HeadLimit, gate: SendGate) -> Self {
+        Self {
+            stream,
+            limit,
+            gate,
+        }
     }
 }
 
@@ -90,6 +97,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.gate.on_write()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -106,6 +114,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.gate.on_write()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -13,6 +13,7 @@
 
 use super::failed_requests::FailedRequests;
 use super::head_limit::HeadLimit;
+use super::send_gate::SendGate;
 use super::UpstreamError;
 use crate::clock::Monotonic;
 
@@ -34,6 +35,7 @@
     pub(super) opened_at: Monotonic,
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
+    gate: SendGate,
     driver: AbortHandle,
     idle_max: Duration,
     idle_since: Monotonic,
@@ -45,6 +47,7 @@
         address: SocketAddr,
         sender: SendRequest<Full<Bytes>>,
         head_limit: HeadLimit,
+        gate: SendGate,
         driver: AbortHandle,
     ) -> Self {
         Self {
@@ -55,6 +58,7 @@
             opened_at,
             sender,
             head_limit,
+            gate,
             driver,
             idle_max: IDLE_DEFAULT,
             idle_since: Monotonic::ZERO,
@@ -75,10 +79,22 @@
         self.head_limit.lift();
         sent.map_err(|mut error| match error.take_message() {
             Some(_) => UpstreamError::NotSent,
+            None if self.gate.has_stopped() => UpstreamError::NotWanted,
             None => UpstreamError::Broken(error.into_error()),
         })
     }
 
+    /// Sends a request if it is still wanted when its first bytes are written, and waits for the head of
+    /// its answer.
+    pub(super) async fn send_if(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        is_wanted: impl Fn() -> bool + 'static,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        self.gate.set(is_wanted);
+        self.send(request).await
+    }
+
     /// Applies the idle timeout that the peer announced.
     pub(super) fn on_keep_alive(&mut self, keep_alive: Duration) {
         self.idle_max = keep_alive.saturating_sub(IDLE_RESERVE).min(IDLE_DEFAULT);
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempts::Attempts;
+use super::client_connection::ClientConnection;
 use super::client_request::ClientRequest;
 use super::forward_headers::ForwardHeaders;
 use super::served_request::ServedRequest;
@@ -55,6 +56,7 @@
 /// Serves a request of a client, or one forwarded by another VM.
 pub(super) async fn serve(
     state: Rc<EntryState>,
+    client: ClientConnection,
     request: Request<Incoming>,
     forwarded: Option<ForwardHeaders>,
 ) -> Response<EdgeBody> {
@@ -107,6 +109,7 @@
         account: accepted.account,
         deadline: accepted.deadline,
         forwarded,
+        client,
         _permit: permit,
         _served: served,
     };
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -21,6 +21,9 @@
     /// The connection was closed before anything was sent.
     #[error("the connection was closed before the request was sent")]
     NotSent,
+    /// The client left, or the deadline passed, before anything was sent.
+    #[error("the client left or the deadline passed before the request was sent")]
+    NotWanted,
     /// The connection broke after something may have been sent.
     #[error("the connection broke: {0}")]
     Broken(#[source] hyper::Error),
@@ -83,7 +86,7 @@
     pub const fn is_not_sent(&self) -> bool {
         matches!(
             self,
-            Self::Connect(_) | Self::ConnectTimeout(_) | Self::NotSent
+            Self::Connect(_) | Self::ConnectTimeout(_) | Self::NotSent | Self::NotWanted
         )
     }
 }
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Whole daemons on loopback, with stand-ins for the platform.
 
 mod brittle_endpoints;
+mod closed_clients;
 mod cold_endpoint_groups;
 mod cold_endpoints;
 mod cold_load;
