Log connections that are closed while idle, and the age of an answer's connection

Cause: the log could not tell a VM that knows of the end of an endpoint's process from one that doesn't; it named refused connections only. Change: a line for each connection that is closed unannounced while no request uses it, and connection_age_ms in the line of an answer. No decision changes.

--- a/src/edge/answer_check.rs
+++ b/src/edge/answer_check.rs
@@ -41,6 +41,9 @@
         answer.running.record_outcome(AttemptOutcome::Failed);
         return Err(AttemptError::MayHaveRun(UpstreamError::Unverified));
     }
+    if head.is_closing {
+        answer.running.connection_mut().on_closing();
+    }
     if let Some(keep_alive) = head.keep_alive {
         answer.running.connection_mut().on_keep_alive(keep_alive);
     }
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -136,10 +136,10 @@
                 version: self.version,
             };
             match self.send(&target, continuation, limits).await {
-                Ok(answer) => {
+                Ok(mut answer) => {
                     self.arrived_count += 1;
                     self.ran_count += 1;
-                    self.on_answer(now, &target, &answer);
+                    self.on_answer(now, &target, &mut answer);
                     return Ok(answer);
                 }
                 Err(AttemptError::NotRun {
@@ -185,8 +185,10 @@
         self.request.allows(region) && newer.is_none_or(|homes| homes.allows(region))
     }
 
-    fn on_answer(&self, sent_at: Monotonic, target: &Target, answer: &Answer) {
-        let latency = self.state.now().since(sent_at);
+    fn on_answer(&self, sent_at: Monotonic, target: &Target, answer: &mut Answer) {
+        let now = self.state.now();
+        let latency = now.since(sent_at);
+        let connection_age = now.since(answer.running.connection_mut().opened_at);
         self.state.metrics.on_answer(latency);
         log::info!(
             request = &*self.request.head.request_id,
@@ -194,6 +196,7 @@
             to = target.to_string().as_str(),
             expected_ms = target.expected_ms(),
             latency_ms = latency.as_millis() as u64,
+            connection_age_ms = connection_age.as_millis() as u64,
             status = answer.parts.status.as_u16(),
             attempts = self.arrived_count,
             version:? = answer.version.map(|version| version.to_string()),
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::client::conn::http1;
@@ -12,7 +13,10 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tokio::time::Instant;
 
+use super::connection_end::ConnectionUse;
+use super::connection_end::OpenConnections;
 use super::connection_query::ConnectionQuery;
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimitedStream;
@@ -35,6 +39,7 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<PooledConnection>>>,
+    open: Rc<OpenConnections>,
     opened_count: Cell<u64>,
     replaced_count: Cell<u64>,
 }
@@ -61,7 +66,8 @@
             return Ok(connection);
         }
         self.opened_count.set(self.opened_count.get() + 1);
-        match timeout(query.connect_timeout, connect(now, query.address)).await {
+        let connecting = self.connect(now, query.address);
+        match timeout(query.connect_timeout, connecting).await {
             Ok(connected) => connected,
             Err(_) => Err(UpstreamError::ConnectTimeout(query.connect_timeout)),
         }
@@ -79,7 +85,9 @@
             connection.is_usable(now, query.idle_max) && !has_failed(connection)
         });
         if let Some(index) = index {
-            return Some(connections.remove(index));
+            let connection = connections.remove(index);
+            connection.on_taken();
+            return Some(connection);
         }
         let index = connections.iter().rposition(has_failed)?;
         self.on_replaced(&connections.remove(index), query);
@@ -125,37 +133,59 @@
             !connections.is_empty()
         });
     }
-}
 
-pub(super) async fn connect(
-    now: Monotonic,
-    address: SocketAddr,
-) -> Result<PooledConnection, UpstreamError> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(UpstreamError::Connect)?;
-    set_options(&stream).map_err(UpstreamError::Connect)?;
-    let limit = HeadLimit::default();
-    let gate = SendGate::default();
-    let stream = HeadLimitedStream::new(stream, limit.clone(), gate.clone());
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(HEAD_MAX_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(UpstreamError::Broken)?;
-    let driver = tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!(error:% = error; "an upstream connection failed");
-        }
-    });
-    Ok(PooledConnection::new(
-        now,
-        address,
-        sender,
-        limit,
-        gate,
-        driver.abort_handle(),
-    ))
+    /// Opens a connection that is in none of the pool's places for idle ones.
+    pub(super) async fn connect(
+        &self,
+        now: Monotonic,
+        address: SocketAddr,
+    ) -> Result<PooledConnection, UpstreamError> {
+        let began_at = Instant::now();
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(UpstreamError::Connect)?;
+        let opened_at = now + began_at.elapsed();
+        set_options(&stream).map_err(UpstreamError::Connect)?;
+        let limit = HeadLimit::default();
+        let gate = SendGate::default();
+        let stream = HeadLimitedStream::new(stream, limit.clone(), gate.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(HEAD_MAX_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(UpstreamError::Broken)?;
+        let usage = ConnectionUse::default();
+        let (open, driven) = (Rc::clone(&self.open), usage.clone());
+        let guard = open.add(address, opened_at);
+        let driver = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "an upstream connection failed");
+            }
+            drop(guard);
+            if driven.is_idle() {
+                open.on_lost(address);
+            }
+        });
+        Ok(PooledConnection::new(
+            opened_at,
+            address,
+            sender,
+            limit,
+            gate,
+            driver.abort_handle(),
+            usage,
+        ))
+    }
+
+    /// Returns whether a connection to an address that was opened before a time is still open.
+    pub fn has_older(&self, address: SocketAddr, at: Monotonic) -> bool {
+        self.open.has_older(address, at)
+    }
+
+    /// Waits until peers close idle connections unannounced, and returns their addresses.
+    pub async fn next_lost(&self) -> Vec<SocketAddr> {
+        self.open.next_lost().await
+    }
 }
 
 /// Sets the timeouts after which the kernel fails a connection whose peer does not respond.
--- a/src/edge/endpoint_probe.rs
+++ b/src/edge/endpoint_probe.rs
@@ -9,7 +9,6 @@
 use http_body_util::Full;
 use tokio::time::timeout;
 
-use super::connection_pool::connect;
 use super::UpstreamError;
 use crate::entry::EntryState;
 use crate::placement::ProbeOutcome;
@@ -33,7 +32,11 @@
 }
 
 async fn probe_one(state: &EntryState, address: SocketAddr) -> ProbeOutcome {
-    let connected = timeout(CONNECT_TIMEOUT, connect(state.now(), address)).await;
+    let connected = timeout(
+        CONNECT_TIMEOUT,
+        state.connection_pool.connect(state.now(), address),
+    )
+    .await;
     let Ok(Ok(mut connection)) = connected else {
         return ProbeOutcome::Unreachable;
     };
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod client_connection;
 mod client_head;
 mod client_request;
+mod connection_end;
 mod connection_pool;
 mod connection_query;
 mod continuation;
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::AbortHandle;
 
+use super::connection_end::ConnectionUse;
 use super::failed_requests::FailedRequests;
 use super::head_limit::HeadLimit;
 use super::send_gate::SendGate;
@@ -37,6 +38,8 @@
     head_limit: HeadLimit,
     gate: SendGate,
     driver: AbortHandle,
+    usage: ConnectionUse,
+    is_closing: bool,
     idle_max: Duration,
     idle_since: Monotonic,
 }
@@ -49,6 +52,7 @@
         head_limit: HeadLimit,
         gate: SendGate,
         driver: AbortHandle,
+        usage: ConnectionUse,
     ) -> Self {
         Self {
             address,
@@ -60,6 +64,8 @@
             head_limit,
             gate,
             driver,
+            usage,
+            is_closing: false,
             idle_max: IDLE_DEFAULT,
             idle_since: Monotonic::ZERO,
         }
@@ -100,7 +106,18 @@
         self.idle_max = keep_alive.saturating_sub(IDLE_RESERVE).min(IDLE_DEFAULT);
     }
 
+    /// Records that the peer announced that it closes the connection after the answer.
+    pub(super) const fn on_closing(&mut self) {
+        self.is_closing = true;
+    }
+
+    /// Records that a request takes the connection.
+    pub(super) fn on_taken(&self) {
+        self.usage.set_idle(false);
+    }
+
     pub(super) fn on_idle(&mut self, now: Monotonic) {
+        self.usage.set_idle(!self.is_closing);
         self.idle_since = now;
         self.is_reused = true;
     }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 use tokio::time::Instant;
 
+use super::entry_ends::watch_connections;
 use super::gossip_task::GossipTask;
 use super::log_task;
 use super::origin_task;
@@ -86,6 +87,7 @@
     spawn_local(store_task::run(Rc::clone(&state)));
     spawn_local(GossipTask::new(Rc::clone(&state), gossip_socket).run());
     spawn_local(reach_task::run(Rc::clone(&state)));
+    spawn_local(watch_connections(Rc::clone(&state)));
     spawn_local(origin_task::run(
         Rc::clone(&state),
         Rc::clone(stream_socket),
