--- a/tests/behaviour/entry/cold_load.rs
+++ b/tests/behaviour/entry/cold_load.rs
@@ -23,18 +23,27 @@
 
 /// Sends streams to the daemons in turn for a time, without waiting for their answers.
 pub(super) async fn send_streams(vms: &[Arc<EntryVm>], time: Duration) {
+    send_bursts(vms, 1, time).await;
+}
+
+/// Sends bursts of streams to the daemons in turn for a time, without waiting for their answers; the mean rate
+/// is that of [`send_streams`].
+pub(super) async fn send_bursts(vms: &[Arc<EntryVm>], burst: u32, time: Duration) {
     let started = Instant::now();
-    let mut number = 0;
-    while started.elapsed() < time {
-        let vm = Arc::clone(&vms[number % vms.len()]);
-        number += 1;
-        let id = format!("{:?}-{number}", started);
-        tokio::spawn(async move {
-            if let Ok(answer) = vm.post("/tip-stream/x", &id).send().await {
-                let _ = answer.text().await;
-            }
-        });
-        sleep(REQUEST_INTERVAL).await;
+    for vm in vms.iter().cycle() {
+        if started.elapsed() >= time {
+            break;
+        }
+        for number in 0..burst {
+            let vm = Arc::clone(vm);
+            let id = format!("{:?}-{:?}-{number}", started, started.elapsed());
+            tokio::spawn(async move {
+                if let Ok(answer) = vm.post("/tip-stream/x", &id).send().await {
+                    let _ = answer.text().await;
+                }
+            });
+        }
+        sleep(REQUEST_INTERVAL * burst).await;
     }
 }
 
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -32,6 +32,7 @@
 pub(crate) mod region_link;
 mod repeated_refusals;
 mod requests;
+mod restarted_endpoints;
 mod restored_store;
 mod silent_endpoints;
 mod silent_past_deadline;
