Tell other VMs of the ends of endpoints' processes, and learn of them from every connection

Cause: a VM learned of the end of a process by a refused connection of its own only. A connection that the endpoint closed recorded nothing, what one VM saw stayed with it, and the doubt lapsed by time. VMs that tried nothing in the outage took the new process for the warm one until its record was read. Change: a connection that is closed unannounced, idle or under a request, counts as a possible end, taken back if others to the endpoint stay open or a VM has seen one process before and after. VMs of a region push ends, and returns, to each other. A doubt ends when the listing was confirmed for 5 s after it without a gap, or after the cold start of a process that was seen since. A request whose new connection may lead to another process than the chosen one is not sent. The doubt about software versions follows the same ends. Works since a process that ends closes all of its connections, and an open connection never leads to another process.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -22,6 +22,28 @@
   versionSightings @9 :List(VersionSighting);
   # The refusals for want of room that endpoints bear; only in messages between VMs of one region.
   refusalRates @10 :List(NamedRate);
+  # Only in messages between VMs of one region.
+  processEnds @11 :List(ProcessEnd);
+  # What the sender has seen of the processes that may have ended by the message that this one answers.
+  processSightings @12 :List(ProcessSighting);
+}
+
+# The process of an endpoint may have ended, without its record saying so; ages are counted to the sending of the
+# message.
+struct ProcessEnd {
+  endpoint @0 :UInt32;
+  endedAgeMs @1 :UInt32;
+  # The age of the first sign of a process after it; the largest number if there was none.
+  returnedAgeMs @2 :UInt32;
+  # Whether a connection was refused.
+  isCertain @3 :Bool;
+}
+
+# One process of an endpoint was seen over this time.
+struct ProcessSighting {
+  endpoint @0 :UInt32;
+  sinceAgeMs @1 :UInt32;
+  seenAgeMs @2 :UInt32;
 }
 
 struct VersionSighting {
--- a/src/clock/monotonic.rs
+++ b/src/clock/monotonic.rs
@@ -41,6 +41,14 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.us.saturating_sub(earlier.us))
     }
+
+    /// Returns the point that was `age` before, but not before the start of the process.
+    pub fn before(self, age: Duration) -> Self {
+        let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            us: self.us.saturating_sub(age_us),
+        }
+    }
 }
 
 impl Add<Duration> for Monotonic {
--- a/src/edge/answer_check.rs
+++ b/src/edge/answer_check.rs
@@ -41,6 +41,7 @@
         answer.running.record_outcome(AttemptOutcome::Failed);
         return Err(AttemptError::MayHaveRun(UpstreamError::Unverified));
     }
+    answer.running.record_answered();
     if head.is_closing {
         answer.running.connection_mut().on_closing();
     }
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -238,12 +238,13 @@
     };
     let connected = state.connection_pool.acquire(now, query).await;
     match connected {
-        Ok(mut connection) => {
-            if !connection.is_reused {
-                connection.opened_at = state.now();
-            }
+        Ok(connection) => {
+            let is_new = !connection.is_reused;
             running.attach(connection);
-            Ok(running)
+            match is_new && running.may_have_restarted() {
+                true => Err(on_restarted(request, target)),
+                false => Ok(running),
+            }
         }
         Err(error) => {
             log::info!(
@@ -256,6 +257,9 @@
                 true => AttemptOutcome::ConnectionRefused,
                 false => AttemptOutcome::Unreachable,
             });
+            if error.is_connection_refused() {
+                state.gossip_now.notify_one();
+            }
             match target {
                 Target::Vm { ip, .. } => state.fleet.borrow_mut().on_unreachable(*ip),
                 Target::Endpoint { placement, .. } => {
@@ -270,6 +274,19 @@
     }
 }
 
+/// Gives up an attempt whose new connection may lead to another process than the one that was chosen.
+fn on_restarted(request: &ClientRequest, target: &Target) -> AttemptError {
+    log::info!(
+        request = &*request.head.request_id,
+        to:% = target;
+        "the request was not sent, as the endpoint may have started again"
+    );
+    AttemptError::NotRun {
+        has_arrived: false,
+        retry_after: None,
+    }
+}
+
 fn on_failed(
     request: &ClientRequest,
     mut running: RunningRequest,
@@ -281,6 +298,9 @@
             error:% = error;
             "the request was not sent"
         );
+        if matches!(error, UpstreamError::NotSent) {
+            running.record_lost();
+        }
         // The peer closed an idle connection, which does not mean that the endpoint is unreachable.
         return AttemptError::NotRun {
             has_arrived: false,
--- a/src/edge/peer_fetch.rs
+++ b/src/edge/peer_fetch.rs
@@ -104,6 +104,8 @@
         rates: Vec::new(),
         refusal_rates: Vec::new(),
         versions: MessageVersions::default(),
+        ends: Vec::new(),
+        processes: Vec::new(),
     };
     match encode_message(&message) {
         Ok(bytes) => Some(Bytes::from(bytes)),
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -103,6 +103,31 @@
             self.state
                 .on_endpoint_crashed(now, instance, self.began_at, parts);
         }
+        self.record_lost();
+    }
+
+    /// Records that the endpoint closed the connection unannounced.
+    pub(super) fn record_lost(&self) {
+        if let (Some(placement), Some(connection)) = (&self.placement, &self.connection) {
+            EntryState::on_connection_lost(&self.state, placement.endpoint, connection.address);
+        }
+    }
+
+    /// Records that the endpoint answered.
+    pub(super) fn record_answered(&self) {
+        if let (Some(placement), Some(connection)) = (&self.placement, &self.connection) {
+            let now = self.state.now();
+            let mut endpoints = self.state.endpoints.borrow_mut();
+            endpoints.on_answered_over(now, placement.endpoint, connection.opened_at);
+        }
+    }
+
+    /// Returns whether the process of the endpoint may have ended since it was chosen.
+    pub(super) fn may_have_restarted(&self) -> bool {
+        let endpoints = self.state.endpoints.borrow();
+        self.placement.is_some_and(|placement| {
+            endpoints.may_have_ended_since(placement.endpoint, placement.chosen_at)
+        })
     }
 
     /// Records that the endpoint survived the request, unless the answer may be another VM's own.
--- a/src/entry/entry_ends.rs
+++ b/src/entry/entry_ends.rs
@@ -1,15 +1,72 @@
-//! What the connections to endpoints tell of the ends of their processes.
+//! What the connections to endpoints, and other VMs, tell of the ends of their processes.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
 use super::EntryState;
+use crate::fleet::EndpointEnd;
+use crate::placement::EndpointKey;
+use crate::placement::EndpointTable;
+use crate::placement::LOST_CONNECTIONS_TIME;
+
+impl EntryState {
+    /// Records that an endpoint closed a connection unannounced.
+    ///
+    /// If its process has ended, the other connections to it are closed as well.
+    pub fn on_connection_lost(state: &Rc<Self>, key: EndpointKey, address: SocketAddr) {
+        let lost_at = state.now();
+        let mut endpoints = state.endpoints.borrow_mut();
+        if endpoints.on_connection_lost(lost_at, key) {
+            log_ended(&endpoints, key, "connection lost");
+        }
+        let state = Rc::clone(state);
+        spawn_local(async move {
+            sleep(LOST_CONNECTIONS_TIME).await;
+            if state.connection_pool.has_older(address, lost_at) {
+                let mut endpoints = state.endpoints.borrow_mut();
+                endpoints.on_connections_kept(key, lost_at);
+            } else {
+                state.gossip_now.notify_one();
+            }
+        });
+    }
+
+    /// Adds the ends of processes that another VM reported.
+    pub fn on_ends_reported(&self, ends: impl IntoIterator<Item = EndpointEnd>) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let ended = endpoints.on_peer_ends(ends, |address, at| {
+            self.connection_pool.has_older(address, at)
+        });
+        if !ended.is_empty() {
+            self.gossip_now.notify_one();
+        }
+        for key in ended {
+            log_ended(&endpoints, key, "reported by a VM");
+        }
+    }
+}
 
 /// Watches for connections to endpoints that are closed while they are idle; never returns.
 pub(super) async fn watch_connections(state: Rc<EntryState>) {
     loop {
         for address in state.connection_pool.next_lost().await {
-            let has_others = state.connection_pool.has_older(address, state.now());
-            log::info!(address:% = address, has_others; "an idle connection was closed unannounced");
+            let key = state.endpoints.borrow().at_address(address);
+            if let Some(key) = key {
+                EntryState::on_connection_lost(&state, key, address);
+            }
         }
     }
 }
+
+fn log_ended(endpoints: &EndpointTable, key: EndpointKey, evidence: &str) {
+    if let Some(state) = endpoints.get(key) {
+        log::info!(
+            endpoint = state.record().instance.id.as_str(),
+            evidence;
+            "the process of an endpoint may have ended"
+        );
+    }
+}
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -88,6 +88,8 @@
     pub metrics: EntryMetrics,
     /// Wakes the task that reads the store.
     pub read_now: Notify,
+    /// Wakes the gossip task before the next round.
+    pub gossip_now: Notify,
     /// The software versions that are or were in use.
     pub versions: RefCell<VersionHistory>,
     /// The software versions that began streams.
@@ -141,6 +143,7 @@
             connection_count: Rc::default(),
             metrics: EntryMetrics::new(),
             read_now: Notify::new(),
+            gossip_now: Notify::new(),
             versions: RefCell::default(),
             origins: RefCell::default(),
             origin_exchange: RefCell::default(),
@@ -180,6 +183,9 @@
         let topology = &self.settings.topology;
         self.versions.borrow_mut().update(now, belief.listing());
         let mut endpoints = self.endpoints.borrow_mut();
+        if let Some(confirmed_at) = belief.listing_confirmed_at() {
+            endpoints.on_listing_confirmed(confirmed_at);
+        }
         endpoints.update(now, belief.listing(), deployment, topology);
         let mut fleet = self.fleet.borrow_mut();
         if belief.is_complete() && fleet.local_row().phase == VmPhase::Starting {
@@ -196,6 +202,9 @@
     pub fn refresh_row(&self, now: Monotonic) {
         let belief = self.belief.borrow();
         let mut endpoints = self.endpoints.borrow_mut();
+        if let Some(confirmed_at) = belief.listing_confirmed_at() {
+            endpoints.on_listing_confirmed(confirmed_at);
+        }
         endpoints.remove_expired_backlogs(now);
         endpoints.sample_load(now);
         let backlogs = endpoints.backlogs();
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -6,10 +6,13 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::net::UdpSocket;
 use tokio::time::interval;
+use tokio::time::sleep_until;
+use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
 use super::store_task::apply_configuration;
@@ -28,10 +31,15 @@
 use crate::fleet::GossipPlan;
 use crate::fleet::MessageCrashes;
 use crate::fleet::MessageDigest;
+use crate::fleet::MessageEnd;
+use crate::fleet::MessageProcess;
 use crate::fleet::MessageRate;
 use crate::fleet::MessageVersions;
 use crate::placement::RateKind;
 
+/// The shortest time between two sets of requests beside the rounds, for news that can't wait.
+const PUSH_INTERVAL_MIN: Duration = Duration::from_millis(50);
+
 /// The longest payload of a UDP datagram over IPv4.
 const DATAGRAM_MAX_BYTES: usize = 65_507;
 
@@ -64,12 +72,23 @@
     }
 
     pub(super) async fn run(mut self) {
+        let state = Rc::clone(&self.state);
+        let mut pushed_at = Instant::now();
+        let mut push_at = None;
         let mut rounds = interval(GossipPlan::PERIOD);
         rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
         loop {
             tokio::select! {
                 _ = rounds.tick() => self.start_round(),
+                () = state.gossip_now.notified() => {
+                    push_at.get_or_insert(pushed_at + PUSH_INTERVAL_MIN);
+                }
+                () = sleep_until(push_at.unwrap_or(pushed_at)), if push_at.is_some() => {
+                    push_at = None;
+                    pushed_at = Instant::now();
+                    self.send_requests(self.state.now());
+                }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, SocketAddr::V4(from))) => {
                         self.on_datagram(*from.ip(), &buffer[..length]);
@@ -87,6 +106,11 @@
         self.state.refresh_row(now);
         self.state.refresh_streams(now);
         self.state.connection_pool.discard_stale(now);
+        self.send_requests(now);
+    }
+
+    /// Sends a gossip request to each target.
+    fn send_requests(&mut self, now: Monotonic) {
         let targets = {
             let fleet = self.state.fleet.borrow();
             let mut rng = self.state.rng.borrow_mut();
@@ -94,7 +118,7 @@
         };
         for target in targets {
             self.requests_sent_at.insert(target, now);
-            self.send(target, now, None, false);
+            self.send(target, now, None, false, &[]);
         }
     }
 
@@ -104,6 +128,7 @@
         now: Monotonic,
         request_sent_at: Option<Monotonic>,
         has_listing: bool,
+        ended: &[MessageEnd],
     ) {
         let message = {
             let belief = self.state.belief.borrow();
@@ -122,6 +147,8 @@
                 rates: self.rates(now, to, &fleet, RateKind::Requests),
                 refusal_rates: self.rates(now, to, &fleet, RateKind::Refusals),
                 versions: MessageVersions::new(&self.state.versions.borrow(), now),
+                ends: self.ends(now, to, &fleet),
+                processes: self.processes(now, ended),
             }
         };
         let bytes = match encode_datagram(message) {
@@ -153,6 +180,26 @@
         rates.map(|rate| MessageRate::new(rate, now)).collect()
     }
 
+    /// Returns the processes of endpoints that may have ended, for a VM of their region.
+    fn ends(&self, now: Monotonic, to: Ipv4Addr, fleet: &FleetView) -> Vec<MessageEnd> {
+        if !fleet.is_in_local_region(to) {
+            return Vec::new();
+        }
+        let ends = self.state.endpoints.borrow().ends(now).into_iter();
+        ends.map(|end| MessageEnd::new(end, now)).collect()
+    }
+
+    /// Returns what this VM has seen of the processes that another VM takes to have ended.
+    fn processes(&self, now: Monotonic, ended: &[MessageEnd]) -> Vec<MessageProcess> {
+        let uncertain = ended.iter().filter(|end| !end.is_certain);
+        let endpoints = self.state.endpoints.borrow();
+        let sightings = endpoints.sightings(uncertain.map(|end| end.endpoint));
+        let sightings = sightings.into_iter();
+        sightings
+            .map(|seen| MessageProcess::new(seen, now))
+            .collect()
+    }
+
     fn on_datagram(&mut self, from: Ipv4Addr, bytes: &[u8]) {
         let message = match decode_message(bytes) {
             Ok(message) => message,
@@ -172,6 +219,8 @@
             let rates = rates.iter().map(|rate| rate.received(now));
             self.state.on_rates_reported(kind, rates);
         }
+        let ends = message.ends.iter().map(|end| end.received(now));
+        self.state.on_ends_reported(ends);
         let mut versions = self.state.versions.borrow_mut();
         let asked_at = self.asked_at(from, &message);
         message.versions.merge_into(&mut versions, now, asked_at);
@@ -211,7 +260,7 @@
         let digest = self.state.belief.borrow().digest();
         let has_listing = digest.listing_version > request.digest.listing_version
             && digest.listing_hash != request.digest.listing_hash;
-        self.send(from, now, Some(request.sent_at), has_listing);
+        self.send(from, now, Some(request.sent_at), has_listing, &request.ends);
         if request.digest.configuration_version > digest.configuration_version {
             self.fetch_configuration(now, from, BeliefDigest::default());
         }
@@ -228,6 +277,12 @@
             .fleet
             .borrow_mut()
             .on_round_trip(from, now.since(request_sent_at));
+        let processes = message.processes.iter();
+        let sightings = processes.map(|process| process.received(now, request_sent_at));
+        self.state
+            .endpoints
+            .borrow_mut()
+            .on_peer_sightings(sightings);
         let digest = message.digest.received(Some(request_sent_at));
         let updates = self.state.belief.borrow_mut().compare(now, &digest);
         let has_listing = message.listing.is_some();
--- a/src/fleet/fleet_message.rs
+++ b/src/fleet/fleet_message.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use super::MessageCrashes;
+use super::MessageEnd;
+use super::MessageProcess;
 use super::MessageRate;
 use super::MessageVersions;
 use super::VmRow;
@@ -80,4 +82,8 @@
     pub refusal_rates: Vec<MessageRate>,
     /// The software versions that were in use lately.
     pub versions: MessageVersions,
+    /// The processes of endpoints of the region that may have ended.
+    pub ends: Vec<MessageEnd>,
+    /// What the sender has seen of the processes that may have ended by the message that this one replies to.
+    pub processes: Vec<MessageProcess>,
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -11,6 +11,10 @@
 
 use super::loads_wire::decode_loads;
 use super::loads_wire::encode_loads;
+use super::message_ends_wire::decode_ends;
+use super::message_ends_wire::decode_processes;
+use super::message_ends_wire::encode_ends;
+use super::message_ends_wire::encode_processes;
 use super::message_versions_wire::decode_versions;
 use super::message_versions_wire::encode_versions;
 use super::AccountUsage;
@@ -83,6 +87,8 @@
         &message.refusal_rates,
     );
     encode_versions(root.reborrow(), &message.versions);
+    encode_ends(root.reborrow(), &message.ends);
+    encode_processes(root.reborrow(), &message.processes);
     if let Some(listing) = &message.listing {
         encode_listing(root.init_listing(), listing);
     }
@@ -237,6 +243,8 @@
         rates: decode_rates(root.get_named_rates()?),
         refusal_rates: decode_rates(root.get_refusal_rates()?),
         versions: decode_versions(root)?,
+        ends: decode_ends(root)?,
+        processes: decode_processes(root)?,
     })
 }
 
--- a/src/placement/attempt_outcome.rs
+++ b/src/placement/attempt_outcome.rs
@@ -21,10 +21,3 @@
     /// The connection was refused: no process listens at the address.
     ConnectionRefused,
 }
-
-impl AttemptOutcome {
-    /// Returns whether the endpoint answered, in whatever way.
-    pub(super) const fn is_answer(self) -> bool {
-        matches!(self, Self::Answered { .. } | Self::Refused | Self::Failed)
-    }
-}
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -13,12 +13,14 @@
 use super::mean_load::MeanLoad;
 use super::named_rate::NamedRate;
 use super::possible_restart::PossibleRestart;
+use super::possible_restart::ProcessEnd;
 use super::shared_rate::shared_interval;
 use super::wait_estimate::WaitEstimate;
 use super::AttemptOutcome;
 use super::EndpointKey;
 use super::NoPlacement;
 use super::PlacementQuery;
+use super::ProcessSighting;
 use super::SharedRate;
 use super::SharedRateLimiter;
 use crate::clock::Monotonic;
@@ -45,6 +47,7 @@
     /// How long the endpoints of the service are cold after their start; zero without a limit.
     pub(super) cold_start: Duration,
     pub(super) possible_restart: PossibleRestart,
+    pub(super) sighting: Option<ProcessSighting>,
     pub(super) version_doubt: VersionDoubt,
     pub(super) rate_limiter: SharedRateLimiter,
     pub(super) load: LoadEstimate,
@@ -71,6 +74,7 @@
             is_evacuated: false,
             cold_start: Duration::ZERO,
             possible_restart: PossibleRestart::default(),
+            sighting: None,
             version_doubt: VersionDoubt::default(),
             rate_limiter: SharedRateLimiter::new(now),
             load: LoadEstimate::default(),
@@ -101,7 +105,8 @@
         now: Monotonic,
         listing_confirmed_at: Monotonic,
     ) -> Option<SoftwareVersion> {
-        let is_known = self.version_doubt.is_resolved(now, listing_confirmed_at);
+        let is_known = self.possible_restart.end().is_none()
+            && self.version_doubt.is_resolved(now, listing_confirmed_at);
         self.record.version.filter(|_| is_known)
     }
 
@@ -179,8 +184,12 @@
 
     pub(super) fn record_outcome(&mut self, now: Monotonic, outcome: AttemptOutcome) {
         self.health.record_outcome(now, outcome);
-        self.possible_restart.on_outcome(now, outcome);
-        self.version_doubt.on_outcome(now, outcome);
+        if outcome == AttemptOutcome::ConnectionRefused {
+            self.on_ended(ProcessEnd {
+                at: now,
+                is_certain: true,
+            });
+        }
         if outcome == AttemptOutcome::Refused {
             self.brittleness.on_refused(now, self.local_requests());
         }
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -8,7 +8,9 @@
 
 use super::endpoint_notice::EndpointNotices;
 use super::endpoint_sample::draw_sample;
+use super::listing_run::ListingRun;
 use super::peer_backlogs::PeerBacklogs;
+use super::possible_restart::PossibleRestart;
 use super::prefill_rate::PrefillRate;
 use super::zone_evacuations::ZoneEvacuations;
 use super::EndpointKey;
@@ -55,6 +57,7 @@
     pub(super) by_service: HashMap<Name, Vec<EndpointKey>>,
     remote: HashMap<Name, Vec<RemoteEndpoint>>,
     evacuations: ZoneEvacuations,
+    pub(super) listing_run: ListingRun,
     pub(super) notices: EndpointNotices,
     pub(super) peer_backlogs: PeerBacklogs,
     pub(super) prefill_rates: HashMap<Name, PrefillRate>,
@@ -80,6 +83,7 @@
             by_service: HashMap::new(),
             remote: HashMap::new(),
             evacuations: ZoneEvacuations::default(),
+            listing_run: ListingRun::default(),
             notices: EndpointNotices::default(),
             peer_backlogs: PeerBacklogs::default(),
             prefill_rates: HashMap::new(),
@@ -144,9 +148,9 @@
             Some(key) => *key,
             None => {
                 let notice = self.notices.get(&record.instance);
-                let key = self
-                    .endpoints
-                    .insert(EndpointState::new(now, record.clone(), notice));
+                let mut state = EndpointState::new(now, record.clone(), notice);
+                state.possible_restart = self.restart_since_listing(&record.instance);
+                let key = self.endpoints.insert(state);
                 self.by_instance.insert(record.instance.clone(), key);
                 let service = self.by_service.entry(record.service.clone());
                 service.or_default().push(key);
@@ -169,6 +173,19 @@
         state.record = record.clone();
     }
 
+    /// Returns the end of an earlier process with the identifier of an instance if it was observed after the
+    /// listing was confirmed, so that it may be that of the instance.
+    fn restart_since_listing(&self, instance: &InstanceId) -> PossibleRestart {
+        let mut states = self.endpoints.values();
+        let before = states.find(|state| state.record.instance.id == instance.id);
+        let restart = before.map(|state| state.possible_restart);
+        let restart = restart.filter(|restart| {
+            let end = restart.end();
+            end.is_some_and(|end| end.at > self.listing_run.confirmed_at)
+        });
+        restart.unwrap_or_default()
+    }
+
     fn remove_unlisted(&mut self) -> Vec<EndpointKey> {
         let unlisted = self.endpoints.iter().filter(|(_, state)| !state.is_listed);
         let unlisted: Vec<EndpointKey> = unlisted.map(|(key, _)| key).collect();
--- a/src/placement/known_version.rs
+++ b/src/placement/known_version.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::AttemptOutcome;
 use crate::clock::Monotonic;
 use crate::deployment::SoftwareVersion;
 
@@ -30,10 +29,9 @@
 }
 
 impl VersionDoubt {
-    pub(super) fn on_outcome(&mut self, now: Monotonic, outcome: AttemptOutcome) {
-        if outcome == AttemptOutcome::ConnectionRefused {
-            self.until = Some(now + RECORD_LAPSE_TIME);
-        }
+    /// Records that the process has ended.
+    pub(super) fn on_ended(&mut self, at: Monotonic) {
+        self.until = self.until.max(Some(at + RECORD_LAPSE_TIME));
     }
 
     /// Returns whether a listing with this confirmation time tells the version of the present process.
--- a/tests/behaviour/fleet/wire.rs
+++ b/tests/behaviour/fleet/wire.rs
@@ -16,6 +16,8 @@
 use figramp::fleet::MessageCrash;
 use figramp::fleet::MessageCrashes;
 use figramp::fleet::MessageDigest;
+use figramp::fleet::MessageEnd;
+use figramp::fleet::MessageProcess;
 use figramp::fleet::MessageRate;
 use figramp::fleet::MessageSighting;
 use figramp::fleet::MessageVersions;
@@ -87,9 +89,34 @@
         rates: rates(),
         refusal_rates: rates(),
         versions: versions(),
+        ends: ends(),
+        processes: processes(),
     }
 }
 
+fn ends() -> Vec<MessageEnd> {
+    let certain = MessageEnd {
+        endpoint: InstanceHash(5),
+        ended_age: Duration::from_millis(1_500),
+        is_certain: true,
+        returned_age: Some(Duration::from_millis(300)),
+    };
+    let uncertain = MessageEnd {
+        is_certain: false,
+        returned_age: None,
+        ..certain
+    };
+    vec![certain, uncertain]
+}
+
+fn processes() -> Vec<MessageProcess> {
+    vec![MessageProcess {
+        endpoint: InstanceHash(5),
+        since_age: Duration::from_millis(9_000),
+        seen_age: Duration::from_millis(20),
+    }]
+}
+
 fn versions() -> MessageVersions {
     let sighting = MessageSighting {
         service: NameHash(11),
@@ -135,6 +162,16 @@
     assert_eq!(received.rates, rates());
     assert_eq!(received.refusal_rates, rates());
     assert_eq!(received.versions, versions());
+    assert_eq!(received.ends, ends());
+    // The age of the last sighting is rounded up.
+    let expected: Vec<MessageProcess> = processes()
+        .into_iter()
+        .map(|process| MessageProcess {
+            seen_age: process.seen_age + Duration::from_millis(1),
+            ..process
+        })
+        .collect();
+    assert_eq!(received.processes, expected);
     assert_eq!(received.request_sent_at, Some(at(1_200)));
     assert_eq!(received.digest.listing_age, None);
     assert_eq!(
--- a/tests/behaviour/quota/many_accounts.rs
+++ b/tests/behaviour/quota/many_accounts.rs
@@ -74,6 +74,8 @@
         rates: Vec::new(),
         refusal_rates: Vec::new(),
         versions: MessageVersions::default(),
+        ends: Vec::new(),
+        processes: Vec::new(),
     };
     let bytes = encode_message(&message).expect("the message can be encoded");
     assert!(bytes.len() < DATAGRAM_MAX_BYTES, "{} bytes", bytes.len());
