--- a/tests/behaviour/placement/mod.rs
+++ b/tests/behaviour/placement/mod.rs
@@ -6,6 +6,7 @@
 mod many_vms;
 mod notices;
 mod overload;
+mod process_ends;
 mod prompts;
 mod reach;
 mod region_loads;
