Date the ends of processes by the sender's clock, and let only sound evidence refute them

Callers would have seen cold endpoints flooded again, or warm ones refused: - an end that rests on a lost connection came back as a certain return, which no kept connection refuted: warm endpoints were limited for a cold start. A return now has the certainty of its end, and one process seen across both refutes it; - an answer that is read late refuted a true end. A sighting now ends with the sending of the request that was answered, not with the reading of the answer; - a process that refutes an end observed late may be the one started after it: it counts as cold from its first sighting; - a second end right after a return was taken for the first one; - the listing of a new start dropped an end that its record may not know; - a datagram that waited renewed an end for ever: ends are dated by the clock of the sender, as its fastest message shows it (PeerClocks); - ends that came with the listing of their endpoints were skipped; - endpoints that close idle connections by an unannounced timeout counted as ended each time: two closes after the same idle time are a timeout, and connections are kept for a shorter time then; - a connection closed in the same moment as its answer ended told nothing; - the pushes all went to the VM that reads the store as well.

--- a/src/edge/answer_check.rs
+++ b/src/edge/answer_check.rs
@@ -41,8 +41,8 @@
         answer.running.record_outcome(AttemptOutcome::Failed);
         return Err(AttemptError::MayHaveRun(UpstreamError::Unverified));
     }
-    answer.running.record_answered();
-    if head.is_closing {
+    answer.running.record_answered(sent_at);
+    if head.is_closing || answer.ends_with_connection() {
         answer.running.connection_mut().on_closing();
     }
     if let Some(keep_alive) = head.keep_alive {
--- a/src/edge/connection_end.rs
+++ b/src/edge/connection_end.rs
@@ -5,25 +5,81 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use slab::Slab;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::clock::Monotonic;
 
-/// Whether a connection is idle, although its peer has not announced that it closes it; clones share it.
+/// How much sooner than it announced a peer may close an idle connection.
+const KEEP_ALIVE_TOLERANCE: Duration = Duration::from_millis(100);
+
+/// The part of an idle timeout by which two closed connections may differ.
+const IDLE_TIMEOUT_SPREAD_DIVISOR: u32 = 5;
+
+/// An idle connection whose peer has not announced that it closes it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct IdleTime {
+    pub(super) since: Instant,
+    /// The idle timeout that the peer announced.
+    pub(super) keep_alive: Option<Duration>,
+}
+
+/// Whether a connection is idle; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ConnectionUse {
-    is_idle: Rc<Cell<bool>>,
+    idle: Rc<Cell<Option<IdleTime>>>,
+    is_cut: Rc<Cell<bool>>,
 }
 
 impl ConnectionUse {
-    pub(super) fn set_idle(&self, is_idle: bool) {
-        self.is_idle.set(is_idle);
+    pub(super) fn set(&self, idle: Option<IdleTime>) {
+        self.idle.set(idle);
+    }
+
+    /// Records that the peer has closed or reset the connection.
+    pub(super) fn on_cut(&self) {
+        self.is_cut.set(true);
+    }
+
+    /// Returns whether the peer has closed or reset the connection.
+    pub(super) fn is_cut(&self) -> bool {
+        self.is_cut.get()
+    }
+
+    /// Returns for how long the connection was idle that its peer has closed; `None` if it was not idle, or the
+    /// peer had announced that it would close it.
+    pub(super) fn lost_after(&self) -> Option<Duration> {
+        let idle = self.idle.get()?;
+        let idle_time = idle.since.elapsed();
+        let is_late = |keep_alive| idle_time + KEEP_ALIVE_TOLERANCE >= keep_alive;
+        (!idle.keep_alive.is_some_and(is_late)).then_some(idle_time)
     }
+}
+
+/// The idle timeouts of peers that don't announce them, by the connections that they closed.
+#[derive(Debug, Default)]
+struct ObservedTimeouts {
+    /// The idle time of the last connection that each closed, and when it did.
+    last: HashMap<SocketAddr, (Duration, Instant)>,
+    timeouts: HashMap<SocketAddr, Duration>,
+}
 
-    pub(super) fn is_idle(&self) -> bool {
-        self.is_idle.get()
+impl ObservedTimeouts {
+    /// Records that a peer closed a connection that had been idle for a time; returns whether that is its idle
+    /// timeout, as it closed another one after about the same time before.
+    fn on_closed(&mut self, address: SocketAddr, idle_time: Duration) -> bool {
+        let last = self.last.insert(address, (idle_time, Instant::now()));
+        let is_timeout = last.is_some_and(|(last_time, at)| {
+            let difference = last_time.abs_diff(idle_time);
+            at.elapsed() > idle_time && difference <= idle_time / IDLE_TIMEOUT_SPREAD_DIVISOR
+        });
+        if is_timeout {
+            self.timeouts.insert(address, idle_time);
+        }
+        is_timeout
     }
 }
 
@@ -32,6 +88,7 @@
 pub(super) struct OpenConnections {
     /// When each was opened.
     by_address: RefCell<HashMap<SocketAddr, Slab<Monotonic>>>,
+    observed: RefCell<ObservedTimeouts>,
     lost: RefCell<Vec<SocketAddr>>,
     has_lost: Notify,
 }
@@ -61,8 +118,19 @@
         by_address.get(&address).map_or(0, Slab::len)
     }
 
-    /// Records that a peer closed a connection unannounced.
-    pub(super) fn on_lost(&self, address: SocketAddr) {
+    /// Returns the idle timeout of a peer that doesn't announce it; `None` if it is not known.
+    pub(super) fn observed_timeout(&self, address: SocketAddr) -> Option<Duration> {
+        self.observed.borrow().timeouts.get(&address).copied()
+    }
+
+    /// Records that a peer closed a connection unannounced that had been idle for a time; `None` if it was in
+    /// use.
+    pub(super) fn on_lost(&self, address: SocketAddr, idle_time: Option<Duration>) {
+        let mut observed = self.observed.borrow_mut();
+        if idle_time.is_some_and(|idle_time| observed.on_closed(address, idle_time)) {
+            return;
+        }
+        drop(observed);
         self.lost.borrow_mut().push(address);
         self.has_lost.notify_one();
     }
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -24,6 +24,7 @@
 use super::pooled_connection::PooledConnection;
 use super::pooled_connection::IDLE_DEFAULT;
 use super::send_gate::SendGate;
+use super::upstream_error::io_error;
 use super::UpstreamError;
 use crate::clock::Monotonic;
 
@@ -36,6 +37,9 @@
 /// The maximum number of idle connections to one address.
 const IDLE_MAX_CONNECTIONS: usize = 64;
 
+/// The part of an observed idle timeout for which connections are kept.
+const OBSERVED_FRACTION: f64 = 0.7;
+
 /// The connections to endpoints and other VMs, kept for reuse.
 #[derive(Default)]
 pub struct ConnectionPool {
@@ -115,6 +119,13 @@
         if connection.failed.is_full() {
             return;
         }
+        if !connection.is_open() {
+            if connection.is_lost() {
+                self.open.on_lost(connection.address, None);
+            }
+            return;
+        }
+        connection.limit_idle(self.observed_limit(connection.address));
         connection.on_idle(now);
         let mut idle_limits = self.idle_limits.borrow_mut();
         idle_limits.insert(connection.address, connection.idle_max());
@@ -152,7 +163,14 @@
     /// Returns for how long connections to an address may be idle.
     pub fn idle_limit(&self, address: SocketAddr) -> Duration {
         let idle_limits = self.idle_limits.borrow();
-        idle_limits.get(&address).copied().unwrap_or(IDLE_DEFAULT)
+        let announced = idle_limits.get(&address).copied().unwrap_or(IDLE_DEFAULT);
+        announced.min(self.observed_limit(address))
+    }
+
+    /// Returns for how long connections may be idle to an address that announces no idle timeout.
+    fn observed_limit(&self, address: SocketAddr) -> Duration {
+        let timeout = self.open.observed_timeout(address);
+        timeout.map_or(IDLE_DEFAULT, |timeout| timeout.mul_f64(OBSERVED_FRACTION))
     }
 
     /// Opens an idle connection.
@@ -170,7 +188,7 @@
         let connected = timeout(connect_timeout, self.connect(now, address)).await;
         let connected = connected.map_err(|_| UpstreamError::ConnectTimeout(connect_timeout))?;
         let mut connection = connected?;
-        connection.set_idle_max(self.idle_limit(address));
+        connection.limit_idle(self.idle_limit(address));
         connection.on_idle(connection.opened_at);
         let mut idle = self.idle.borrow_mut();
         idle.entry(address).or_default().push(connection);
@@ -201,12 +219,21 @@
         let (open, driven) = (Rc::clone(&self.open), usage.clone());
         let guard = open.add(address, opened_at);
         let driver = tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "an upstream connection failed");
-            }
+            let ended = connection.await;
             drop(guard);
-            if driven.is_idle() {
-                open.on_lost(address);
+            // An endpoint that writes bytes which belong to no answer may go on.
+            if ended
+                .as_ref()
+                .err()
+                .is_none_or(|error| io_error(error).is_some())
+            {
+                driven.on_cut();
+                if let Some(idle_time) = driven.lost_after() {
+                    open.on_lost(address, Some(idle_time));
+                }
+            }
+            if let Err(error) = ended {
+                log::debug!(error:% = error; "an upstream connection failed");
             }
         });
         Ok(PooledConnection::new(
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -10,8 +10,10 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use super::connection_end::ConnectionUse;
+use super::connection_end::IdleTime;
 use super::failed_requests::FailedRequests;
 use super::head_limit::HeadLimit;
 use super::send_gate::SendGate;
@@ -40,6 +42,7 @@
     driver: AbortHandle,
     usage: ConnectionUse,
     is_closing: bool,
+    keep_alive: Option<Duration>,
     idle_max: Duration,
     idle_since: Monotonic,
 }
@@ -66,6 +69,7 @@
             driver,
             usage,
             is_closing: false,
+            keep_alive: None,
             idle_max: IDLE_DEFAULT,
             idle_since: Monotonic::ZERO,
         }
@@ -103,6 +107,7 @@
 
     /// Applies the idle timeout that the peer announced.
     pub(super) fn on_keep_alive(&mut self, keep_alive: Duration) {
+        self.keep_alive = Some(keep_alive);
         self.idle_max = keep_alive.saturating_sub(IDLE_RESERVE).min(IDLE_DEFAULT);
     }
 
@@ -111,8 +116,19 @@
         self.idle_max
     }
 
-    pub(super) const fn set_idle_max(&mut self, idle_max: Duration) {
-        self.idle_max = idle_max;
+    /// Shortens the longest idle time.
+    pub(super) fn limit_idle(&mut self, idle_max: Duration) {
+        self.idle_max = self.idle_max.min(idle_max);
+    }
+
+    /// Returns whether the peer announced that it closes the connection.
+    pub(super) const fn is_closing(&self) -> bool {
+        self.is_closing
+    }
+
+    /// Returns whether the peer has closed it unannounced.
+    pub(super) fn is_lost(&self) -> bool {
+        self.usage.is_cut() && !self.is_closing
     }
 
     /// Returns whether neither side has closed it.
@@ -132,11 +148,15 @@
 
     /// Records that a request takes the connection.
     pub(super) fn on_taken(&self) {
-        self.usage.set_idle(false);
+        self.usage.set(None);
     }
 
     pub(super) fn on_idle(&mut self, now: Monotonic) {
-        self.usage.set_idle(!self.is_closing);
+        let idle = IdleTime {
+            since: Instant::now(),
+            keep_alive: self.keep_alive,
+        };
+        self.usage.set(Some(idle).filter(|_| !self.is_closing));
         self.idle_since = now;
         self.is_reused = true;
     }
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -108,17 +108,18 @@
 
     /// Records that the endpoint closed the connection unannounced.
     pub(super) fn record_lost(&self) {
-        if let (Some(placement), Some(connection)) = (&self.placement, &self.connection) {
+        let connection = self.connection.as_ref();
+        let connection = connection.filter(|connection| !connection.is_closing());
+        if let (Some(placement), Some(connection)) = (&self.placement, connection) {
             EntryState::on_connection_lost(&self.state, placement.endpoint, connection.address);
         }
     }
 
-    /// Records that the endpoint answered.
-    pub(super) fn record_answered(&self) {
+    /// Records that the endpoint answered the request, which was sent at `sent_at`.
+    pub(super) fn record_answered(&self, sent_at: Monotonic) {
         if let (Some(placement), Some(connection)) = (&self.placement, &self.connection) {
-            let now = self.state.now();
             let mut endpoints = self.state.endpoints.borrow_mut();
-            endpoints.on_answered_over(now, placement.endpoint, connection.opened_at);
+            endpoints.on_answered_over(placement.endpoint, connection.opened_at, sent_at);
         }
     }
 
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -102,7 +102,7 @@
     error.is_parse_too_large() || source.is_some_and(|source| source.is::<HeadTooLong>())
 }
 
-fn io_error(error: &hyper::Error) -> Option<&io::Error> {
+pub(super) fn io_error(error: &hyper::Error) -> Option<&io::Error> {
     let mut source = error.source();
     while let Some(error) = source {
         if let Some(error) = error.downcast_ref::<io::Error>() {
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::seq::IteratorRandom;
+use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::time::interval;
 use tokio::time::sleep_until;
@@ -25,6 +27,7 @@
 use crate::fleet::decode_message;
 use crate::fleet::encode_message;
 use crate::fleet::ConfigurationFetch;
+use crate::fleet::EndpointEnd;
 use crate::fleet::FleetMessage;
 use crate::fleet::FleetView;
 use crate::fleet::FleetWireError;
@@ -35,11 +38,15 @@
 use crate::fleet::MessageProcess;
 use crate::fleet::MessageRate;
 use crate::fleet::MessageVersions;
+use crate::fleet::PeerClocks;
 use crate::placement::RateKind;
 
 /// The shortest time between two sets of requests beside the rounds, for news that can't wait.
 const PUSH_INTERVAL_MIN: Duration = Duration::from_millis(50);
 
+/// The most ends of processes in a message.
+const ENDS_MAX: usize = 128;
+
 /// The longest payload of a UDP datagram over IPv4.
 const DATAGRAM_MAX_BYTES: usize = 65_507;
 
@@ -49,6 +56,7 @@
     socket: UdpSocket,
     plan: GossipPlan,
     requests_sent_at: HashMap<Ipv4Addr, Monotonic>,
+    peer_clocks: PeerClocks,
     is_fetching_listing: Rc<Cell<bool>>,
     configuration_fetch: Rc<RefCell<ConfigurationFetch>>,
 }
@@ -66,6 +74,7 @@
             socket,
             plan,
             requests_sent_at: HashMap::new(),
+            peer_clocks: PeerClocks::default(),
             is_fetching_listing: Rc::default(),
             configuration_fetch: Rc::default(),
         }
@@ -87,7 +96,7 @@
                 () = sleep_until(push_at.unwrap_or(pushed_at)), if push_at.is_some() => {
                     push_at = None;
                     pushed_at = Instant::now();
-                    self.send_requests(self.state.now());
+                    self.push();
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, SocketAddr::V4(from))) => {
@@ -106,16 +115,26 @@
         self.state.refresh_row(now);
         self.state.refresh_streams(now);
         self.state.connection_pool.discard_stale(now);
-        self.send_requests(now);
+        let targets = {
+            let fleet = self.state.fleet.borrow();
+            let mut rng = self.state.rng.borrow_mut();
+            self.plan.targets(now, &fleet, &mut *rng)
+        };
+        self.send_requests(now, targets);
     }
 
-    /// Sends a gossip request to each target.
-    fn send_requests(&mut self, now: Monotonic) {
+    /// Sends a gossip request to some VMs of the region before the next round.
+    fn push(&mut self) {
+        let now = self.state.now();
         let targets = {
             let fleet = self.state.fleet.borrow();
             let mut rng = self.state.rng.borrow_mut();
-            self.plan.targets(now, &fleet, &mut *rng)
+            GossipPlan::push_targets(now, &fleet, &mut *rng)
         };
+        self.send_requests(now, targets);
+    }
+
+    fn send_requests(&mut self, now: Monotonic, targets: impl IntoIterator<Item = Ipv4Addr>) {
         for target in targets {
             self.requests_sent_at.insert(target, now);
             self.send(target, now, None, false, &[]);
@@ -147,7 +166,7 @@
                 rates: self.rates(now, to, &fleet, RateKind::Requests),
                 refusal_rates: self.rates(now, to, &fleet, RateKind::Refusals),
                 versions: MessageVersions::new(&self.state.versions.borrow(), now),
-                ends: self.ends(now, to, &fleet),
+                ends: self.ends(now, to, &fleet, &mut *rng),
                 processes: self.processes(now, ended),
             }
         };
@@ -181,12 +200,19 @@
     }
 
     /// Returns the processes of endpoints that may have ended, for a VM of their region.
-    fn ends(&self, now: Monotonic, to: Ipv4Addr, fleet: &FleetView) -> Vec<MessageEnd> {
+    fn ends(
+        &self,
+        now: Monotonic,
+        to: Ipv4Addr,
+        fleet: &FleetView,
+        rng: &mut impl Rng,
+    ) -> Vec<MessageEnd> {
         if !fleet.is_in_local_region(to) {
             return Vec::new();
         }
         let ends = self.state.endpoints.borrow().ends(now).into_iter();
-        ends.map(|end| MessageEnd::new(end, now)).collect()
+        let ends = ends.map(|end| MessageEnd::new(end, now));
+        ends.sample(rng, ENDS_MAX)
     }
 
     /// Returns what this VM has seen of the processes that another VM takes to have ended.
@@ -219,17 +245,22 @@
             let rates = rates.iter().map(|rate| rate.received(now));
             self.state.on_rates_reported(kind, rates);
         }
-        let ends = message.ends.iter().map(|end| end.received(now));
-        self.state.on_ends_reported(ends);
         let mut versions = self.state.versions.borrow_mut();
         let asked_at = self.asked_at(from, &message);
         message.versions.merge_into(&mut versions, now, asked_at);
         drop(versions);
+        let incarnation = message.rows.first().map_or(0, |row| row.incarnation);
+        let clocks = &mut self.peer_clocks;
+        let sent_at = clocks.sending_time(now, from, incarnation, message.sent_at);
+        let ends = message.ends.iter().map(|end| end.received(sent_at));
+        let ends: Vec<EndpointEnd> = ends.collect();
         match (message.request_sent_at, asked_at) {
             (None, _) => self.reply(now, from, &message),
             (Some(_), Some(asked_at)) => self.on_reply(now, from, asked_at, message),
             (Some(_), None) => {}
         }
+        // The listing of a reply may be the first one that contains their endpoints.
+        self.state.on_ends_reported(ends);
     }
 
     /// Returns when the request was sent that a message answers; `None` if it answers none, or not the last.
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -16,6 +16,9 @@
 /// reads the store for the region.
 const FANOUT: usize = 2;
 
+/// The number of random VMs of the local region that get a request beside the rounds.
+const PUSH_FANOUT: usize = 3;
+
 /// The expected number of requests that all VMs of a region together send to remote regions in a
 /// round: traffic between regions is expensive, and rows that one VM receives spread in its region.
 const REMOTE_REQUESTS_PER_ROUND: f64 = 6.0;
@@ -82,6 +85,12 @@
         targets
     }
 
+    /// Returns the VMs of the region that get a request beside the rounds.
+    pub fn push_targets(now: Monotonic, view: &FleetView, rng: &mut impl Rng) -> Vec<Ipv4Addr> {
+        let local = view.alive_in(now, true).map(|row| row.ip);
+        local.sample(rng, PUSH_FANOUT)
+    }
+
     /// Returns the rows for a message: that of the local VM first, then others at random.
     ///
     /// For a VM of a remote region, half of them are drawn from the local region only, as its VMs
--- a/src/fleet/message_ends.rs
+++ b/src/fleet/message_ends.rs
@@ -14,8 +14,6 @@
     pub endpoint: InstanceHash,
     /// The end.
     pub end: ProcessEnd,
-    /// When a process was first seen after it; `None` if it wasn't.
-    pub returned_at: Option<Monotonic>,
 }
 
 /// An [`EndpointEnd`] with ages instead of times, as the clocks of two VMs differ.
@@ -38,19 +36,19 @@
             endpoint: end.endpoint,
             ended_age: now.since(end.end.at),
             is_certain: end.end.is_certain,
-            returned_age: end.returned_at.map(|at| now.since(at)),
+            returned_age: end.end.returned_at.map(|at| now.since(at)),
         }
     }
 
-    /// Converts ages into times of the receiver's clock, which are late by the time in transit.
-    pub fn received(self, now: Monotonic) -> EndpointEnd {
+    /// Converts ages into times of the receiver's clock, by which the message was sent at `sent_at`.
+    pub fn received(self, sent_at: Monotonic) -> EndpointEnd {
         EndpointEnd {
             endpoint: self.endpoint,
             end: ProcessEnd {
-                at: now.before(self.ended_age),
+                at: sent_at.before(self.ended_age),
                 is_certain: self.is_certain,
+                returned_at: self.returned_age.map(|age| sent_at.before(age)),
             },
-            returned_at: self.returned_age.map(|age| now.before(age)),
         }
     }
 }
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -13,7 +13,6 @@
 use super::mean_load::MeanLoad;
 use super::named_rate::NamedRate;
 use super::possible_restart::PossibleRestart;
-use super::possible_restart::ProcessEnd;
 use super::shared_rate::shared_interval;
 use super::wait_estimate::WaitEstimate;
 use super::AttemptOutcome;
@@ -105,7 +104,7 @@
         now: Monotonic,
         listing_confirmed_at: Monotonic,
     ) -> Option<SoftwareVersion> {
-        let is_known = self.possible_restart.end().is_none()
+        let is_known = !self.possible_restart.is_ended()
             && self.version_doubt.is_resolved(now, listing_confirmed_at);
         self.record.version.filter(|_| is_known)
     }
@@ -185,10 +184,7 @@
     pub(super) fn record_outcome(&mut self, now: Monotonic, outcome: AttemptOutcome) {
         self.health.record_outcome(now, outcome);
         if outcome == AttemptOutcome::ConnectionRefused {
-            self.on_ended(ProcessEnd {
-                at: now,
-                is_certain: true,
-            });
+            self.on_ended(now, true);
         }
         if outcome == AttemptOutcome::Refused {
             self.brittleness.on_refused(now, self.local_requests());
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -42,6 +42,9 @@
 /// costs money, and its latency is about a millisecond higher.
 const OTHER_ZONE_PENALTY_MS: f64 = 4.0;
 
+/// The age of a record in the listing: a heartbeat.
+const RECORD_AGE_MAX: Duration = Duration::from_millis(1_200);
+
 /// The endpoints of the local region, and where else their services run.
 ///
 /// Placement has prefix affinity, for loads in which prompts share long prefixes: all VMs send
@@ -173,15 +176,15 @@
         state.record = record.clone();
     }
 
-    /// Returns the end of an earlier process with the identifier of an instance if it was observed after the
-    /// listing was confirmed, so that it may be that of the instance.
+    /// Returns the end of a process with the identifier of an instance that may be the one of the instance
+    /// itself, as its record may be older than the end.
     fn restart_since_listing(&self, instance: &InstanceId) -> PossibleRestart {
         let mut states = self.endpoints.values();
         let before = states.find(|state| state.record.instance.id == instance.id);
         let restart = before.map(|state| state.possible_restart);
         let restart = restart.filter(|restart| {
             let end = restart.end();
-            end.is_some_and(|end| end.at > self.listing_run.confirmed_at)
+            end.is_some_and(|end| end.at + RECORD_AGE_MAX > self.listing_run.confirmed_at)
         });
         restart.unwrap_or_default()
     }
--- a/src/placement/possible_restart.rs
+++ b/src/placement/possible_restart.rs
@@ -9,17 +9,29 @@
 /// lapsed or lists the next start: three heartbeats, a read and a round of gossip.
 const RECORD_LAPSE_TIME: Duration = Duration::from_millis(5_000);
 
-/// How much newer a reported end must be than a known one to be another one: what other VMs observed is dated
-/// later by its time in transit.
+/// How much newer a reported end must be than a known one to be another one: VMs observe the same end at
+/// different times, as they may stand still.
 const END_LEAD: Duration = Duration::from_millis(500);
 
-/// The end of a process, as it was observed.
+/// The same for a refused connection without a return: an endpoint may fall over as soon as it is back.
+const REFUSED_LEAD: Duration = Duration::from_millis(100);
+
+/// The end of a process, as it was observed, and the return of the next one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessEnd {
-    /// When it was observed last.
+    /// When the end was observed last.
     pub at: Monotonic,
     /// Whether a connection was refused; a connection that was lost may mean less.
     pub is_certain: bool,
+    /// When a process was first seen after it; `None` if it wasn't.
+    pub returned_at: Option<Monotonic>,
+}
+
+impl ProcessEnd {
+    /// Returns the time of the last thing that is known.
+    pub(super) fn last_at(&self) -> Monotonic {
+        self.returned_at.map_or(self.at, |at| at.max(self.at))
+    }
 }
 
 /// Whether an endpoint may have started again under its identifier since its record was written.
@@ -29,98 +41,94 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct PossibleRestart {
     end: Option<ProcessEnd>,
-    /// When a process was first seen after the last end.
-    returned_at: Option<Monotonic>,
+    /// When the process that was seen last may have started.
+    started_at: Option<Monotonic>,
 }
 
 impl PossibleRestart {
-    /// Returns the last end, until a process was seen after it.
+    /// Returns the last end that is not refuted.
     pub(super) const fn end(&self) -> Option<ProcessEnd> {
         self.end
     }
 
-    /// Returns when a process was first seen after the last end; `None` if it wasn't.
-    pub(super) fn returned_at(&self) -> Option<Monotonic> {
-        self.returned_at.filter(|_| self.end.is_none())
+    /// Returns whether no process was seen since the last end.
+    pub(super) fn is_ended(&self) -> bool {
+        self.end.is_some_and(|end| end.returned_at.is_none())
     }
 
     /// Records that the process may have ended; returns whether it did not count as ended.
-    pub(super) fn on_ended(&mut self, end: ProcessEnd) -> bool {
-        let before = self.end.replace(end);
-        if let (Some(end), Some(before)) = (&mut self.end, before) {
-            end.at = end.at.max(before.at);
-            end.is_certain |= before.is_certain;
+    pub(super) fn on_ended(&mut self, at: Monotonic, is_certain: bool) -> bool {
+        let is_new = !self.is_ended();
+        let before = self.end.filter(|_| !is_new);
+        if let Some(returned_at) = self.end.and_then(|end| end.returned_at) {
+            self.started_at = self.started_at.max(Some(returned_at));
         }
-        before.is_none()
+        self.end = Some(ProcessEnd {
+            at: before.map_or(at, |before| before.at.max(at)),
+            is_certain: is_certain || before.is_some_and(|before| before.is_certain),
+            returned_at: None,
+        });
+        is_new
     }
 
-    /// Records an end that another VM observed, and when a process was seen after it; returns whether the
-    /// endpoint did not count as ended.
-    pub(super) fn on_reported(
-        &mut self,
-        reported: ProcessEnd,
-        returned_at: Option<Monotonic>,
-    ) -> bool {
-        let known_at = self.end.map(|end| end.at).max(self.returned_at());
-        let is_new = known_at.is_none_or(|known_at| reported.at > known_at + END_LEAD);
-        match &mut self.end {
-            _ if is_new => {
-                self.returned_at = returned_at;
-                self.end = Some(reported).filter(|_| returned_at.is_none());
-            }
-            Some(end) if reported.at + END_LEAD >= end.at => {
-                end.is_certain |= reported.is_certain;
-                if returned_at.is_some() {
-                    self.returned_at = returned_at;
-                    self.end = None;
-                }
-            }
-            _ => {}
+    /// Records an end that another VM observed; returns whether it was not known.
+    pub(super) fn on_reported(&mut self, reported: ProcessEnd) -> bool {
+        let Some(known) = &mut self.end else {
+            self.end = Some(reported);
+            return true;
+        };
+        let lead = match reported.is_certain && reported.returned_at.is_none() {
+            true => REFUSED_LEAD,
+            false => END_LEAD,
+        };
+        if reported.at > known.last_at() + lead {
+            let is_new = self.on_ended(reported.at, reported.is_certain);
+            self.set_returned(reported.returned_at);
+            return is_new;
         }
-        is_new
+        let is_same = reported.at + END_LEAD >= known.at;
+        if is_same && known.returned_at.is_none() {
+            known.is_certain |= reported.is_certain;
+            let returned_at = reported.returned_at.filter(|at| *at >= known.at);
+            self.set_returned(returned_at);
+        }
+        false
     }
 
     /// Records that a process answered over a connection that was opened at `opened_at`; returns whether it
-    /// is a process that was not seen before.
+    /// was not seen before.
     pub(super) fn on_answered(&mut self, opened_at: Monotonic) -> bool {
-        let is_new = self.end.is_some_and(|end| opened_at > end.at);
+        let end = self.end.filter(|end| end.returned_at.is_none());
+        let is_new = end.is_some_and(|end| opened_at > end.at);
         if is_new {
-            self.end = None;
-            self.returned_at = Some(opened_at);
+            self.set_returned(Some(opened_at));
         }
         is_new
     }
 
     /// Takes back an end that is not certain, if one process answered before and after it; returns whether it
     /// did.
+    ///
+    /// The end may have been observed late, so that the process is the one that was started after it.
     pub(super) fn on_sighting(&mut self, sighting: ProcessSighting) -> bool {
-        let is_refuted = self
-            .end
-            .is_some_and(|end| !end.is_certain && sighting.covers(end.at));
+        let end = self.end.filter(|end| !end.is_certain);
+        let is_refuted = end.is_some_and(|end| sighting.covers(end.at));
         if is_refuted {
             self.end = None;
+            self.started_at = self.started_at.max(Some(sighting.since));
         }
         is_refuted
     }
 
     /// Takes back an end that is not certain and was observed at this time.
-    pub(super) fn on_refuted(&mut self, at: Monotonic) -> bool {
-        let is_refuted = self.end.is_some_and(|end| !end.is_certain && end.at == at);
-        if is_refuted {
-            self.end = None;
-        }
-        is_refuted
+    pub(super) fn on_refuted(&mut self, at: Monotonic) {
+        self.end = self.end.filter(|end| end.is_certain || end.at != at);
     }
 
     /// Forgets ends after which the listing was confirmed for long enough without a gap.
     pub(super) fn on_listing_confirmed(&mut self, since: Monotonic, confirmed_at: Monotonic) {
         let is_over = |at: Monotonic| confirmed_at >= at.max(since) + RECORD_LAPSE_TIME;
-        if self.end.is_some_and(|end| is_over(end.at)) {
-            self.end = None;
-        }
-        if self.returned_at.is_some_and(is_over) {
-            self.returned_at = None;
-        }
+        self.end = self.end.filter(|end| !is_over(end.last_at()));
     }
 
     /// Returns until when the endpoint may be cold for that reason, if its service is cold for
@@ -129,9 +137,16 @@
         if cold_start.is_zero() {
             return None;
         }
-        match self.end {
-            Some(_) => Some(Monotonic::from_us(u64::MAX)),
-            None => self.returned_at.map(|at| at + cold_start),
+        if self.is_ended() {
+            return Some(Monotonic::from_us(u64::MAX));
+        }
+        let returned_at = self.end.and_then(|end| end.returned_at);
+        returned_at.max(self.started_at).map(|at| at + cold_start)
+    }
+
+    fn set_returned(&mut self, returned_at: Option<Monotonic>) {
+        if let Some(end) = &mut self.end {
+            end.returned_at = end.returned_at.or(returned_at);
         }
     }
 }
--- a/src/placement/process_ends.rs
+++ b/src/placement/process_ends.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::endpoint_state::rendezvous_key;
-use super::possible_restart::ProcessEnd;
 use super::EndpointKey;
 use super::EndpointState;
 use super::EndpointTable;
@@ -22,15 +21,19 @@
 
 impl EndpointState {
     /// Records that the process may have ended; returns whether it did not count as ended.
-    pub(super) fn on_ended(&mut self, end: ProcessEnd) -> bool {
-        if end.is_certain {
-            self.version_doubt.on_ended(end.at);
+    pub(super) fn on_ended(&mut self, at: Monotonic, is_certain: bool) -> bool {
+        if is_certain {
+            self.version_doubt.on_ended(at);
         }
-        self.possible_restart.on_ended(end)
+        self.possible_restart.on_ended(at, is_certain)
     }
 
-    fn on_answered(&mut self, now: Monotonic, opened_at: Monotonic) {
-        let sighting = ProcessSighting::extended(self.sighting, now, opened_at);
+    fn on_answered(&mut self, opened_at: Monotonic, sent_at: Monotonic) {
+        let seen = ProcessSighting {
+            since: opened_at,
+            seen_at: sent_at,
+        };
+        let sighting = self.sighting.map_or(seen, |before| before.extended(seen));
         self.sighting = Some(sighting);
         self.possible_restart.on_sighting(sighting);
         if self.possible_restart.on_answered(opened_at) {
@@ -38,20 +41,17 @@
         }
     }
 
-    /// Returns what other VMs should know of the end of the process, or of the start of the present one;
-    /// `None` once that is in its record.
+    /// Returns what other VMs should know of the end of the process, and of the return of the next one; `None`
+    /// once that one is warm.
     fn reported_end(&self, now: Monotonic) -> Option<EndpointEnd> {
-        let end = self.possible_restart.end();
-        let end = end.filter(|end| end.is_certain || end.at + LOST_CONNECTIONS_TIME <= now);
-        let returned_at = self.possible_restart.returned_at();
-        let returned_at = returned_at.filter(|at| now < *at + self.cold_start);
-        Some(EndpointEnd {
+        let end = self.possible_restart.end()?;
+        let is_due = match end.returned_at {
+            Some(returned_at) => now < returned_at + self.cold_start,
+            None => end.is_certain || end.at + LOST_CONNECTIONS_TIME <= now,
+        };
+        is_due.then_some(EndpointEnd {
             endpoint: self.instance_hash,
-            end: end.or(returned_at.map(|at| ProcessEnd {
-                at,
-                is_certain: true,
-            }))?,
-            returned_at,
+            end,
         })
     }
 }
@@ -67,12 +67,8 @@
     /// Records that an endpoint closed a connection unannounced, so that its process may have ended; returns
     /// whether it did not count as ended.
     pub fn on_connection_lost(&mut self, now: Monotonic, key: EndpointKey) -> bool {
-        let end = ProcessEnd {
-            at: now,
-            is_certain: false,
-        };
         let state = self.endpoints.get_mut(key);
-        state.is_some_and(|state| state.on_ended(end))
+        state.is_some_and(|state| state.on_ended(now, false))
     }
 
     /// Takes back an end that was concluded from a connection lost at this time, as others that were opened
@@ -83,10 +79,11 @@
         }
     }
 
-    /// Records that an endpoint answered over a connection that was opened at `opened_at`.
-    pub fn on_answered_over(&mut self, now: Monotonic, key: EndpointKey, opened_at: Monotonic) {
+    /// Records that an endpoint answered a request that was sent at `sent_at` over a connection that was opened
+    /// at `opened_at`.
+    pub fn on_answered_over(&mut self, key: EndpointKey, opened_at: Monotonic, sent_at: Monotonic) {
         if let Some(state) = self.endpoints.get_mut(key) {
-            state.on_answered(now, opened_at);
+            state.on_answered(opened_at, sent_at);
         }
     }
 
@@ -108,12 +105,8 @@
 
     /// Records that an endpoint refused a connection; returns whether its process did not count as ended.
     pub fn on_connection_refused(&mut self, now: Monotonic, key: EndpointKey) -> bool {
-        let end = ProcessEnd {
-            at: now,
-            is_certain: true,
-        };
         let state = self.endpoints.get_mut(key);
-        state.is_some_and(|state| state.on_ended(end))
+        state.is_some_and(|state| state.on_ended(now, true))
     }
 
     /// Returns whether the process of an endpoint may have ended since a time.
@@ -121,9 +114,8 @@
         let Some(state) = self.endpoints.get(key) else {
             return false;
         };
-        let end = state.possible_restart.end().map(|end| end.at);
-        let changed_at = end.max(state.possible_restart.returned_at());
-        !state.cold_start.is_zero() && changed_at.is_some_and(|changed_at| changed_at > at)
+        let end = state.possible_restart.end();
+        !state.cold_start.is_zero() && end.is_some_and(|end| end.last_at() > at)
     }
 
     /// Records that the listing was confirmed.
@@ -167,9 +159,9 @@
                 continue;
             }
             let restart = &mut state.possible_restart;
-            let is_new = restart.on_reported(end, reported.returned_at);
+            let is_new = restart.on_reported(end);
             restart.on_listing_confirmed(run.since, run.confirmed_at);
-            if is_new && (restart.end().is_some() || restart.returned_at().is_some()) {
+            if is_new && restart.end().is_some() {
                 if end.is_certain {
                     state.version_doubt.on_ended(end.at);
                 }
