Tests: more outages and loads at endpoints that start again

24 daemons and four engines: outages of 20 ms to 7 s, bursts, listed 1 to 3 s late, daemons that know no other or start again, two engines at once, a second end after the return, a planned restart, and lost connections of engines that go on. The engine that got most requests in the last half second is the one that ends. The stand-in closes connections that are idle, at once or after a time, and breaks one in some number of streams. A test run has more than 255 addresses for daemons. The rows of 7 s say little: from 3 s after the store has become unreachable, daemons refuse all requests.

--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -33,6 +33,8 @@
     pub mislabels_answers: bool,
     /// Resets streams after half of the event with this number.
     pub truncated_event: Option<u64>,
+    /// Resets one in this many streams in the middle; `None` for none.
+    pub breaks_one_in: Option<usize>,
     /// Sends bytes that complete no event without end, this many at a time, in place of a stream.
     pub endless_bytes: Option<usize>,
     /// The identifier of the prompt part that crashes the endpoint when it begins to write a stream,
@@ -56,6 +58,14 @@
         text.parse().ok().filter(|rate| *rate >= 0.0)
     }
 
+    /// Returns the event at which the stream of the request with this number is reset; `None` for none.
+    pub(super) fn last_event(&self, request_number: usize) -> Option<u64> {
+        let breaks = self
+            .breaks_one_in
+            .is_some_and(|one_in| request_number.is_multiple_of(one_in));
+        self.truncated_event.or(breaks.then_some(3))
+    }
+
     /// Returns whether a request crashes the endpoint.
     pub(super) fn crashes_at(&self, path: &str, body: &[u8]) -> bool {
         let mut requests = self.crashing_requests.iter();
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -153,6 +153,16 @@
         self.state.lock().faults = faults;
     }
 
+    /// Closes one connection without notice, after the answer in progress on it.
+    pub fn close_connection(&self) {
+        self.state.lock().connection_ends.closing.notify_one();
+    }
+
+    /// Closes new connections without notice once they were idle for a time.
+    pub fn set_idle_timeout(&self, timeout: Duration) {
+        *self.state.lock().connection_ends.idle_timeout.lock() = Some(timeout);
+    }
+
     /// Sends no byte for a time; requests are accepted and run meanwhile.
     pub fn fall_silent(&self, duration: Duration) {
         self.state.lock().silence.begin(duration);
@@ -229,7 +239,8 @@
     id: &str,
 ) -> io::Result<SocketAddr> {
     let (served, instance_id) = (Arc::clone(state), id.to_owned());
-    let (address, task) = http_listener::serve(address, move |request| {
+    let ends = Arc::clone(&state.lock().connection_ends);
+    let (address, task) = http_listener::serve_ending(address, ends, move |request| {
         answer(Arc::clone(&served), instance_id.clone(), request)
     })
     .await?;
@@ -292,7 +303,8 @@
         *state.runs.entry(request_id.clone()).or_insert(0) += 1;
         let silence = Arc::clone(&state.silence);
         let running = state.work_log.begin(&request_id);
-        let (faults, version) = (state.faults.clone(), state.version.clone());
+        let (mut faults, version) = (state.faults.clone(), state.version.clone());
+        faults.truncated_event = faults.last_event(state.arrivals.len());
         let load = state.load();
         (
             faults,
--- a/src/stand_in/deployment/endpoint_state.rs
+++ b/src/stand_in/deployment/endpoint_state.rs
@@ -12,6 +12,7 @@
 
 use super::crashing_request::CrashPoint;
 use super::endpoint_process::EndpointProcess;
+use super::http_listener::ConnectionEnds;
 use super::silence::Silence;
 use super::work_log::WorkLog;
 use super::Arrival;
@@ -35,6 +36,7 @@
     pub(super) sequence: u64,
     pub(super) replaced_count: u64,
     pub(super) silence: Arc<Silence>,
+    pub(super) connection_ends: Arc<ConnectionEnds>,
     /// The version of the software; `None` for the usual one, which events do not name.
     pub(super) version: Option<String>,
     /// What stands in the record in place of the version.
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -32,6 +32,8 @@
 pub(crate) mod region_link;
 mod repeated_refusals;
 mod requests;
+mod restart_rows;
+mod restart_site;
 mod restarted_endpoints;
 mod restored_store;
 mod silent_endpoints;
--- a/tests/behaviour/entry/restarted_endpoints.rs
+++ b/tests/behaviour/entry/restarted_endpoints.rs
@@ -1,48 +1,36 @@
 //! Daemons that together send an endpoint that has started again under its identifier no more than a cold one
 //! tolerates, before the store lists its new start.
 
-use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use figramp::stand_in::deployment::EndpointFaults;
 use tokio::time::sleep;
 
 use super::cold_load::cold_record;
 use super::cold_load::most_in_one_second;
 use super::cold_load::send_bursts;
 use super::cold_load::send_streams;
+use super::restart_site::engine_faults;
+use super::restart_site::launch_vms;
+use super::restart_site::BOUND_PER_S;
+use super::restart_site::COLD_MS;
+use super::restart_site::COLD_RATE_PER_S;
 use super::support::configuration;
-use super::support::new_ip;
 use super::support::EntryVm;
 use super::support::Site;
 use super::support::EAST;
 use super::support::KEY;
 
-const VM_COUNT: usize = 24;
-
-const COLD_RATE_PER_S: f64 = 4.2;
-
-/// The requests that a cold engine may get in one second: 1.5 times its rate, and 3 more.
-const BOUND_PER_S: usize = 9;
-
 /// The load before the outage.
 const LOAD_TIME_BEFORE: Duration = Duration::from_secs(6);
 
 /// The load from the start of the outage, without its length.
 const LOAD_TIME_AFTER: Duration = Duration::from_secs(4);
 
-const COLD_MS: u64 = 3_000;
-
 /// How long an endpoint that has started again is not in the store with its new start.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(1_000);
 
-const EVENT_PAUSE: Duration = Duration::from_millis(20);
-
-/// Longer than the wait that is assumed of an engine that has not answered yet, so that both are used.
-const HEAD_DELAY: Duration = Duration::from_millis(60);
-
 /// The requests that come to a VM at the same time.
 #[derive(Clone, Copy)]
 enum Load {
@@ -59,38 +47,17 @@
     }
 }
 
-/// Starts daemons of one region; each knows all others as seeds, or only itself.
-async fn launch_vms(site: &Site, know_each_other: bool) -> Vec<Arc<EntryVm>> {
-    let ips: Vec<Ipv4Addr> = (0..VM_COUNT).map(|_| new_ip()).collect();
-    let store = site.store.address();
-    let start = |ip| {
-        let own = [ip];
-        let seeds = if know_each_other { &ips[..] } else { &own };
-        Arc::new(EntryVm::start(ip, EAST, store, seeds))
-    };
-    let vms: Vec<_> = ips.iter().map(|ip| start(*ip)).collect();
-    for vm in &vms {
-        vm.wait_until(true).await;
-    }
-    sleep(Duration::from_millis(3_200)).await;
-    vms
-}
-
 /// Returns the most requests in one second at an engine that is down for the outage and then cold.
 async fn most_after_outage(outage: Duration, load: Load, know_each_other: bool) -> usize {
     let site = Site::launch(EAST).await;
     for engine in &site.engines {
-        engine.set_faults(EndpointFaults {
-            reports_load: true,
-            head_delay: HEAD_DELAY,
-            pause: EVENT_PAUSE,
-            ..EndpointFaults::default()
-        });
+        engine.set_faults(engine_faults());
     }
     let mut configuration = configuration(2, &[KEY]);
     configuration["services"][1]["coldPerS"] = COLD_RATE_PER_S.into();
     site.store.put("op/config", configuration.to_string());
     let vms = launch_vms(&site, know_each_other).await;
+    let vms: Vec<_> = vms.into_iter().map(Arc::new).collect();
     load.send(&vms, LOAD_TIME_BEFORE).await;
     let engine = &site.engines[0];
     assert!(engine.arrival_count() > 0, "the engine was used");
--- a/tests/behaviour/entry/support.rs
+++ b/tests/behaviour/entry/support.rs
@@ -8,7 +8,7 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -31,13 +31,15 @@
 /// SIGHUP, SIGINT and SIGTERM.
 const HANDLED_SIGNALS: [u32; 3] = [1, 2, 15];
 
-static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
+static NEXT_ADDRESS: AtomicU16 = AtomicU16::new(1);
 
 /// Returns a loopback address that no other daemon of this test run uses.
 pub(crate) fn new_ip() -> Ipv4Addr {
     let process = std::process::id();
-    let number = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed);
-    Ipv4Addr::new(127, 64 + (process >> 8) as u8 % 128, process as u8, number)
+    let [block, number] = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    // Processes that run at the same time differ little in their identifiers.
+    let second = 64 + ((process >> 8) as u8).wrapping_add(block.wrapping_mul(32)) % 128;
+    Ipv4Addr::new(127, second, process as u8, number)
 }
 
 pub(crate) fn any_port() -> SocketAddr {
