Don't take idle timeouts under a second for the ends of processes

Cause: each such close counted as a possible end, for the whole region. Change: a connection that was idle for less than a second, without an announced timeout, tells of an end only if another one that had been idle for another time was closed at once, or if the VM has no peers that would tell it. Two closes after the same idle time are a timeout.

--- a/src/edge/connection_end.rs
+++ b/src/edge/connection_end.rs
@@ -16,6 +16,12 @@
 /// How much sooner than it announced a peer may close an idle connection.
 const KEEP_ALIVE_TOLERANCE: Duration = Duration::from_millis(100);
 
+/// The longest idle timeout that peers don't announce: they do so in whole seconds.
+const UNANNOUNCED_TIMEOUT_MAX: Duration = Duration::from_secs(1);
+
+/// The time within which a process that ends closes its connections.
+const SIMULTANEOUS: Duration = Duration::from_millis(50);
+
 /// The part of an idle timeout by which two closed connections may differ.
 const IDLE_TIMEOUT_SPREAD_DIVISOR: u32 = 5;
 
@@ -27,6 +33,24 @@
     pub(super) keep_alive: Option<Duration>,
 }
 
+/// An idle connection that its peer has closed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostIdle {
+    /// For how long it was idle.
+    time: Duration,
+    /// Whether the peer may have closed it because it was idle.
+    may_be_timeout: bool,
+}
+
+/// A connection that its peer has closed unannounced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostConnection {
+    /// The address of the peer.
+    pub address: SocketAddr,
+    /// Whether the peer may have closed it because it was idle.
+    pub may_be_timeout: bool,
+}
+
 /// Whether a connection is idle; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ConnectionUse {
@@ -51,11 +75,14 @@
 
     /// Returns for how long the connection was idle that its peer has closed; `None` if it was not idle, or the
     /// peer had announced that it would close it.
-    pub(super) fn lost_after(&self) -> Option<Duration> {
+    pub(super) fn lost_after(&self) -> Option<LostIdle> {
         let idle = self.idle.get()?;
-        let idle_time = idle.since.elapsed();
-        let is_late = |keep_alive| idle_time + KEEP_ALIVE_TOLERANCE >= keep_alive;
-        (!idle.keep_alive.is_some_and(is_late)).then_some(idle_time)
+        let time = idle.since.elapsed();
+        let is_late = |keep_alive| time + KEEP_ALIVE_TOLERANCE >= keep_alive;
+        (!idle.keep_alive.is_some_and(is_late)).then_some(LostIdle {
+            time,
+            may_be_timeout: idle.keep_alive.is_none() && time < UNANNOUNCED_TIMEOUT_MAX,
+        })
     }
 }
 
@@ -68,28 +95,46 @@
 }
 
 impl ObservedTimeouts {
-    /// Records that a peer closed a connection that had been idle for a time; returns whether that is its idle
-    /// timeout, as it closed another one after about the same time before.
-    fn on_closed(&mut self, address: SocketAddr, idle_time: Duration) -> bool {
-        let last = self.last.insert(address, (idle_time, Instant::now()));
-        let is_timeout = last.is_some_and(|(last_time, at)| {
-            let difference = last_time.abs_diff(idle_time);
-            at.elapsed() > idle_time && difference <= idle_time / IDLE_TIMEOUT_SPREAD_DIVISOR
-        });
-        if is_timeout {
-            self.timeouts.insert(address, idle_time);
+    /// Records that a peer closed a connection that had been idle for a time; returns whether it may have done so
+    /// because of that.
+    ///
+    /// It did if it closed another one after about the same time before. It did not if it closed two at once that
+    /// had been idle for different times.
+    fn on_closed(&mut self, address: SocketAddr, lost: LostIdle) -> TimeoutEvidence {
+        let last = self.last.insert(address, (lost.time, Instant::now()));
+        let Some((last_time, at)) = last else {
+            return TimeoutEvidence::Unknown;
+        };
+        let is_same = last_time.abs_diff(lost.time) <= lost.time / IDLE_TIMEOUT_SPREAD_DIVISOR;
+        if is_same && at.elapsed() > lost.time {
+            self.timeouts.insert(address, lost.time);
+            return TimeoutEvidence::Timeout;
+        }
+        match !is_same && at.elapsed() < SIMULTANEOUS {
+            true => TimeoutEvidence::Ended,
+            false => TimeoutEvidence::Unknown,
         }
-        is_timeout
     }
 }
 
+/// What a closed idle connection tells, beside those closed before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TimeoutEvidence {
+    /// It was idle for too long.
+    Timeout,
+    /// All connections were closed.
+    Ended,
+    /// Either.
+    Unknown,
+}
+
 /// The open connections, and the addresses that closed one unannounced.
 #[derive(Debug, Default)]
 pub(super) struct OpenConnections {
     /// When each was opened.
     by_address: RefCell<HashMap<SocketAddr, Slab<Monotonic>>>,
     observed: RefCell<ObservedTimeouts>,
-    lost: RefCell<Vec<SocketAddr>>,
+    lost: RefCell<Vec<LostConnection>>,
     has_lost: Notify,
 }
 
@@ -123,20 +168,25 @@
         self.observed.borrow().timeouts.get(&address).copied()
     }
 
-    /// Records that a peer closed a connection unannounced that had been idle for a time; `None` if it was in
-    /// use.
-    pub(super) fn on_lost(&self, address: SocketAddr, idle_time: Option<Duration>) {
-        let mut observed = self.observed.borrow_mut();
-        if idle_time.is_some_and(|idle_time| observed.on_closed(address, idle_time)) {
-            return;
-        }
-        drop(observed);
-        self.lost.borrow_mut().push(address);
+    /// Records that a peer closed a connection unannounced; `idle` is `None` if it was in use.
+    pub(super) fn on_lost(&self, address: SocketAddr, idle: Option<LostIdle>) {
+        let may_be_timeout = match idle {
+            None => false,
+            Some(idle) => match self.observed.borrow_mut().on_closed(address, idle) {
+                TimeoutEvidence::Timeout => return,
+                TimeoutEvidence::Ended => false,
+                TimeoutEvidence::Unknown => idle.may_be_timeout,
+            },
+        };
+        self.lost.borrow_mut().push(LostConnection {
+            address,
+            may_be_timeout,
+        });
         self.has_lost.notify_one();
     }
 
-    /// Waits for connections that were closed unannounced, and returns their addresses.
-    pub(super) async fn next_lost(&self) -> Vec<SocketAddr> {
+    /// Waits for connections that were closed unannounced, and returns them.
+    pub(super) async fn next_lost(&self) -> Vec<LostConnection> {
         loop {
             let lost = std::mem::take(&mut *self.lost.borrow_mut());
             if !lost.is_empty() {
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::connection_end::ConnectionUse;
+use super::connection_end::LostConnection;
 use super::connection_end::OpenConnections;
 use super::connection_query::ConnectionQuery;
 use super::head_limit::HeadLimit;
@@ -223,8 +224,8 @@
             drop(guard);
             if ended.as_ref().err().is_none_or(is_cut) {
                 driven.on_cut();
-                if let Some(idle_time) = driven.lost_after() {
-                    open.on_lost(address, Some(idle_time));
+                if let Some(idle) = driven.lost_after() {
+                    open.on_lost(address, Some(idle));
                 }
             }
             if let Err(error) = ended {
@@ -247,8 +248,8 @@
         self.open.has_older(address, at)
     }
 
-    /// Waits until peers close idle connections unannounced, and returns their addresses.
-    pub async fn next_lost(&self) -> Vec<SocketAddr> {
+    /// Waits until peers close connections unannounced, and returns these.
+    pub async fn next_lost(&self) -> Vec<LostConnection> {
         self.open.next_lost().await
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -44,6 +44,7 @@
 mod tried_targets;
 mod upstream_error;
 
+pub use connection_end::LostConnection;
 pub use connection_pool::ConnectionPool;
 pub use edge_body::EdgeBody;
 pub use edge_listener::EdgeListener;
--- a/src/entry/entry_ends.rs
+++ b/src/entry/entry_ends.rs
@@ -52,15 +52,23 @@
 /// Watches for connections to endpoints that are closed while they are idle; never returns.
 pub(super) async fn watch_connections(state: Rc<EntryState>) {
     loop {
-        for address in state.connection_pool.next_lost().await {
-            let key = state.endpoints.borrow().at_address(address);
+        for lost in state.connection_pool.next_lost().await {
+            let key = state.endpoints.borrow().at_address(lost.address);
+            let key = key.filter(|_| !lost.may_be_timeout || !has_peers(&state));
             if let Some(key) = key {
-                EntryState::on_connection_lost(&state, key, address);
+                EntryState::on_connection_lost(&state, key, lost.address);
             }
         }
     }
 }
 
+/// Returns whether other VMs of the region would tell this one of the end of a process.
+fn has_peers(state: &EntryState) -> bool {
+    let (fleet, now) = (state.fleet.borrow(), state.now());
+    let peers = fleet.alive_in(now, true).count();
+    peers > 0
+}
+
 pub(super) fn log_ended(endpoints: &EndpointTable, key: EndpointKey, evidence: &str) {
     if let Some(state) = endpoints.get(key) {
         log::info!(
