Watch cold endpoints as well, and date the start of a process by a connection to it

Found by the soak with engines that start again: cold and doubted endpoints get few requests, so that no VM had a connection when they ended again.

--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -174,7 +174,7 @@
         timeout.map_or(IDLE_DEFAULT, |timeout| timeout.mul_f64(OBSERVED_FRACTION))
     }
 
-    /// Opens an idle connection.
+    /// Opens an idle connection, and returns when it was opened.
     ///
     /// # Errors
     ///
@@ -184,16 +184,17 @@
         now: Monotonic,
         address: SocketAddr,
         connect_timeout: Duration,
-    ) -> Result<(), UpstreamError> {
+    ) -> Result<Monotonic, UpstreamError> {
         self.opened_count.set(self.opened_count.get() + 1);
         let connected = timeout(connect_timeout, self.connect(now, address)).await;
         let connected = connected.map_err(|_| UpstreamError::ConnectTimeout(connect_timeout))?;
         let mut connection = connected?;
         connection.limit_idle(self.idle_limit(address));
-        connection.on_idle(connection.opened_at);
+        let opened_at = connection.opened_at;
+        connection.on_idle(opened_at);
         let mut idle = self.idle.borrow_mut();
         idle.entry(address).or_default().push(connection);
-        Ok(())
+        Ok(opened_at)
     }
 
     /// Opens a connection that is in none of the pool's places for idle ones.
--- a/src/entry/watch_task.rs
+++ b/src/entry/watch_task.rs
@@ -48,7 +48,7 @@
 fn due_endpoints(state: &EntryState, now: Monotonic) -> Vec<(EndpointKey, SocketAddr)> {
     let fleet = state.fleet.borrow();
     let endpoints = state.endpoints.borrow();
-    let mut watched = endpoints.watched(now, |key| fleet.is_selected(now, key, WATCHERS));
+    let mut watched = endpoints.watched(|key| fleet.is_selected(now, key, WATCHERS));
     let pool = &state.connection_pool;
     watched.retain(|(_, address)| {
         pool.idle_limit(*address) >= IDLE_LIMIT_MIN && !pool.is_held(now, *address, HELD_TIME)
@@ -58,11 +58,13 @@
 
 async fn hold(state: &EntryState, now: Monotonic, key: EndpointKey, address: SocketAddr) {
     let pool = &state.connection_pool;
-    let Err(error) = pool.hold(now, address, CONNECT_TIMEOUT).await else {
-        return;
+    let held = pool.hold(now, address, CONNECT_TIMEOUT).await;
+    let mut endpoints = state.endpoints.borrow_mut();
+    let error = match held {
+        Ok(opened_at) => return endpoints.on_connected(key, opened_at),
+        Err(error) => error,
     };
     log::debug!(address:% = address, error:% = error; "an endpoint can't be watched");
-    let mut endpoints = state.endpoints.borrow_mut();
     if error.is_connection_refused() && endpoints.on_connection_refused(state.now(), key) {
         log_ended(&endpoints, key, "connection refused");
         state.gossip_now.notify_one();
--- a/src/placement/process_ends.rs
+++ b/src/placement/process_ends.rs
@@ -87,22 +87,29 @@
         }
     }
 
-    /// Returns the warm endpoints whose processes this VM watches, by the rendezvous keys of their instances.
-    pub fn watched(
-        &self,
-        now: Monotonic,
-        is_selected: impl Fn(u64) -> bool,
-    ) -> Vec<(EndpointKey, SocketAddr)> {
-        let warm = self.endpoints.iter().filter(|(_, state)| {
-            !state.cold_start.is_zero() && state.takes_requests() && !state.is_cold(now)
-        });
-        let watched = warm.filter(|(_, state)| is_selected(rendezvous_key(&state.record.instance)));
+    /// Returns the endpoints whose processes this VM watches, by the rendezvous keys of their instances.
+    pub fn watched(&self, is_selected: impl Fn(u64) -> bool) -> Vec<(EndpointKey, SocketAddr)> {
+        let limited_when_cold = self
+            .endpoints
+            .iter()
+            .filter(|(_, state)| !state.cold_start.is_zero() && state.takes_requests());
+        let watched = limited_when_cold
+            .filter(|(_, state)| is_selected(rendezvous_key(&state.record.instance)));
         watched
             .map(|(key, state)| (key, state.record.address))
             .take(WATCHED_MAX)
             .collect()
     }
 
+    /// Records that a connection to an endpoint was opened, so that its process has started before.
+    pub fn on_connected(&mut self, key: EndpointKey, opened_at: Monotonic) {
+        if let Some(state) = self.endpoints.get_mut(key) {
+            if state.possible_restart.on_answered(opened_at) {
+                state.version_doubt.on_ended(opened_at);
+            }
+        }
+    }
+
     /// Records that an endpoint refused a connection; returns whether its process did not count as ended.
     pub fn on_connection_refused(&mut self, now: Monotonic, key: EndpointKey) -> bool {
         let state = self.endpoints.get_mut(key);
