Answers that are broken off are no ends of processes, unless other connections are closed at once

Cause: one connection that breaks under a request can't tell the end of the process from a fault of the endpoint. Change: it counts only if another one that was open at the same time is closed within 50 ms. Watchers hold a connection that no request takes, and renew it early, so that two of different idle times show an end.

--- a/src/edge/connection_end.rs
+++ b/src/edge/connection_end.rs
@@ -22,8 +22,8 @@
 /// The time within which a process that ends closes its connections.
 const SIMULTANEOUS: Duration = Duration::from_millis(50);
 
-/// The part of an idle timeout by which two closed connections may differ.
-const IDLE_TIMEOUT_SPREAD_DIVISOR: u32 = 5;
+/// How much the idle times of two connections may differ that a peer closed by the same timeout.
+const IDLE_TIMEOUT_SPREAD: Duration = Duration::from_millis(30);
 
 /// An idle connection whose peer has not announced that it closes it.
 #[derive(Clone, Copy, Debug)]
@@ -52,13 +52,22 @@
 }
 
 /// Whether a connection is idle; clones share it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct ConnectionUse {
+    pub(super) opened: Instant,
     idle: Rc<Cell<Option<IdleTime>>>,
     is_cut: Rc<Cell<bool>>,
 }
 
 impl ConnectionUse {
+    pub(super) fn new(opened: Instant) -> Self {
+        Self {
+            opened,
+            idle: Rc::default(),
+            is_cut: Rc::default(),
+        }
+    }
+
     pub(super) fn set(&self, idle: Option<IdleTime>) {
         self.idle.set(idle);
     }
@@ -98,14 +107,17 @@
     /// Records that a peer closed a connection that had been idle for a time; returns whether it may have done so
     /// because of that.
     ///
-    /// It did if it closed another one after about the same time before. It did not if it closed two at once that
-    /// had been idle for different times.
+    /// It did if it closed another one after the same time before. It did not if it closed two at once that had
+    /// been idle for different times, or if one was idle for longer than an unannounced timeout.
     fn on_closed(&mut self, address: SocketAddr, lost: LostIdle) -> TimeoutEvidence {
+        if !lost.may_be_timeout {
+            return TimeoutEvidence::Ended;
+        }
         let last = self.last.insert(address, (lost.time, Instant::now()));
         let Some((last_time, at)) = last else {
             return TimeoutEvidence::Unknown;
         };
-        let is_same = last_time.abs_diff(lost.time) <= lost.time / IDLE_TIMEOUT_SPREAD_DIVISOR;
+        let is_same = last_time.abs_diff(lost.time) <= IDLE_TIMEOUT_SPREAD;
         if is_same && at.elapsed() > lost.time {
             self.timeouts.insert(address, lost.time);
             return TimeoutEvidence::Timeout;
@@ -122,7 +134,7 @@
 enum TimeoutEvidence {
     /// It was idle for too long.
     Timeout,
-    /// All connections were closed.
+    /// It was not: all connections were closed.
     Ended,
     /// Either.
     Unknown,
@@ -134,6 +146,8 @@
     /// When each was opened.
     by_address: RefCell<HashMap<SocketAddr, Slab<Monotonic>>>,
     observed: RefCell<ObservedTimeouts>,
+    /// When each peer last closed a connection unannounced.
+    last_lost_at: RefCell<HashMap<SocketAddr, Instant>>,
     lost: RefCell<Vec<LostConnection>>,
     has_lost: Notify,
 }
@@ -157,25 +171,27 @@
         connections.is_some_and(|opened| opened.iter().any(|(_, opened_at)| *opened_at < at))
     }
 
-    /// Returns the number of open connections to an address.
-    pub(super) fn count(&self, address: SocketAddr) -> usize {
-        let by_address = self.by_address.borrow();
-        by_address.get(&address).map_or(0, Slab::len)
-    }
-
     /// Returns the idle timeout of a peer that doesn't announce it; `None` if it is not known.
     pub(super) fn observed_timeout(&self, address: SocketAddr) -> Option<Duration> {
         self.observed.borrow().timeouts.get(&address).copied()
     }
 
     /// Records that a peer closed a connection unannounced; `idle` is `None` if it was in use.
-    pub(super) fn on_lost(&self, address: SocketAddr, idle: Option<LostIdle>) {
+    ///
+    /// An answer that is broken off is no end of the process, unless another connection that was open at the same
+    /// time is closed at once; `opened_at` is when this one was opened.
+    pub(super) fn on_lost(&self, address: SocketAddr, opened_at: Instant, idle: Option<LostIdle>) {
+        let now = Instant::now();
+        let last_lost_at = self.last_lost_at.borrow_mut().insert(address, now);
+        let is_one_of_several =
+            last_lost_at.is_some_and(|at| opened_at < at && now - at < SIMULTANEOUS);
         let may_be_timeout = match idle {
-            None => false,
+            None if is_one_of_several => false,
+            None => return,
             Some(idle) => match self.observed.borrow_mut().on_closed(address, idle) {
                 TimeoutEvidence::Timeout => return,
                 TimeoutEvidence::Ended => false,
-                TimeoutEvidence::Unknown => idle.may_be_timeout,
+                TimeoutEvidence::Unknown => !is_one_of_several,
             },
         };
         self.lost.borrow_mut().push(LostConnection {
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -45,6 +45,8 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddr, Vec<PooledConnection>>>,
+    /// Connections that no request takes: they show when their peer closes all of them.
+    held: RefCell<HashMap<SocketAddr, Vec<PooledConnection>>>,
     open: Rc<OpenConnections>,
     /// For how long connections to an address may be idle, by its last answer.
     idle_limits: RefCell<HashMap<SocketAddr, Duration>>,
@@ -122,7 +124,7 @@
         }
         if !connection.is_open() {
             if connection.is_lost() {
-                self.open.on_lost(connection.address, None);
+                self.on_broken(&connection);
             }
             return;
         }
@@ -150,15 +152,24 @@
             connections.retain(|connection| connection.is_usable(now, Duration::MAX));
             !connections.is_empty()
         });
+        let mut held = self.held.borrow_mut();
+        held.retain(|_, connections| {
+            connections.retain(|connection| connection.is_usable(now, Duration::MAX));
+            !connections.is_empty()
+        });
     }
 
-    /// Returns whether a connection to an address is in use, or may stay idle for at least this time.
+    /// Returns whether a connection to an address is held and may stay idle for at least this time.
     pub fn is_held(&self, now: Monotonic, address: SocketAddr, time: Duration) -> bool {
-        let idle = self.idle.borrow();
-        let idle = idle.get(&address).map_or(&[][..], Vec::as_slice);
-        let mut idle_open = idle.iter().filter(|connection| connection.is_open());
-        self.open.count(address) > idle_open.clone().count()
-            || idle_open.any(|connection| connection.idle_left(now) >= time)
+        let held = self.held.borrow();
+        let mut connections = held.get(&address).into_iter().flatten();
+        connections.any(|connection| connection.is_open() && connection.idle_left(now) >= time)
+    }
+
+    /// Records that a peer closed this connection unannounced while a request used it.
+    pub(super) fn on_broken(&self, connection: &PooledConnection) {
+        self.open
+            .on_lost(connection.address, connection.opened(), None);
     }
 
     /// Returns for how long connections to an address may be idle.
@@ -174,7 +185,7 @@
         timeout.map_or(IDLE_DEFAULT, |timeout| timeout.mul_f64(OBSERVED_FRACTION))
     }
 
-    /// Opens an idle connection, and returns when it was opened.
+    /// Opens a connection that no request takes, beside older ones; returns when it was opened.
     ///
     /// # Errors
     ///
@@ -192,8 +203,8 @@
         connection.limit_idle(self.idle_limit(address));
         let opened_at = connection.opened_at;
         connection.on_idle(opened_at);
-        let mut idle = self.idle.borrow_mut();
-        idle.entry(address).or_default().push(connection);
+        let mut held = self.held.borrow_mut();
+        held.entry(address).or_default().push(connection);
         Ok(opened_at)
     }
 
@@ -207,7 +218,8 @@
         let stream = TcpStream::connect(address)
             .await
             .map_err(UpstreamError::Connect)?;
-        let opened_at = now + began_at.elapsed();
+        let opened = Instant::now();
+        let opened_at = now + (opened - began_at);
         set_options(&stream).map_err(UpstreamError::Connect)?;
         let limit = HeadLimit::default();
         let gate = SendGate::default();
@@ -217,7 +229,7 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(UpstreamError::Broken)?;
-        let usage = ConnectionUse::default();
+        let usage = ConnectionUse::new(opened);
         let (open, driven) = (Rc::clone(&self.open), usage.clone());
         let guard = open.add(address, opened_at);
         let driver = tokio::task::spawn_local(async move {
@@ -226,7 +238,7 @@
             if ended.as_ref().err().is_none_or(is_cut) {
                 driven.on_cut();
                 if let Some(idle) = driven.lost_after() {
-                    open.on_lost(address, Some(idle));
+                    open.on_lost(address, opened, Some(idle));
                 }
             }
             if let Err(error) = ended {
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -126,6 +126,11 @@
         self.is_closing
     }
 
+    /// Returns when it was opened, by the clock of the runtime.
+    pub(super) const fn opened(&self) -> Instant {
+        self.usage.opened
+    }
+
     /// Returns whether the peer has closed it unannounced.
     pub(super) fn is_lost(&self) -> bool {
         self.usage.is_cut() && !self.is_closing
--- a/src/edge/running_request.rs
+++ b/src/edge/running_request.rs
@@ -110,8 +110,8 @@
     pub(super) fn record_lost(&self) {
         let connection = self.connection.as_ref();
         let connection = connection.filter(|connection| !connection.is_closing());
-        if let (Some(placement), Some(connection)) = (&self.placement, connection) {
-            EntryState::on_connection_lost(&self.state, placement.endpoint, connection.address);
+        if let (Some(_), Some(connection)) = (&self.placement, connection) {
+            self.state.connection_pool.on_broken(connection);
         }
     }
 
--- a/src/entry/watch_task.rs
+++ b/src/entry/watch_task.rs
@@ -16,8 +16,9 @@
 /// The interval at which the task checks the connections.
 const CHECK_PERIOD: Duration = Duration::from_millis(500);
 
-/// The time for which a connection has to stay open, beyond the next check, for its successor.
-const HELD_TIME: Duration = Duration::from_millis(800);
+/// The time for which a connection stays open beside its successor at most: only two that were idle for different
+/// times tell an end from an idle timeout of under a second.
+const HELD_TIME_MAX: Duration = Duration::from_millis(1_600);
 
 /// The shortest idle timeout at which connections are kept open: below it, they would be renewed all the time.
 const IDLE_LIMIT_MIN: Duration = Duration::from_millis(1_500);
@@ -51,7 +52,9 @@
     let mut watched = endpoints.watched(|key| fleet.is_selected(now, key, WATCHERS));
     let pool = &state.connection_pool;
     watched.retain(|(_, address)| {
-        pool.idle_limit(*address) >= IDLE_LIMIT_MIN && !pool.is_held(now, *address, HELD_TIME)
+        let idle_limit = pool.idle_limit(*address);
+        let held_time = HELD_TIME_MAX.min(idle_limit / 2);
+        idle_limit >= IDLE_LIMIT_MIN && !pool.is_held(now, *address, held_time)
     });
     watched
 }
