Take only idle connections of clearly different idle times for the end of a process

Change: their idle times have to differ by over 200 ms. Result (x86_64): the tests of entry::idle_connection_ends and entry::restarted_endpoints pass, six at a time.

--- a/src/edge/connection_end.rs
+++ b/src/edge/connection_end.rs
@@ -25,6 +25,10 @@
 /// How much the idle times of two connections may differ that a peer closed by the same timeout.
 const IDLE_TIMEOUT_SPREAD: Duration = Duration::from_millis(30);
 
+/// How much the idle times of two connections differ at least that a peer closes at once, but not by a timeout: a VM
+/// that is busy notices closes late.
+const IDLE_DIFFERENCE_MIN: Duration = Duration::from_millis(200);
+
 /// An idle connection whose peer has not announced that it closes it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct IdleTime {
@@ -122,7 +126,8 @@
             self.timeouts.insert(address, lost.time);
             return TimeoutEvidence::Timeout;
         }
-        match !is_same && at.elapsed() < SIMULTANEOUS {
+        let is_other = last_time.abs_diff(lost.time) > IDLE_DIFFERENCE_MIN;
+        match is_other && at.elapsed() < SIMULTANEOUS {
             true => TimeoutEvidence::Ended,
             false => TimeoutEvidence::Unknown,
         }
@@ -191,7 +196,7 @@
             Some(idle) => match self.observed.borrow_mut().on_closed(address, idle) {
                 TimeoutEvidence::Timeout => return,
                 TimeoutEvidence::Ended => false,
-                TimeoutEvidence::Unknown => !is_one_of_several,
+                TimeoutEvidence::Unknown => true,
             },
         };
         self.lost.borrow_mut().push(LostConnection {
