Take-ups of streams are logged and counted by outcome

Clients saw that streams which they took up again did not go on while new ones began (LOST). The log could not tell a take-up from another request, and a VM that gets the clients of others drops lines in that second.

A line for each take-up says which stream, after which event and how it ended; a counter by outcome is lost with no line.

--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -131,6 +131,9 @@
         outcome = attempts.run() => outcome,
         _ = ending.wait_for(|is_ending| *is_ending) => Err(Refusal::new(RefusalKind::Failed)),
     };
+    if request.is_take_up() && request.forwarded.is_none() {
+        record_take_up(&state, now, &request, &outcome);
+    }
     match outcome {
         Ok(response) => response,
         Err(refusal) => {
@@ -142,6 +145,29 @@
     }
 }
 
+/// Records how the take-up of a stream ended, which arrived at `received_at`.
+fn record_take_up(
+    state: &EntryState,
+    received_at: Monotonic,
+    request: &ClientRequest,
+    outcome: &Result<Response<EdgeBody>, Refusal>,
+) {
+    let outcome = match outcome {
+        Ok(response) if response.status().is_success() => "resumed",
+        Ok(_) => RefusalKind::Failed.as_str(),
+        Err(refusal) => refusal.kind.as_str(),
+    };
+    state.metrics.on_take_up(outcome);
+    log::info!(
+        request = &*request.head.request_id,
+        resumes = request.head.resumes.as_deref().unwrap_or_default(),
+        after_event = request.head.last_event_id.unwrap_or_default(),
+        outcome,
+        duration_ms = state.now().since(received_at).as_millis() as u64;
+        "stream taken up"
+    );
+}
+
 fn refuse(state: &EntryState, head: &RequestHead, refusal: Refusal) -> Response<EdgeBody> {
     let age = state.belief.borrow().configuration_age(state.now());
     state.metrics.on_refusal(refusal.kind.as_str());
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -25,6 +25,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
 /// The current values of the gauges, read at each scrape.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EntryGauges {
@@ -49,6 +54,7 @@
     registry: Registry,
     answers: Counter,
     refusals: Family<ReasonLabel, Counter>,
+    take_ups: Family<OutcomeLabel, Counter>,
     failed_attempts: Counter,
     first_event: Histogram,
     overlap: Histogram,
@@ -68,6 +74,7 @@
             registry: Registry::with_prefix(PREFIX),
             answers: Counter::default(),
             refusals: Family::default(),
+            take_ups: Family::default(),
             failed_attempts: Counter::default(),
             first_event: Histogram::new(LATENCY_BUCKETS_S),
             overlap: Histogram::new(OVERLAP_BUCKETS_S),
@@ -88,6 +95,8 @@
         registry.register("answers", "Answers of endpoints", self.answers.clone());
         let refusals = self.refusals.clone();
         registry.register("refusals", "Answers of the gateway itself", refusals);
+        let take_ups = self.take_ups.clone();
+        registry.register("take_ups", "Streams that clients took up", take_ups);
         let failed = self.failed_attempts.clone();
         registry.register("failed_attempts", "Attempts without an answer", failed);
         let first_event = self.first_event.clone();
@@ -142,6 +151,11 @@
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a stream that a client took up; `outcome` is `resumed` or the reason of the refusal.
+    pub fn on_take_up(&self, outcome: &'static str) {
+        self.take_ups.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Encodes the metrics in the OpenMetrics text format.
     ///
     /// # Errors
