Take-ups are not refused as late for a first event

A request is refused where its first event is expected later than 0.7 of the target, at an endpoint that is more than half full. A stream that a client takes up passed the same check, though its client has events, its prompt was paid for, and only endpoints of its version may go on with it.

It is refused now only where its first event is expected after 0.7 of the time left to its deadline. A stream that a VM resumes within its answer was exempt before.

entry::continued_streams::take_ups_are_not_refused_as_late_for_a_first_event failed before (0 of 4 take-ups went on) and passes (4 of 4), on aarch64.

--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -235,6 +235,11 @@
             && self.ran_count < self.request.attempts_max()
     }
 
+    /// Returns whether the client has events of the stream already.
+    pub(super) fn continues_stream(&self) -> bool {
+        self.request.is_take_up() || self.version.is_some()
+    }
+
     fn try_take_retry(&mut self, now: Monotonic) -> bool {
         std::mem::take(&mut self.has_taken_retry)
             || self.state.try_take_retry(now, &self.request.service.name)
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -49,7 +49,7 @@
         let draw = self.state.rng.borrow_mut().random();
         match (choose_region(local_ms, others, target_ms, draw), local) {
             (RegionChoice::Local, Ok(placement)) => {
-                self.check_overload(&placement, target_ms)?;
+                self.check_overload(now, &placement, target_ms)?;
                 Ok(self.endpoint_target(placement, prefix_owner))
             }
             (RegionChoice::Remote(region), _) => self.vm_target(now, region),
@@ -76,13 +76,22 @@
             || !self.forward_regions(now, prefix_owner).is_empty()
     }
 
-    fn check_overload(&self, placement: &Placement, target_ms: f64) -> Result<(), Refusal> {
+    /// Checks that the answer would not be late; one that continues a stream is, at the deadline.
+    fn check_overload(
+        &self,
+        now: Monotonic,
+        placement: &Placement,
+        target_ms: f64,
+    ) -> Result<(), Refusal> {
         if self.ran_count > 0 {
             return Ok(());
         }
         let query = OverloadQuery {
             expected_ms: placement.expected_ms,
-            target_ms,
+            target_ms: match self.continues_stream() {
+                true => milliseconds(self.request.time_left(now)),
+                false => target_ms,
+            },
             is_busy: placement.is_busy,
         };
         match overload_retry_after(&query) {
--- /dev/null
+++ b/tests/behaviour/entry/continued_streams.rs
@@ -0,0 +1,74 @@
+//! Streams whose clients have events go on at endpoints of their version that new streams may not get.
+
+use std::time::Duration;
+
+use figramp::stand_in::deployment::EndpointFaults;
+
+use super::support::EntryVm;
+use super::support::EAST;
+use super::versioned_site::ClientStream;
+use super::versioned_site::VersionedSite;
+
+const STREAM_COUNT: usize = 12;
+
+const EVENT_PAUSE: Duration = Duration::from_millis(150);
+
+/// The delay of the head of an answer by which an endpoint counts as too slow for new streams.
+const SLOW_HEAD: Duration = Duration::from_millis(1_000);
+
+fn slow_events() -> EndpointFaults {
+    EndpointFaults {
+        pause: EVENT_PAUSE,
+        ..EndpointFaults::default()
+    }
+}
+
+async fn launch(engines: &[(&str, &str)]) -> VersionedSite {
+    let site = VersionedSite::launch(engines).await;
+    site.set_faults(&slow_events());
+    site
+}
+
+async fn begin(vm: &EntryVm, name: &str, count: usize) -> Vec<ClientStream> {
+    let ids: Vec<String> = (0..count).map(|number| format!("{name}{number}")).collect();
+    let streams = ids.iter().map(|id| ClientStream::begin(vm, id, 1));
+    futures::future::join_all(streams).await
+}
+
+/// Reads what is left of streams that were broken off.
+async fn finish(streams: &mut [ClientStream]) {
+    for stream in streams {
+        stream.finish().await;
+        assert!(!stream.is_whole());
+    }
+}
+
+/// Takes streams up at a VM at the same time; returns how many are whole.
+async fn take_up(streams: &mut [ClientStream], vm: &EntryVm) -> usize {
+    let tries = streams.iter_mut().map(|stream| async move {
+        let id = format!("a-{}", stream.origin);
+        stream.take_up(vm, &id).await;
+        assert_eq!(stream.versions().len(), 1, "{}", stream.text);
+        usize::from(stream.is_whole())
+    });
+    futures::future::join_all(tries).await.into_iter().sum()
+}
+
+#[tokio::test]
+async fn take_ups_are_not_refused_as_late_for_a_first_event() {
+    let site = launch(&[("v1", EAST), ("v1.2", EAST)]).await;
+    let mut vms = site.launch_vms(&[EAST; 3]).await;
+    let mut streams = begin(&vms[0], "r", 4).await;
+    drop(vms.remove(0));
+    finish(&mut streams).await;
+    site.set_faults(&EndpointFaults {
+        head_delay: SLOW_HEAD,
+        reports_load: true,
+        ..slow_events()
+    });
+    let _running = begin(&vms[0], "n", STREAM_COUNT).await;
+    let new = vms[0].post("/stream/x", "late").send().await;
+    assert_eq!(new.expect("an answer").status(), 503);
+    let whole_count = take_up(&mut streams, &vms[0]).await;
+    assert_eq!(whole_count, streams.len());
+}
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -5,6 +5,7 @@
 mod cold_endpoint_groups;
 mod cold_endpoints;
 mod cold_load;
+mod continued_streams;
 mod copied_refusals;
 pub(crate) mod crash_site;
 mod crashing_prompts;
