A forward that meets a dead VM goes on to another VM of its region

Clients that took a stream up again got 503 although its version and endpoints of it were known: the one forward to the region of these endpoints met a VM that had just been killed.

A region counted as tried as soon as one of its VMs was chosen, also if no connection to that VM could be opened. Whoever is not reached has seen nothing of the request, so another VM of the region is tried now: up to three VMs that refuse connections, eight for a stream that goes on, which can't go elsewhere. Where connecting times out, as in a region that was cut off, only a stream that goes on tries another VM: other requests are refused as soon as before.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -106,6 +106,8 @@
 /// Why an attempt gave no answer.
 #[derive(Debug)]
 pub(super) enum AttemptError {
+    /// No connection to the target could be opened, or it was closed before the request was sent.
+    Unreached { has_timed_out: bool },
     /// The request did not run; `has_arrived` says whether it reached the endpoint.
     NotRun {
         has_arrived: bool,
@@ -266,9 +268,8 @@
                     state.reach.borrow_mut().on_failed(placement.endpoint);
                 }
             }
-            Err(AttemptError::NotRun {
-                has_arrived: false,
-                retry_after: None,
+            Err(AttemptError::Unreached {
+                has_timed_out: matches!(error, UpstreamError::ConnectTimeout(_)),
             })
         }
     }
@@ -302,9 +303,8 @@
             running.record_lost();
         }
         // The peer closed an idle connection, which does not mean that the endpoint is unreachable.
-        return AttemptError::NotRun {
-            has_arrived: false,
-            retry_after: None,
+        return AttemptError::Unreached {
+            has_timed_out: false,
         };
     }
     if error.is_broken_off() {
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -44,6 +44,12 @@
 /// `Retry-After` is at most the client's remaining time divided by this.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
+/// The number of VMs of a region that refuse connections until a request leaves the region out.
+const REGION_VMS_MAX: usize = 3;
+
+/// The same for a stream that goes on, which can't go elsewhere.
+const CONTINUATION_REGION_VMS_MAX: usize = 8;
+
 /// The longest answer that is buffered before it is passed on.
 const WHOLE_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
 
@@ -142,6 +148,9 @@
                     self.on_answer(now, &target, &mut answer);
                     return Ok(answer);
                 }
+                Err(AttemptError::Unreached { has_timed_out }) => {
+                    self.tried.on_unreached(self.region_vms_max(has_timed_out));
+                }
                 Err(AttemptError::NotRun {
                     has_arrived,
                     retry_after,
@@ -285,7 +294,7 @@
                 drop(fleet);
                 match region {
                     Some(region) if region == self.state.settings.region => self.tried.add_vm(*ip),
-                    Some(region) => self.tried.add_region(region),
+                    Some(region) => self.tried.add_remote_vm(region, *ip),
                     None => {}
                 }
             }
@@ -307,6 +316,16 @@
         }
     }
 
+    /// Returns the number of VMs of a region that are tried if they are not reached; `has_timed_out` is
+    /// whether the last one may be behind a link that drops packets.
+    fn region_vms_max(&self, has_timed_out: bool) -> usize {
+        match (self.continues_stream(), has_timed_out) {
+            (true, _) => CONTINUATION_REGION_VMS_MAX,
+            (false, false) => REGION_VMS_MAX,
+            (false, true) => 1,
+        }
+    }
+
     /// Returns the refusal for a request whose service has no retry budget left.
     fn retry_budget_refusal(&self) -> Refusal {
         match self.ran_count {
--- a/src/edge/hedge.rs
+++ b/src/edge/hedge.rs
@@ -141,7 +141,7 @@
         // Few requests get here, and all reserve the size of this future.
         let sent = Box::pin(sent).await;
         hedge.is_running.set(false);
-        if let Err(AttemptError::NotRun { .. }) = &sent {
+        if let Err(AttemptError::Unreached { .. } | AttemptError::NotRun { .. }) = &sent {
             hedge.sent_count.set(0);
         }
         sent.inspect_err(|error| {
--- a/src/edge/tried_targets.rs
+++ b/src/edge/tried_targets.rs
@@ -5,12 +5,28 @@
 use crate::deployment::RegionKey;
 use crate::placement::EndpointKey;
 
-/// An endpoint or a VM of the local region, or another region.
+/// An endpoint or a VM of the local region, or a VM that stands for another region.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TriedTarget {
     Endpoint(EndpointKey),
     Vm(Ipv4Addr),
-    Region(RegionKey),
+    RemoteVm { region: RegionKey, ip: Ipv4Addr },
+}
+
+impl TriedTarget {
+    const fn ip(self) -> Option<Ipv4Addr> {
+        match self {
+            Self::Endpoint(_) => None,
+            Self::Vm(ip) | Self::RemoteVm { ip, .. } => Some(ip),
+        }
+    }
+
+    const fn region(self) -> Option<RegionKey> {
+        match self {
+            Self::Endpoint(_) | Self::Vm(_) => None,
+            Self::RemoteVm { region, .. } => Some(region),
+        }
+    }
 }
 
 /// The targets of the earlier attempts of a request, which later ones leave out.
@@ -19,6 +35,8 @@
     endpoints: Vec<EndpointKey>,
     vms: Vec<Ipv4Addr>,
     regions: Vec<RegionKey>,
+    /// The regions of VMs to which no connection could be opened.
+    unreached: Vec<RegionKey>,
     /// Those that were silent, which does not mean that they are not sound.
     silent: Vec<TriedTarget>,
     last: Option<TriedTarget>,
@@ -35,9 +53,23 @@
         self.last = Some(TriedTarget::Vm(vm));
     }
 
-    pub(super) fn add_region(&mut self, region: RegionKey) {
+    pub(super) fn add_remote_vm(&mut self, region: RegionKey, ip: Ipv4Addr) {
+        self.vms.push(ip);
         self.regions.push(region);
-        self.last = Some(TriedTarget::Region(region));
+        self.last = Some(TriedTarget::RemoteVm { region, ip });
+    }
+
+    /// Records that the last target was not reached, so that another VM of its region may be, unless
+    /// `region_vms_max` of them were not.
+    pub(super) fn on_unreached(&mut self, region_vms_max: usize) {
+        let Some(region) = self.last.and_then(TriedTarget::region) else {
+            return;
+        };
+        self.unreached.push(region);
+        let unreached = self.unreached.iter().filter(|other| **other == region);
+        if unreached.count() < region_vms_max {
+            self.regions.retain(|other| *other != region);
+        }
     }
 
     /// Returns the target of the last attempt.
@@ -47,16 +79,19 @@
 
     /// Returns the targets of the attempts before the last one.
     pub(super) fn without_last(&self) -> Self {
-        let is_last = |target| self.last == Some(target);
         let mut earlier = self.clone();
+        if let Some(last) = self.last {
+            earlier.forget(last);
+        }
         earlier
-            .endpoints
-            .retain(|endpoint| !is_last(TriedTarget::Endpoint(*endpoint)));
-        earlier.vms.retain(|vm| !is_last(TriedTarget::Vm(*vm)));
-        earlier
-            .regions
-            .retain(|region| !is_last(TriedTarget::Region(*region)));
-        earlier
+    }
+
+    fn forget(&mut self, target: TriedTarget) {
+        let is_endpoint = |endpoint| target == TriedTarget::Endpoint(endpoint);
+        self.endpoints.retain(|endpoint| !is_endpoint(*endpoint));
+        self.vms.retain(|vm| target.ip() != Some(*vm));
+        self.regions
+            .retain(|region| target.region() != Some(*region));
     }
 
     /// Records that the attempt at a target was given up because of its silence.
@@ -67,12 +102,9 @@
     /// Removes the targets that were silent; returns whether there were any.
     pub(super) fn forget_silent(&mut self) -> bool {
         let silent = std::mem::take(&mut self.silent);
-        let is_silent = |target| silent.contains(&target);
-        self.endpoints
-            .retain(|endpoint| !is_silent(TriedTarget::Endpoint(*endpoint)));
-        self.vms.retain(|vm| !is_silent(TriedTarget::Vm(*vm)));
-        self.regions
-            .retain(|region| !is_silent(TriedTarget::Region(*region)));
+        for target in &silent {
+            self.forget(*target);
+        }
         !silent.is_empty()
     }
 
--- a/tests/behaviour/entry/continued_streams.rs
+++ b/tests/behaviour/entry/continued_streams.rs
@@ -6,6 +6,7 @@
 
 use super::support::EntryVm;
 use super::support::EAST;
+use super::support::WEST;
 use super::versioned_site::ClientStream;
 use super::versioned_site::VersionedSite;
 
@@ -54,6 +55,18 @@
     futures::future::join_all(tries).await.into_iter().sum()
 }
 
+#[tokio::test]
+async fn take_ups_are_not_refused_because_a_forward_meets_a_killed_vm() {
+    let site = launch(&[("v1", WEST), ("v1", WEST), ("v1.2", EAST), ("v1.2", EAST)]).await;
+    let zones = [EAST, EAST, WEST, WEST, WEST, WEST, WEST, WEST];
+    let mut vms = site.launch_vms(&zones).await;
+    let mut streams = begin(&vms[2], "r", STREAM_COUNT).await;
+    drop(vms.drain(2..6));
+    finish(&mut streams).await;
+    let whole_count = take_up(&mut streams, &vms[0]).await;
+    assert_eq!(whole_count, STREAM_COUNT);
+}
+
 #[tokio::test]
 async fn take_ups_are_not_refused_as_late_for_a_first_event() {
     let site = launch(&[("v1", EAST), ("v1.2", EAST)]).await;
