--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -139,8 +139,11 @@
                     continue;
                 }
             };
-            if self.arrived_count > 0 && !self.try_take_retry(now) {
-                return Err(self.endpoints_full_refusal());
+            let takes_retry = self.arrived_count > 0;
+            if takes_retry && !self.try_take_retry(now) {
+                let refusal = self.endpoints_full_refusal();
+                self.wait_for_endpoint(now, refusal).await?;
+                continue;
             }
             self.record_target(&target);
             let limits = self.head_limits(time_left);
@@ -157,6 +160,7 @@
                     return Ok(answer);
                 }
                 Err(AttemptError::Unreached { has_timed_out }) => {
+                    self.has_taken_retry = takes_retry;
                     self.tried.on_unreached(self.region_vms_max(has_timed_out));
                 }
                 Err(AttemptError::NotRun {
@@ -165,6 +169,7 @@
                 }) => {
                     self.arrived_count += u32::from(has_arrived);
                     self.retry_after = self.retry_after.max(retry_after);
+                    self.has_taken_retry = takes_retry && !has_arrived;
                     if has_arrived && self.waits_since.is_some() {
                         let refusal = self.endpoints_full_refusal();
                         self.wait_for_endpoint(self.state.now(), refusal).await?;
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -234,6 +234,7 @@
         if !std::mem::replace(&mut self.has_begun, true) {
             self.attempts.version = answer.version;
         }
+        self.attempts.waits_since = None;
         self.attempts.record_version(now);
     }
 
--- a/src/edge/tried_targets.rs
+++ b/src/edge/tried_targets.rs
@@ -95,18 +95,26 @@
         self.ran.extend(self.last);
     }
 
-    /// Removes the targets that refused the request or were not reached; of a region in which it ran, only
-    /// the VM that passed it on stays left out.
+    /// Returns whether the request ran at a target.
+    pub(super) fn has_run(&self, target: TriedTarget) -> bool {
+        self.ran.contains(&target)
+    }
+
+    /// Returns whether the request ran in another region.
+    pub(super) fn has_run_in(&self, region: RegionKey) -> bool {
+        self.ran
+            .iter()
+            .any(|target| target.region() == Some(region))
+    }
+
+    /// Removes the targets that refused the request or were not reached.
     pub(super) fn forget_not_run(&mut self) {
         let ran = std::mem::take(&mut self.ran);
         let silent = std::mem::take(&mut self.silent);
         let last = self.last;
         *self = Self::default();
         for target in &ran {
-            if let TriedTarget::Endpoint(endpoint) = target {
-                self.endpoints.push(*endpoint);
-            }
-            self.vms.extend(target.ip());
+            self.add(*target);
         }
         (self.ran, self.silent, self.last) = (ran, silent, last);
     }
--- a/src/placement/table_reach.rs
+++ b/src/placement/table_reach.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::EndpointKey;
 use super::EndpointState;
 use super::EndpointTable;
 use crate::catalog::Name;
@@ -36,6 +37,21 @@
         self.accepting(service, version).next().is_some()
     }
 
+    /// Returns whether an endpoint of a service accepts requests in the local region, at a software
+    /// version if one is given, other than those that `is_excluded` names.
+    pub fn serves_beside(
+        &self,
+        service: &Name,
+        version: Option<SoftwareVersion>,
+        is_excluded: impl Fn(EndpointKey) -> bool,
+    ) -> bool {
+        self.of_service(service).any(|(key, state)| {
+            state.takes_requests()
+                && (version.is_none() || state.record.version == version)
+                && !is_excluded(key)
+        })
+    }
+
     fn accepting<'a>(
         &'a self,
         service: &Name,
--- a/tests/behaviour/entry/continued_streams.rs
+++ b/tests/behaviour/entry/continued_streams.rs
@@ -77,6 +77,15 @@
     assert_eq!(whole_count, STREAM_COUNT);
 }
 
+#[tokio::test]
+async fn new_streams_are_not_refused_because_a_forward_meets_a_killed_vm() {
+    let site = launch(&[("v1", WEST), ("v1", WEST)]).await;
+    let mut vms = site.launch_vms(&[EAST, WEST, WEST, WEST, WEST]).await;
+    drop(vms.drain(1..3));
+    let streams = begin(&vms[0], "n", STREAM_COUNT).await;
+    assert_eq!(streams.len(), STREAM_COUNT);
+}
+
 #[tokio::test]
 async fn take_ups_are_not_refused_as_late_for_a_first_event() {
     let site = launch(&[("v1", EAST), ("v1.2", EAST)]).await;
@@ -87,11 +96,14 @@
     site.set_faults(&EndpointFaults {
         head_delay: SLOW_HEAD,
         reports_load: true,
-        ..slow_events()
+        // The running streams outlast the wait for an endpoint.
+        pause: Duration::from_millis(300),
+        ..EndpointFaults::default()
     });
     let _running = begin(&vms[0], "n", STREAM_COUNT).await;
     let new = vms[0].post("/stream/x", "late").send().await;
-    assert_eq!(new.expect("an answer").status(), 503);
+    let new = new.expect("an answer").text().await;
+    assert_eq!(new.expect("a body"), r#"{"error":"overloaded"}"#);
     let whole_count = take_up(&mut streams, &vms[0]).await;
     assert_eq!(whole_count, streams.len());
 }
@@ -112,6 +124,10 @@
         site.set_faults(&slow_events());
     };
     let (whole_count, ()) = tokio::join!(take_up(&mut streams, &vms[0]), opening);
+    assert!(site
+        .engines
+        .iter()
+        .any(|engine| !engine.refusals().is_empty()));
     assert_eq!(whole_count, FEW_STREAMS);
 }
 
@@ -130,8 +146,10 @@
         is_full: true,
         ..slow_events()
     });
+    assert!(site.engines[0].running_count() > 0);
     site.engines[0].crash();
     sleep(FULL_TIME).await;
+    assert!(!site.engines[1].refusals().is_empty());
     site.engines[1].set_faults(slow_events());
     for stream in &mut streams {
         stream.finish().await;
