streams: a take-up doesn't wait for answers of VMs known to be dead

A take-up whose stream nobody remembers was refused after 0.3 s if one of the VMs that were asked had died, although the others had answered and the VM that asked knew of the death meanwhile. It waits for those that are alive by its view of the fleet now; an answer that is known ended the wait already. A VM that died less than three seconds ago, and to which no connection has failed since, still counts as alive.

Evidence: streams::questions::the_answer_of_a_dead_vm_is_not_waited_for fails with the former rule behind the new signature (one run), and passes with the change (one run).

--- a/src/edge/take_up.rs
+++ b/src/edge/take_up.rs
@@ -64,12 +64,12 @@
     }
 }
 
-/// Waits until the beginning of a stream is known or each VM that was asked has answered.
+/// Waits until the beginning of a stream is known or each live VM that was asked has answered.
 async fn wait_for_answers(state: &EntryState, stream: StreamKey) {
     loop {
         let changed = state.origins_changed.notified();
         let is_known = state.origins.borrow().get(stream) != OriginState::Unknown;
-        if is_known || !state.origin_exchange.borrow().is_unanswered(stream) {
+        if is_known || !state.is_stream_unanswered(state.now(), stream) {
             return;
         }
         changed.await;
--- a/src/entry/entry_streams.rs
+++ b/src/entry/entry_streams.rs
@@ -86,6 +86,13 @@
         self.send_origin_messages();
     }
 
+    /// Returns whether a live VM that was asked for the beginning of a stream has not answered.
+    pub fn is_stream_unanswered(&self, now: Monotonic, stream: StreamKey) -> bool {
+        let fleet = self.fleet.borrow();
+        let exchange = self.origin_exchange.borrow();
+        exchange.is_unanswered(stream, |vm| fleet.is_alive(now, vm))
+    }
+
     /// Applies another VM's message, and answers its questions.
     pub fn on_origin_message(&self, now: Monotonic, from: Ipv4Addr, message: &OriginMessage) {
         let mut origins = self.origins.borrow_mut();
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -186,6 +186,12 @@
             .filter(move |row| (self.region(row) == region) == is_local)
     }
 
+    /// Returns whether a new row of another VM arrived within the last 3 s.
+    pub fn is_alive(&self, now: Monotonic, ip: Ipv4Addr) -> bool {
+        let vm = self.others.get(&ip);
+        vm.is_some_and(|vm| vm.is_alive(now))
+    }
+
     /// Returns whether a VM is known to be in the local region.
     pub fn is_in_local_region(&self, ip: Ipv4Addr) -> bool {
         let vm = self.others.get(&ip);
--- a/src/streams/origin_exchange.rs
+++ b/src/streams/origin_exchange.rs
@@ -51,10 +51,10 @@
         }
     }
 
-    /// Returns whether a VM that was asked has not answered.
-    pub fn is_unanswered(&self, stream: StreamKey) -> bool {
+    /// Returns whether a VM that was asked and is alive has not answered.
+    pub fn is_unanswered(&self, stream: StreamKey, is_alive: impl Fn(Ipv4Addr) -> bool) -> bool {
         let vms = self.unanswered.get(&stream);
-        vms.is_some_and(|vms| !vms.is_empty())
+        vms.is_some_and(|vms| vms.iter().any(|vm| is_alive(*vm)))
     }
 
     /// Forgets a question.
--- a/tests/behaviour/streams/mod.rs
+++ b/tests/behaviour/streams/mod.rs
@@ -3,4 +3,5 @@
 mod bandwidth;
 mod herd_kills;
 mod origins;
+mod questions;
 mod version_history;
