Streams go on at endpoints whose report names the start of their record

Cause: the version of an endpoint was known from the listing only. An answer over a connection that was opened since the listing was confirmed was dropped unless the store answered within 0.4 s; with a listing older than 5 s, or after an end that the VM had seen, no endpoint was chosen at all. Change: the report of an endpoint names the start of its process (`born`), and so does its record. Where the listing isn't enough, the report is asked for over the connection that the request is then sent on (150 ms, 64 KiB at most); an equal start shows that the process is that of the record. A later start takes the endpoint out for streams that have begun; a report that names no start leaves it to the store as before if the listing was certain at the choice, and ends the attempt unsent otherwise, with no further question for a second. What was reported holds for the connection, and for those opened until the process was last seen. An endpoint that has to be asked counts as 20 ms slower. Requests that continue no stream are sent as before. The endpoint stand-in answers /report with its start, and is another instance if it starts again under its identifier.

--- a/src/deployment/endpoint_record.rs
+++ b/src/deployment/endpoint_record.rs
@@ -12,10 +12,17 @@
 pub struct InstanceId {
     /// The identifier under which the endpoint registered.
     pub id: Name,
-    /// When it started, in milliseconds since the Unix epoch.
+    /// When it started, in milliseconds since the Unix epoch; zero if its record does not say so.
     pub started_unix_ms: u64,
 }
 
+impl InstanceId {
+    /// Returns whether it is known when it started.
+    pub const fn has_start(&self) -> bool {
+        self.started_unix_ms > 0
+    }
+}
+
 /// Whether an endpoint takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum EndpointPhase {
--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -16,6 +16,8 @@
 use super::continuation::Continuation;
 use super::forward_headers;
 use super::listing_confirmation::wait_for_listing;
+use super::process_match::match_process;
+use super::process_match::ProcessMatch;
 use super::running_request::RunningRequest;
 use super::silence::wait_for;
 use super::silence::SilenceLimits;
@@ -117,6 +119,12 @@
     MayHaveRun(UpstreamError),
 }
 
+/// The error of an attempt of which nothing was sent.
+const NOT_SENT: AttemptError = AttemptError::NotRun {
+    has_arrived: false,
+    retry_after: None,
+};
+
 /// An attempt whose answer has not begun after the silence timeout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct SilentAttempt {
@@ -134,7 +142,7 @@
     limits: SilenceLimits,
     mut try_leave: impl FnMut(SilentAttempt) -> bool,
 ) -> Result<Answer, AttemptError> {
-    let mut running = connect(state, request, target).await?;
+    let mut running = connect_for(state, request, target, continuation).await?;
     let sent_at = state.now();
     let message = match target {
         Target::Endpoint {
@@ -191,7 +199,8 @@
 /// begun.
 ///
 /// A connection that was opened since the listing was confirmed may lead to a process that the listing
-/// doesn't contain yet. A VM of an earlier build ignores the version that must run the request.
+/// doesn't contain yet, unless the process has reported its start. A VM of an earlier build ignores the
+/// version that must run the request.
 async fn is_continued(
     state: &EntryState,
     target: &Target,
@@ -202,7 +211,12 @@
         return true;
     }
     if let Target::Endpoint { instance, .. } = target {
-        let opened_at = answer.running.connection_mut().opened_at;
+        let connection = answer.running.connection_mut();
+        if connection.process_started_unix_ms == Some(instance.started_unix_ms) {
+            answer.version = continuation.version;
+            return true;
+        }
+        let opened_at = connection.opened_at;
         if !wait_for_listing(state, opened_at).await {
             return false;
         }
@@ -213,6 +227,57 @@
     answer.version == continuation.version
 }
 
+/// Connects to a target; for a stream that has begun, only if the software version that began it is certain
+/// there, or the listing can still tell.
+async fn connect_for(
+    state: &Rc<EntryState>,
+    request: &ClientRequest,
+    target: &Target,
+    continuation: Continuation,
+) -> Result<RunningRequest, AttemptError> {
+    let mut running = connect(state, request, target).await?;
+    let Target::Endpoint {
+        placement,
+        instance,
+        version,
+        ..
+    } = target
+    else {
+        return Ok(running);
+    };
+    let connection = running.connection_mut();
+    let is_listed = || {
+        let confirmed_at = state.belief.borrow().listing_confirmed_at();
+        version.is_some() && confirmed_at >= Some(connection.opened_at)
+    };
+    let is_reported = connection.process_started_unix_ms.is_some();
+    if continuation.version.is_none() || (!is_reported && is_listed()) {
+        return Ok(running);
+    }
+    let matched = match_process(state, placement, instance, &mut running);
+    // Few requests get here, and all reserve the size of this future.
+    match Box::pin(matched).await {
+        ProcessMatch::Same => Ok(running),
+        ProcessMatch::Unknown if version.is_some() => Ok(running),
+        ProcessMatch::Unanswered if version.is_some() => {
+            drop(running);
+            connect(state, request, target).await
+        }
+        matched => {
+            log::info!(
+                request = &*request.head.request_id,
+                to:% = target,
+                matched:? = matched;
+                "the request was not sent, as the endpoint may have another software version"
+            );
+            if matched != ProcessMatch::Unanswered {
+                running.finish();
+            }
+            Err(NOT_SENT)
+        }
+    }
+}
+
 async fn connect(
     state: &Rc<EntryState>,
     request: &ClientRequest,
@@ -266,10 +331,7 @@
                     state.reach.borrow_mut().on_failed(placement.endpoint);
                 }
             }
-            Err(AttemptError::NotRun {
-                has_arrived: false,
-                retry_after: None,
-            })
+            Err(NOT_SENT)
         }
     }
 }
@@ -281,10 +343,7 @@
         to:% = target;
         "the request was not sent, as the endpoint may have started again"
     );
-    AttemptError::NotRun {
-        has_arrived: false,
-        retry_after: None,
-    }
+    NOT_SENT
 }
 
 fn on_failed(
@@ -302,10 +361,7 @@
             running.record_lost();
         }
         // The peer closed an idle connection, which does not mean that the endpoint is unreachable.
-        return AttemptError::NotRun {
-            has_arrived: false,
-            retry_after: None,
-        };
+        return NOT_SENT;
     }
     if error.is_broken_off() {
         running.record_crash(request.parts());
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -31,6 +31,7 @@
 mod peer_encoding;
 mod peer_fetch;
 mod pooled_connection;
+mod process_match;
 mod refusal;
 mod relay;
 mod request_homes;
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -36,6 +36,8 @@
     pub(super) failed: FailedRequests,
     /// When it was opened.
     pub(super) opened_at: Monotonic,
+    /// When the process that it leads to started, in Unix milliseconds; `None` if that is not known.
+    pub(super) process_started_unix_ms: Option<u64>,
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
     gate: SendGate,
@@ -63,6 +65,7 @@
             request_count: 0,
             failed: FailedRequests::default(),
             opened_at,
+            process_started_unix_ms: None,
             sender,
             head_limit,
             gate,
--- a/src/placement/endpoint_state.rs
+++ b/src/placement/endpoint_state.rs
@@ -13,6 +13,7 @@
 use super::mean_load::MeanLoad;
 use super::named_rate::NamedRate;
 use super::possible_restart::PossibleRestart;
+use super::reported_process::ReportedProcess;
 use super::shared_rate::shared_interval;
 use super::wait_estimate::WaitEstimate;
 use super::AttemptOutcome;
@@ -22,6 +23,7 @@
 use super::ProcessSighting;
 use super::SharedRate;
 use super::SharedRateLimiter;
+use super::VersionConstraint;
 use crate::clock::Monotonic;
 use crate::deployment::EndpointPhase;
 use crate::deployment::EndpointRecord;
@@ -36,6 +38,10 @@
 /// them is gone.
 const NAMED_RATE_SENDERS_MIN: usize = 2;
 
+/// The time to confirm a version that is not certain, in milliseconds: often a round trip, at worst an attempt
+/// that is given up.
+const CONFIRMATION_MS: f64 = 20.0;
+
 /// The state of one endpoint instance, as seen by this VM.
 #[derive(Clone, Debug)]
 pub struct EndpointState {
@@ -48,6 +54,7 @@
     pub(super) possible_restart: PossibleRestart,
     pub(super) sighting: Option<ProcessSighting>,
     pub(super) version_doubt: VersionDoubt,
+    pub(super) reported: ReportedProcess,
     pub(super) rate_limiter: SharedRateLimiter,
     pub(super) load: LoadEstimate,
     pub(super) mean_load: MeanLoad,
@@ -75,6 +82,7 @@
             possible_restart: PossibleRestart::default(),
             sighting: None,
             version_doubt: VersionDoubt::default(),
+            reported: ReportedProcess::default(),
             rate_limiter: SharedRateLimiter::new(now),
             load: LoadEstimate::default(),
             mean_load: MeanLoad::default(),
@@ -105,19 +113,40 @@
         listing_confirmed_at: Monotonic,
     ) -> Option<SoftwareVersion> {
         let is_known = !self.possible_restart.is_ended()
+            && !self.reported.is_replaced()
             && self.version_doubt.is_resolved(now, listing_confirmed_at);
         self.record.version.filter(|_| is_known)
     }
 
-    /// Returns whether the endpoint takes new requests of a query.
+    /// Returns whether the endpoint takes new requests of a query; its version may have to be confirmed first.
     pub(super) fn takes(&self, now: Monotonic, query: &PlacementQuery<'_>) -> bool {
         let has_version = query.version.is_none_or(|constraint| {
-            let version = self.software_version(now, constraint.listing_confirmed_at);
-            version == Some(constraint.version)
+            let is_certain = || self.is_version_certain(now, constraint);
+            self.record.version == Some(constraint.version)
+                && (self.is_askable(now) || is_certain())
         });
         has_version && self.takes_requests()
     }
 
+    /// Returns the time by which a request waits longer at the endpoint because its version has to be
+    /// confirmed, in milliseconds.
+    pub(super) fn confirmation_ms(&self, now: Monotonic, query: &PlacementQuery<'_>) -> f64 {
+        match query.version {
+            Some(constraint) if !self.is_version_certain(now, constraint) => CONFIRMATION_MS,
+            _ => 0.0,
+        }
+    }
+
+    /// Returns whether the process may be asked whether it is the one of the record.
+    fn is_askable(&self, now: Monotonic) -> bool {
+        self.record.instance.has_start() && self.reported.is_askable(now)
+    }
+
+    fn is_version_certain(&self, now: Monotonic, constraint: VersionConstraint) -> bool {
+        let version = self.software_version(now, constraint.listing_confirmed_at);
+        version == Some(constraint.version)
+    }
+
     /// Returns whether the endpoint is still warming up, or may be.
     pub fn is_cold(&self, now: Monotonic) -> bool {
         self.cold_remaining(now).is_some()
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -279,16 +279,17 @@
                 continue;
             }
             let prefill_tokens = query.prefill_tokens_at(key);
-            let zone_penalty_ms = match state.record.zone == self.zone {
-                true => 0.0,
-                false => OTHER_ZONE_PENALTY_MS,
-            };
+            let penalty_ms = state.confirmation_ms(now, query)
+                + match state.record.zone == self.zone {
+                    true => 0.0,
+                    false => OTHER_ZONE_PENALTY_MS,
+                };
             let peers = self.peer_backlogs.at(state.hash);
             let ahead_tokens = state.ahead_tokens(peers, query.priority);
             let prefill_ms = rate.prefill_ms(prefill_tokens);
             let queue_ms = rate.prefill_ms(ahead_tokens);
             let expected_ms =
-                state.expected_ms(now, queue_ms, prefill_ms, query.priority) + zone_penalty_ms;
+                state.expected_ms(now, queue_ms, prefill_ms, query.priority) + penalty_ms;
             if best.is_none_or(|best| expected_ms < best.expected_ms) {
                 best = Some(Placement {
                     endpoint: key,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -30,6 +30,7 @@
 mod process_sighting;
 mod prompt_prefix;
 mod region_choice;
+mod reported_process;
 mod shared_rate;
 mod table_load;
 mod table_reach;
--- a/src/placement/process_ends.rs
+++ b/src/placement/process_ends.rs
@@ -35,6 +35,7 @@
         };
         let sighting = self.sighting.map_or(seen, |before| before.extended(seen));
         self.sighting = Some(sighting);
+        self.reported.on_answered(opened_at, sent_at);
         self.possible_restart.on_sighting(sighting);
         if self.possible_restart.on_answered(opened_at) {
             self.version_doubt.on_ended(opened_at);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -21,6 +21,7 @@
 pub use configuration_wire::decode_configuration;
 pub use directory_wire::DirectoryAnswer;
 pub use directory_wire::DirectoryQuery;
+pub use probe_wire::decode_report;
 pub use probe_wire::probe_request;
 pub use record_wire::decode_record;
 pub use request_head::set_endpoint_headers;
--- a/src/stand_in/deployment/answer_body.rs
+++ b/src/stand_in/deployment/answer_body.rs
@@ -27,6 +27,11 @@
 /// The body of an answer.
 pub(super) type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error> + Send>>;
 
+/// Returns a body that is sent at once.
+pub(super) fn whole_body(text: String) -> AnswerBody {
+    Box::pin(Full::from(text).map_err(|never| match never {}))
+}
+
 /// Returns the body of a plain answer; `running` is held until its end.
 pub(super) fn plain_body(
     silence: Arc<Silence>,
--- a/src/stand_in/deployment/endpoint_faults.rs
+++ b/src/stand_in/deployment/endpoint_faults.rs
@@ -45,6 +45,8 @@
     pub crashing_requests: Vec<CrashingRequest>,
     /// Reports the number of answers in progress as its load; otherwise always one.
     pub reports_load: bool,
+    /// Answers `/report` with this text; `None` for a whole report.
+    pub report: Option<String>,
     /// The delay before the head of each answer.
     pub head_delay: Duration,
     /// The delay before each event and each plain answer.
--- a/src/stand_in/deployment/endpoint_server.rs
+++ b/src/stand_in/deployment/endpoint_server.rs
@@ -25,6 +25,7 @@
 use super::answer_body::event;
 use super::answer_body::event_stream;
 use super::answer_body::plain_body;
+use super::answer_body::whole_body;
 use super::answer_body::AnswerBody;
 use super::crashing_answer::crash_after;
 use super::crashing_answer::crashing_body;
@@ -36,9 +37,6 @@
 use super::EndpointFaults;
 use super::Work;
 
-/// The time at which the first instance of an endpoint started.
-const FIRST_BORN_UNIX_MS: u64 = 1_000;
-
 /// Requests whose path contains this are answered with a stream.
 const STREAM_PATH: &str = "stream";
 
@@ -81,7 +79,8 @@
         self.state.lock().process.crash();
     }
 
-    /// Starts again at the same address after a crash, under another identifier.
+    /// Starts again at the same address after a crash. Under the identifier that it had, it is another
+    /// instance.
     ///
     /// # Errors
     ///
@@ -131,7 +130,7 @@
         let mut state_now = self.state.lock();
         state_now.sequence += 1;
         let sequence = state_now.sequence;
-        let born = FIRST_BORN_UNIX_MS + state_now.replaced_count;
+        let born = state_now.born_unix_ms();
         let version = state_now.recorded_version();
         drop(state_now);
         json!({
@@ -204,6 +203,11 @@
         self.state.lock().arrivals.clone()
     }
 
+    /// Returns how often it was asked for its report.
+    pub fn report_count(&self) -> usize {
+        self.state.lock().report_count
+    }
+
     /// Returns the times at which it refused requests for want of room.
     pub fn refusals(&self) -> Vec<Instant> {
         self.state.lock().refusals.clone()
@@ -244,7 +248,7 @@
         answer(Arc::clone(&served), instance_id.clone(), request)
     })
     .await?;
-    state.lock().process.start(id, task);
+    state.lock().start(id, task);
     Ok(address)
 }
 
@@ -259,14 +263,15 @@
     };
     let body = body.to_bytes();
     if parts.uri.path() == REPORT_PATH {
-        let silence = {
+        let (silence, report) = {
             let mut state = state.lock();
             let arrival = state.arrival("");
             state.arrivals.push(arrival);
-            Arc::clone(&state.silence)
+            state.report_count += 1;
+            (Arc::clone(&state.silence), state.report())
         };
         silence.wait().await;
-        return Ok(empty(StatusCode::OK));
+        return Ok(Response::new(whole_body(report)));
     }
     let header = |name: &str| {
         let value = parts.headers.get(name)?;
--- a/src/stand_in/deployment/endpoint_state.rs
+++ b/src/stand_in/deployment/endpoint_state.rs
@@ -9,6 +9,7 @@
 use http::HeaderValue;
 use serde_json::json;
 use serde_json::Value;
+use tokio::task::JoinHandle;
 
 use super::crashing_request::CrashPoint;
 use super::endpoint_process::EndpointProcess;
@@ -21,6 +22,9 @@
 /// The software version of endpoints that were given none.
 const USUAL_VERSION: &str = "v1";
 
+/// The time at which the first instance of an endpoint started.
+const FIRST_BORN_UNIX_MS: u64 = 1_000;
+
 /// What an endpoint does, and what it has recorded.
 #[derive(Debug, Default)]
 pub(super) struct EndpointState {
@@ -35,6 +39,9 @@
     pub(super) last_headers: HeaderMap,
     pub(super) sequence: u64,
     pub(super) replaced_count: u64,
+    /// The number of replaced instances when the present process started; `None` before the first start.
+    replaced_count_at_start: Option<u64>,
+    pub(super) report_count: usize,
     pub(super) silence: Arc<Silence>,
     pub(super) connection_ends: Arc<ConnectionEnds>,
     /// The version of the software; `None` for the usual one, which events do not name.
@@ -44,6 +51,29 @@
 }
 
 impl EndpointState {
+    /// Starts a process; under the identifier of the one before, it is another instance.
+    pub(super) fn start(&mut self, id: &str, task: JoinHandle<()>) {
+        let is_same = self.replaced_count_at_start == Some(self.replaced_count);
+        if is_same && self.process.id == id {
+            self.replaced_count += 1;
+        }
+        self.replaced_count_at_start = Some(self.replaced_count);
+        self.process.start(id, task);
+    }
+
+    /// Returns when the present instance started.
+    pub(super) const fn born_unix_ms(&self) -> u64 {
+        FIRST_BORN_UNIX_MS + self.replaced_count
+    }
+
+    /// Returns its report.
+    pub(super) fn report(&self) -> String {
+        if let Some(report) = &self.faults.report {
+            return report.clone();
+        }
+        json!({"stage": "prefill_decode", "queued": 0, "born": self.born_unix_ms()}).to_string()
+    }
+
     /// Returns where the next crash under a request comes.
     pub(super) fn next_crash_point(&self, is_stream: bool) -> CrashPoint {
         let points: &[CrashPoint] = match is_stream {
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -46,6 +46,7 @@
 mod stream_heads;
 mod stream_take_ups;
 pub(crate) mod support;
+mod take_ups_without_store;
 mod two_regions;
 mod unframed_answers;
 mod unread_bodies;
--- a/tests/behaviour/placement/mod.rs
+++ b/tests/behaviour/placement/mod.rs
@@ -13,5 +13,6 @@
 mod regions;
 mod shared_prefixes;
 mod shared_rates;
+mod software_versions;
 mod support;
 mod waits;
