Fail answers without a length that end before their request was written

A client's long upload got a 200 with part of a body as a complete answer: its endpoint had answered early, without a length, closed its side of the connection and reset it later, while the upload was still being written. Reads were not retried, and streams that ended between two events counted as whole.

The HTTP client takes an answer without a length for whole at the end of the connection, whether or not the request has been written. A read that finds the end fails now if the last write left something over.

Resets and closes without an end before them, and cut chunks, held already.

An upload that fits into the buffers of the kernel counts as written; an end and a reset that follow it cannot be told from a whole answer.

--- a/src/edge/head_limit.rs
+++ b/src/edge/head_limit.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 
 use super::send_gate::SendGate;
+use super::unwritten_request::UnwrittenRequest;
 
 /// The most bytes before the body of an answer: its head, and informational heads before it.
 pub(super) const HEAD_MAX_BYTES: usize = 64 * 1024;
@@ -53,7 +54,7 @@
     }
 }
 
-/// A connection whose reads fail once the limit is reached.
+/// A connection whose reads fail once the limit is reached, or if it ends before the request was written.
 ///
 /// The HTTP client skips informational heads without bound, and reads on as long as bytes arrive, so
 /// that an endpoint that sends them without end would take all time of the thread.
@@ -62,14 +63,16 @@
     stream: TcpStream,
     limit: HeadLimit,
     gate: SendGate,
+    unwritten: UnwrittenRequest,
 }
 
 impl HeadLimitedStream {
-    pub(super) const fn new(stream: TcpStream, limit: HeadLimit, gate: SendGate) -> Self {
+    pub(super) fn new(stream: TcpStream, limit: HeadLimit, gate: SendGate) -> Self {
         Self {
             stream,
             limit,
             gate,
+            unwritten: UnwrittenRequest::default(),
         }
     }
 }
@@ -86,7 +89,11 @@
         }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.limit.on_read(buf.filled().len() - before);
+        let read = buf.filled().len() - before;
+        if read == 0 && buf.remaining() > 0 {
+            self.unwritten.check_end()?;
+        }
+        self.limit.on_read(read);
         Poll::Ready(Ok(()))
     }
 }
@@ -98,7 +105,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.gate.on_write()?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.unwritten.on_write(buf.len(), &written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -115,7 +124,10 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.gate.on_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let length = bufs.iter().map(|buf| buf.len()).sum();
+        self.unwritten.on_write(length, &written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -42,6 +42,7 @@
 mod take_up;
 mod target_choice;
 mod tried_targets;
+mod unwritten_request;
 mod upstream_error;
 
 pub use connection_end::LostConnection;
