Take a switch of protocols for no answer of an endpoint

A client whose endpoint answered with status 101 got a 101 without a body: the HTTP client returns it as a final answer, and only successes were checked for a signature. No request asks for another protocol, so such an attempt has failed now: bookings get 502, reads and streams the answer of another endpoint.

The statuses 000, 099, 20 and 2000, and 000 with HTTP/1.0, held already; the tests guard them too.

--- a/src/edge/answer_check.rs
+++ b/src/edge/answer_check.rs
@@ -85,7 +85,10 @@
     }
     let is_success = answer.parts.status.is_success();
     let has_identifier = head.request_id.is_some();
-    if head.is_encoded || (is_success && !(head.is_signed && has_identifier)) {
+    // No request asks for another protocol, so a switch to one is no answer.
+    let is_informational = answer.parts.status.is_informational();
+    let is_verified = !is_success || (head.is_signed && has_identifier);
+    if head.is_encoded || is_informational || !is_verified {
         answer.running.record_outcome(AttemptOutcome::Failed);
         return Err(AttemptError::MayHaveRun(UpstreamError::Unverified));
     }
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -33,7 +33,7 @@
     /// The deadline of the request passed.
     #[error("the deadline passed")]
     DeadlinePassed,
-    /// The answer belongs to another request, is not signed, or is encoded.
+    /// The answer belongs to another request, is not signed, is encoded, or has a status that is none of an answer.
     #[error("the answer is not verifiably the endpoint's answer to this request")]
     Unverified,
     /// The answer may be of another software version than the one that began the stream.
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -23,6 +23,7 @@
 mod failures_after_runs;
 mod hedged_requests;
 mod idle_connection_ends;
+mod invalid_statuses;
 mod keys;
 mod large_configurations;
 mod large_listings;
