serve: Fail answers without a length that end before the upload was taken

The product's own interface passed on part of a body as a complete answer where an endpoint answered a long upload early, without a length, and closed its side of the connection: the HTTP client takes the end of the connection for the end of the answer, and drops the rest of the upload.

The upload is handed over in pieces now, and such an answer is truncated unless the last piece was taken. The client takes a piece when it has room for it, so that an upload of which only some hundred kilobytes are not written yet counts as taken; the library offers no view of the socket.

Resets, closes and cut chunks held already. Between VMs an answer has an end mark, so a truncated one stays so.

--- a/src/endpoint/http_endpoint_client.rs
+++ b/src/endpoint/http_endpoint_client.rs
@@ -7,6 +7,7 @@
 use async_trait::async_trait;
 use reqwest::header::CONTENT_TYPE;
 use reqwest::header::RETRY_AFTER;
+use reqwest::Body;
 use reqwest::Client;
 use reqwest::Method;
 use reqwest::RequestBuilder;
@@ -22,6 +23,7 @@
 use super::service_answer::ServiceAnswer;
 use super::time_limits::TimeLimits;
 use super::transport_errors;
+use super::upload::Upload;
 use super::AnswerBudget;
 use super::AnswerChecker;
 use super::EndpointCall;
@@ -167,11 +169,16 @@
     ) -> Result<AnswerStream, GatewayError> {
         let sent_on = self.connection_for(endpoint, &call.body);
         let client = self.client_for(endpoint.address, sent_on)?;
-        let request = match &call.body {
+        let (request, upload) = match &call.body {
             CallBody::Completion(completion) => {
-                completion_request(&client, endpoint, &call, completion)
+                let request = completion_request(&client, endpoint, &call, completion);
+                (request, None)
+            }
+            CallBody::Service(service) => {
+                let (upload, progress) = Upload::new(service.body.clone());
+                let request = service_request(&client, endpoint, service, upload)?;
+                (request, Some(progress))
             }
-            CallBody::Service(service) => service_request(&client, endpoint, service)?,
         };
         let limits = TimeLimits::start(&call);
         let pools = Arc::clone(&self.pools);
@@ -194,7 +201,8 @@
             }
             CallBody::Service(_) => {
                 let response = check_not_refused(response)?;
-                Ok(ServiceAnswer::new(response, call.request_id, limits, guard).into_stream())
+                let answer = ServiceAnswer::new(response, upload, call.request_id, limits, guard);
+                Ok(answer.into_stream())
             }
         }
     }
@@ -273,11 +281,12 @@
     client: &Client,
     endpoint: &Endpoint,
     service: &ServiceCall,
+    upload: Upload,
 ) -> Result<RequestBuilder, GatewayError> {
     let url = format!("http://{}{}", endpoint.address, service.path_and_query);
     let method = Method::from_bytes(service.method.as_str().as_bytes())
         .map_err(|_| transport_errors::malformed("the method is not a valid HTTP method"))?;
-    let mut request = client.request(method, url).body(service.body.clone());
+    let mut request = client.request(method, url).body(Body::wrap(upload));
     if let Some(content_type) = &service.content_type {
         request = request.header(CONTENT_TYPE, content_type);
     }
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -16,6 +16,7 @@
 mod service_answer;
 mod time_limits;
 mod transport_errors;
+mod upload;
 
 pub use answer_budget::AnswerBudget;
 pub use answer_budget::HeldBytes;
--- a/src/endpoint/service_answer.rs
+++ b/src/endpoint/service_answer.rs
@@ -7,11 +7,13 @@
 use futures::Stream;
 use futures::StreamExt;
 use reqwest::header::CONTENT_TYPE;
+use reqwest::header::TRANSFER_ENCODING;
 use reqwest::Response;
 
 use super::call_guard::CallGuard;
 use super::time_limits::TimeLimits;
 use super::transport_errors;
+use super::upload::UploadProgress;
 use crate::errors::ErrorKind;
 use crate::errors::GatewayError;
 use crate::request::AnswerEvent;
@@ -27,10 +29,13 @@
 /// The answer of a plain service that is being read.
 ///
 /// The body is complete when its `content-length` bytes or its last chunk have arrived; the HTTP
-/// client reports anything less as an error.
+/// client reports anything less as an error. A body without either ends with its connection, and is complete if the
+/// whole upload was taken before.
 pub(super) struct ServiceAnswer {
     head: Option<AnswerPayload>,
     body: Body,
+    /// The upload before whose end the body must not end; `None` if the end of the connection does not end it.
+    upload: Option<UploadProgress>,
     request_id: RequestId,
     next_offset: u64,
     limits: TimeLimits,
@@ -38,15 +43,17 @@
 }
 
 impl ServiceAnswer {
-    /// Starts reading the body of `response`.
+    /// Starts reading the body of `response`, the answer to `upload`.
     pub(super) fn new(
         response: Response,
+        upload: Option<UploadProgress>,
         request_id: RequestId,
         limits: TimeLimits,
         guard: CallGuard,
     ) -> Self {
         Self {
             head: Some(head_of(&response)),
+            upload: upload.filter(|_| ends_with_connection(&response)),
             body: Box::pin(response.bytes_stream()),
             request_id,
             next_offset: 0,
@@ -82,6 +89,11 @@
         }
     }
 
+    fn is_ended_early(&self) -> bool {
+        let upload = self.upload.as_ref();
+        upload.is_some_and(|upload| !upload.is_taken())
+    }
+
     async fn next_payload(&mut self) -> Result<AnswerPayload, GatewayError> {
         if let Some(head) = self.head.take() {
             return Ok(head);
@@ -91,6 +103,7 @@
             self.guard.discard_pool();
         }
         match received? {
+            None if self.is_ended_early() => Err(transport_errors::truncated()),
             None => Ok(AnswerPayload::End(Usage::default())),
             Some(Ok(bytes)) => {
                 self.limits.restart_silence_timeout();
@@ -101,6 +114,12 @@
     }
 }
 
+/// Returns whether the body has neither a length nor chunks, so that only the end of the connection ends it.
+fn ends_with_connection(response: &Response) -> bool {
+    let is_chunked = response.headers().contains_key(TRANSFER_ENCODING);
+    response.content_length().is_none() && !is_chunked
+}
+
 fn head_of(response: &Response) -> AnswerPayload {
     let content_type = response
         .headers()
--- a/tests/behaviour/endpoint/mod.rs
+++ b/tests/behaviour/endpoint/mod.rs
@@ -3,6 +3,8 @@
 mod answer_checks;
 mod copied_refusals;
 mod copying_endpoint;
+mod early_answers;
+mod early_calls;
 mod endless_bytes;
 mod engine_faults;
 mod operations;
--- a/tests/behaviour/entry/early_endpoint.rs
+++ b/tests/behaviour/entry/early_endpoint.rs
@@ -73,12 +73,21 @@
         Self { address, arrivals }
     }
 
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns how often a request has arrived.
     pub(crate) fn arrival_count(&self, request_id: &str) -> usize {
         let arrivals = self.arrivals.lock().expect("no panic");
         arrivals.iter().filter(|id| *id == request_id).count()
     }
 
+    /// Returns how many requests have arrived.
+    pub(crate) fn total_arrival_count(&self) -> usize {
+        self.arrivals.lock().expect("no panic").len()
+    }
+
     /// Registers it with a store as an endpoint of a service.
     pub(crate) fn register(&self, store: &StoreServer, id: &str, service: &str, zone: &str) {
         let record = json!({
