serve: Take a switch of protocols for no answer of a service

A service that answered with status 101 had it passed on to the caller as a complete answer without a body. No call asks for another protocol; the attempt has failed now and may have run.

--- a/src/endpoint/http_endpoint_client.rs
+++ b/src/endpoint/http_endpoint_client.rs
@@ -191,6 +191,10 @@
             .header(ATTEMPT_HEADER, guard.attempt());
         let response = send(request, &limits, &mut guard).await?;
         let response = self.check_attempt(response, sent_on, &call, &guard)?;
+        if response.status().is_informational() {
+            // No call asks for another protocol, so a switch to one is no answer.
+            return Err(unexpected_status(&response));
+        }
         match call.body {
             CallBody::Completion(completion) => {
                 let response = check_success(response, &mut guard)?;
--- a/tests/behaviour/endpoint/mod.rs
+++ b/tests/behaviour/endpoint/mod.rs
@@ -7,6 +7,7 @@
 mod early_calls;
 mod endless_bytes;
 mod engine_faults;
+mod invalid_statuses;
 mod operations;
 mod pooled_connections;
 mod service_faults;
