Streams that begin at an endpoint known by its report have their version

Callers saw: streams that began within seconds after their endpoint had started again under its identifier couldn't be taken up when their VM was killed (`version_unknown`). Cause: the version of a stream that begins was the one that the listing made certain at the choice, and none while the VM doubts the listing. Change: over a connection that leads to the process of the record by what was reported, it is the version of the record; over one that leads to another process, it isn't known. No report is asked for, and requests are sent as before.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -16,6 +16,7 @@
 use super::continuation::Continuation;
 use super::forward_headers;
 use super::listing_confirmation::wait_for_listing;
+use super::process_match::endpoint_version;
 use super::process_match::match_process;
 use super::process_match::ProcessMatch;
 use super::running_request::RunningRequest;
@@ -179,7 +180,7 @@
     let (parts, body) = response.into_parts();
     let answer = Answer {
         version: match target {
-            Target::Endpoint { version, .. } => *version,
+            Target::Endpoint { .. } => endpoint_version(state, target, &mut running),
             Target::Vm { .. } => forward_headers::version(&parts.headers),
         },
         parts,
--- a/src/edge/process_match.rs
+++ b/src/edge/process_match.rs
@@ -10,10 +10,12 @@
 use http_body_util::Limited;
 use tokio::time::timeout;
 
+use super::attempt::Target;
 use super::pooled_connection::PooledConnection;
 use super::running_request::RunningRequest;
 use super::UpstreamError;
 use crate::deployment::InstanceId;
+use crate::deployment::SoftwareVersion;
 use crate::entry::EntryState;
 use crate::placement::Placement;
 use crate::platform::decode_report;
@@ -47,16 +49,9 @@
     instance: &InstanceId,
     running: &mut RunningRequest,
 ) -> ProcessMatch {
-    if !instance.has_start() {
-        return ProcessMatch::Unknown;
-    }
     let connection = running.connection_mut();
-    if connection.process_started_unix_ms.is_none() {
-        let endpoints = state.endpoints.borrow();
-        let is_reached = endpoints.is_reached_by(placement.endpoint, connection.opened_at);
-        connection.process_started_unix_ms = is_reached.then_some(instance.started_unix_ms);
-    }
-    if connection.process_started_unix_ms.is_none() {
+    let matched = known_match(state, placement, instance, connection);
+    if matched == ProcessMatch::Unknown && instance.has_start() {
         if let Err(error) = ask(state, placement, connection).await {
             log::info!(
                 address:% = connection.address,
@@ -69,6 +64,24 @@
             return ProcessMatch::Unanswered;
         }
     }
+    known_match(state, placement, instance, running.connection_mut())
+}
+
+/// Returns whether a connection leads to the process of an instance, by what has been reported.
+fn known_match(
+    state: &EntryState,
+    placement: &Placement,
+    instance: &InstanceId,
+    connection: &mut PooledConnection,
+) -> ProcessMatch {
+    if !instance.has_start() {
+        return ProcessMatch::Unknown;
+    }
+    if connection.process_started_unix_ms.is_none() {
+        let endpoints = state.endpoints.borrow();
+        let is_reached = endpoints.is_reached_by(placement.endpoint, connection.opened_at);
+        connection.process_started_unix_ms = is_reached.then_some(instance.started_unix_ms);
+    }
     match connection.process_started_unix_ms {
         Some(started) if started == instance.started_unix_ms => ProcessMatch::Same,
         Some(_) => ProcessMatch::Other,
@@ -76,6 +89,33 @@
     }
 }
 
+/// Returns the software version of the endpoint that a request was sent to; `None` if it is not known.
+pub(super) fn endpoint_version(
+    state: &EntryState,
+    target: &Target,
+    running: &mut RunningRequest,
+) -> Option<SoftwareVersion> {
+    let Target::Endpoint {
+        placement,
+        instance,
+        version,
+        ..
+    } = target
+    else {
+        return None;
+    };
+    match known_match(state, placement, instance, running.connection_mut()) {
+        ProcessMatch::Same => {
+            let endpoints = state.endpoints.borrow();
+            let endpoint = endpoints.get_instance(instance);
+            let recorded = endpoint.and_then(|endpoint| endpoint.record().version);
+            recorded.or(*version)
+        }
+        ProcessMatch::Other => None,
+        ProcessMatch::Unknown | ProcessMatch::Unanswered => *version,
+    }
+}
+
 /// Asks an endpoint for its report, and records what it says.
 async fn ask(
     state: &EntryState,
--- a/tests/behaviour/entry/take_ups_without_store.rs
+++ b/tests/behaviour/entry/take_ups_without_store.rs
@@ -195,6 +195,30 @@
     assert_eq!(finish(&mut streams).await, STREAM_COUNT);
 }
 
+#[tokio::test]
+async fn streams_begun_at_an_endpoint_that_has_just_started_again_are_taken_up() {
+    let site = launch(&[("v1", EAST), ("v1", EAST), ("v1.2", EAST)]).await;
+    let mut vms = site.launch_vms(&[EAST; 3]).await;
+    let mut streams = begin(&[&vms[0]], "r").await;
+    site.engines[2].crash();
+    for (number, engine) in site.engines[..2].iter().enumerate() {
+        restart(engine, &format!("e{number}"), "v1").await;
+        site.store.put(&engine.key(), engine.record("ready"));
+    }
+    finish(&mut streams).await;
+    sleep(GOSSIP_TIME).await;
+    take_up(&mut streams, &[&vms[0]], "a").await;
+    // The connections of the take-ups are used again.
+    let mut begun = Vec::new();
+    for number in 0..4 {
+        begun.push(ClientStream::begin(&vms[0], &format!("new{number}"), 1).await);
+    }
+    drop(vms.remove(0));
+    finish(&mut begun).await;
+    let vms: Vec<&EntryVm> = vms.iter().collect();
+    assert_eq!(take_up(&mut begun, &vms, "a").await, begun.len());
+}
+
 /// Starts engines of v1 again at another version as the store falls silent; checks that no stream is joined.
 async fn check_restarts_in_silence(report: Option<&str>) {
     let site = launch(&[("v1", EAST), ("v1", EAST), ("v1", EAST)]).await;
