Guard reads of the store and of the platform against cut answers and odd statuses

Nothing was wrong: answers that break off (without a length, in chunks, shorter than their length; by a reset, a close or an end and a reset) and answers with the status 000, 099, 101 or 999 are errors of StoreClient and of HttpPlatformClient, and neither the content of the store nor a list.

--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -47,6 +47,7 @@
 mod software_versions;
 mod stale_configurations;
 mod stopping;
+mod store_answers;
 mod stream_heads;
 mod stream_take_ups;
 pub(crate) mod support;
