Reports without which a request is sent too are waited for as long as silences

Cause: the other endpoint was silent for 0.8 s too. Its report was given up after 150 ms, the request was sent without one, and its answer was dropped as no listing was confirmed since its connection was opened. Change: if the listing made the version certain at the choice, the report is waited for up to 1.2 s, or half of the time that is left. A request that is sent to the endpoint meanwhile would not be answered sooner.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -19,6 +19,8 @@
 use super::process_match::endpoint_version;
 use super::process_match::match_process;
 use super::process_match::ProcessMatch;
+use super::process_match::OPTIONAL_REPORT_TIMEOUT;
+use super::process_match::REPORT_TIMEOUT;
 use super::running_request::RunningRequest;
 use super::silence::wait_for;
 use super::silence::SilenceLimits;
@@ -255,7 +257,11 @@
     if continuation.version.is_none() || (!is_reported && is_listed()) {
         return Ok(running);
     }
-    let matched = match_process(state, placement, instance, &mut running);
+    let report_timeout = match version {
+        Some(_) => OPTIONAL_REPORT_TIMEOUT.min(request.time_left(state.now()) / 2),
+        None => REPORT_TIMEOUT,
+    };
+    let matched = match_process(state, placement, instance, &mut running, report_timeout);
     // Few requests get here, and all reserve the size of this future.
     match Box::pin(matched).await {
         ProcessMatch::Same => Ok(running),
--- a/src/edge/process_match.rs
+++ b/src/edge/process_match.rs
@@ -22,8 +22,12 @@
 use crate::platform::probe_request;
 use crate::platform::AnswerHead;
 
-/// The longest wait for a report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// The longest wait for a report of an endpoint whose version is not certain.
+pub(super) const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The longest wait for a report without which the request is sent too: a sound endpoint may be silent for about
+/// as long, and would not answer the request any sooner.
+pub(super) const OPTIONAL_REPORT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// The longest report that is read.
 const REPORT_MAX_BYTES: usize = 64 * 1024;
@@ -48,11 +52,12 @@
     placement: &Placement,
     instance: &InstanceId,
     running: &mut RunningRequest,
+    report_timeout: Duration,
 ) -> ProcessMatch {
     let connection = running.connection_mut();
     let matched = known_match(state, placement, instance, connection);
     if matched == ProcessMatch::Unknown && instance.has_start() {
-        if let Err(error) = ask(state, placement, connection).await {
+        if let Err(error) = ask(state, placement, connection, report_timeout).await {
             log::info!(
                 address:% = connection.address,
                 error:% = error;
@@ -121,11 +126,12 @@
     state: &EntryState,
     placement: &Placement,
     connection: &mut PooledConnection,
+    report_timeout: Duration,
 ) -> Result<(), UpstreamError> {
     let asked_at = state.now();
-    let reported = match timeout(REPORT_TIMEOUT, read_report(connection)).await {
+    let reported = match timeout(report_timeout, read_report(connection)).await {
         Ok(reported) => reported,
-        Err(_) => Err(UpstreamError::Timeout(REPORT_TIMEOUT)),
+        Err(_) => Err(UpstreamError::Timeout(report_timeout)),
     };
     let started_unix_ms = reported.as_ref().ok().copied().flatten();
     connection.process_started_unix_ms = started_unix_ms;
