--- a/tests/behaviour/vm/mod.rs
+++ b/tests/behaviour/vm/mod.rs
@@ -6,6 +6,7 @@
 mod cold_start;
 mod core_fleet;
 mod drain;
+mod early_answers;
 mod explanations;
 mod failed_attempts;
 mod key_revocation;
