Rank the requests of an account by their routes too

Cause: the priority of an account took the place of the route's.

Change: the account's priority goes first, then the route's; a request waits no shorter than more urgent ones, and regions publish the wait of the least urgent.

--- a/src/deployment/deployment.rs
+++ b/src/deployment/deployment.rs
@@ -3,11 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 
 use super::AccountKey;
 use super::AccountPolicy;
 use super::ClientLimits;
+use super::RequestRanks;
 use super::RetrySafety;
 use super::RouteKey;
 use super::ServedRoute;
@@ -27,6 +29,7 @@
     services: SlotMap<ServiceKey, ServiceProfile>,
     accounts: SlotMap<AccountKey, AccountPolicy>,
     api_keys: HashMap<Box<str>, AccountKey>,
+    ranks: SecondaryMap<ServiceKey, RequestRanks>,
     limits: ClientLimits,
 }
 
@@ -85,6 +88,19 @@
         self.services.values()
     }
 
+    /// Returns the rank of an account's requests on a route at the endpoints of a service, 0 the most urgent;
+    /// `account` is `None` without one.
+    pub fn rank(
+        &self,
+        service: ServiceKey,
+        account: Option<&AccountPolicy>,
+        route: &ServedRoute,
+    ) -> u8 {
+        let priority = account.and_then(|account| account.priority);
+        let ranks = self.ranks.get(service);
+        ranks.map_or(0, |ranks| ranks.rank(priority, route.priority))
+    }
+
     /// Returns how long endpoints of a service are cold after their start; zero if the service has
     /// no limit for cold endpoints.
     pub fn cold_start(&self, service: &Name) -> Duration {
@@ -171,12 +187,35 @@
         key
     }
 
-    /// Orders the routes of each host by the length of their prefix and returns the deployment.
+    /// Orders the routes of each host by the length of their prefix, and the requests for each service by urgency,
+    /// and returns the deployment.
     pub fn build(mut self) -> Deployment {
+        self.deployment.ranks = self.ranks();
         let routes = &self.deployment.routes;
         for keys in self.deployment.hosts.values_mut() {
             keys.sort_by_key(|key| std::cmp::Reverse(routes[*key].path_prefix.len()));
         }
         self.deployment
     }
+
+    fn ranks(&self) -> SecondaryMap<ServiceKey, RequestRanks> {
+        let routes = |service| {
+            let routes = self.deployment.routes.values();
+            routes.filter(move |route| {
+                let mut services = route.services.iter();
+                services.any(|part| part.service == service)
+            })
+        };
+        let services = self.deployment.services.keys();
+        let ranks = services.map(|service| {
+            let accounts = self.deployment.accounts.values();
+            let accounts = accounts.map(|account| account.priority);
+            let is_any_public = routes(service).any(|route| route.is_public);
+            let without_account = is_any_public || self.deployment.accounts.is_empty();
+            let accounts = accounts.chain(without_account.then_some(None));
+            let priorities = routes(service).map(|route| route.priority);
+            (service, RequestRanks::new(accounts, priorities))
+        });
+        ranks.collect()
+    }
 }
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -220,6 +220,7 @@
         log::info!(
             request = &*self.request.head.request_id,
             route = self.request.route.name.as_str(),
+            rank = self.request.rank,
             to = target.to_string().as_str(),
             expected_ms = target.expected_ms(),
             latency_ms = latency.as_millis() as u64,
--- a/src/edge/client_request.rs
+++ b/src/edge/client_request.rs
@@ -29,9 +29,6 @@
 use crate::quarantine::PartHash;
 use crate::streams::StreamKey;
 
-/// The lowest priority that a model engine supports; 0 is the highest.
-const PRIORITY_MAX: u8 = 9;
-
 /// A client's request, checked and read to its end.
 pub(super) struct ClientRequest {
     pub(super) method: Method,
@@ -47,6 +44,8 @@
     pub(super) route: ServedRoute,
     pub(super) service: ServiceProfile,
     pub(super) account: Option<AccountPolicy>,
+    /// The order in which endpoints admit it, 0 first.
+    pub(super) rank: u8,
     pub(super) deadline: Monotonic,
     pub(super) forwarded: Option<ForwardHeaders>,
     /// The connection on which the request came.
@@ -115,12 +114,6 @@
         self.account.as_ref().map(|account| &account.name)
     }
 
-    /// Returns the priority, 0 the highest; the account's overrides the route's.
-    pub(super) fn priority(&self) -> u8 {
-        let account = self.account.as_ref().and_then(|account| account.priority);
-        account.unwrap_or(self.route.priority).min(PRIORITY_MAX)
-    }
-
     /// Builds the request to an endpoint.
     pub(super) fn to_endpoint(
         &self,
@@ -137,7 +130,7 @@
                 account: self.account_name(),
                 time_left: self.time_left(now),
                 copy_prefix_from,
-                priority: self.service.is_engine.then(|| self.priority()),
+                priority: self.service.is_engine.then_some(self.rank),
             },
         );
         if let Some(last_event_id) = resume_after {
--- a/src/edge/request_intake.rs
+++ b/src/edge/request_intake.rs
@@ -79,12 +79,16 @@
     };
     // A stream goes on at the service that began it.
     let first_attempt = head.resumes.as_deref().unwrap_or(&head.request_id);
-    let Some(service) = accepted
+    let service_key = accepted
         .route
-        .service_for(xxh3_64(first_attempt.as_bytes()))
-        .and_then(|key| accepted.deployment.service(key))
-        .cloned()
-    else {
+        .service_for(xxh3_64(first_attempt.as_bytes()));
+    let service = service_key.and_then(|key| {
+        let service = accepted.deployment.service(key)?;
+        let account = accepted.account.as_ref();
+        let rank = accepted.deployment.rank(key, account, &accepted.route);
+        Some((service.clone(), rank))
+    });
+    let Some((service, rank)) = service else {
         return refuse(&state, &head, Refusal::new(RefusalKind::NoEndpoint));
     };
     let account_name = accepted.account.as_ref().map(|account| &account.name);
@@ -107,6 +111,7 @@
         route: accepted.route,
         service,
         account: accepted.account,
+        rank,
         deadline: accepted.deadline,
         forwarded,
         client,
--- a/src/edge/target_choice.rs
+++ b/src/edge/target_choice.rs
@@ -175,7 +175,7 @@
             prefix_tokens: self.request.head.prefix.tokens(),
             prefix_endpoint: prefix_owner.and_then(PrefixOwner::local),
             prefix_replica: self.prefix_replica(now, prefix_owner),
-            priority: self.request.priority(),
+            priority: self.request.rank,
             local_vm_count,
             version: self.version_constraint(),
             tried: self.tried.endpoints(),
--- a/src/placement/backlog.rs
+++ b/src/placement/backlog.rs
@@ -1,7 +1,7 @@
 //! The prompt tokens that wait for prefill at an endpoint.
 
 /// The number of priorities that are counted apart; all lower ones share the last one.
-const PRIORITIES: usize = 4;
+const PRIORITIES: usize = 10;
 
 /// The prompt tokens that wait for prefill at an endpoint, by the priority of their requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/placement/endpoint_table.rs
+++ b/src/placement/endpoint_table.rs
@@ -219,8 +219,8 @@
             .filter(|(_, state)| state.takes_requests() && state.backoff(now, false).is_none())
             .map(|(_, state)| {
                 let peers = self.peer_backlogs.at(state.hash);
-                let queue_ms = rate.prefill_ms(state.ahead_tokens(peers, MIDDLE_PRIORITY));
-                let wait_ms = state.expected_ms(now, queue_ms, 0.0, MIDDLE_PRIORITY);
+                let queue_ms = rate.prefill_ms(state.ahead_tokens(peers, LEAST_URGENT));
+                let wait_ms = state.expected_ms(now, queue_ms, 0.0, LEAST_URGENT);
                 wait_ms + state.named_interval_ms()
             })
             .min_by(f64::total_cmp)
@@ -386,8 +386,8 @@
     }
 }
 
-/// The priority whose expected wait is published to other regions.
-const MIDDLE_PRIORITY: u8 = 1;
+/// The priority whose expected wait is published to other regions: it waits for all others.
+const LEAST_URGENT: u8 = u8::MAX;
 
 fn instance_score(instance: &InstanceId, prefix_hash: u64) -> u64 {
     xxh3_64_with_seed(instance.id.as_str().as_bytes(), prefix_hash)
--- a/src/placement/wait_estimate.rs
+++ b/src/placement/wait_estimate.rs
@@ -16,7 +16,7 @@
 const WAIT_UNKNOWN_MS: f64 = 30.0;
 
 /// The number of priorities with an estimate of their own; all lower priorities share the last one.
-const PRIORITIES: usize = 4;
+const PRIORITIES: usize = 10;
 
 #[derive(Clone, Debug, Default)]
 struct PriorityWait {
@@ -40,6 +40,18 @@
         let decayed_ms = above_ms * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64());
         Some(mean_ms.min(WAIT_UNKNOWN_MS) + decayed_ms)
     }
+
+    /// Returns the mean, or for how long the oldest request has waited if that is longer; `None` without either.
+    fn wait_ms(&self, now: Monotonic) -> Option<f64> {
+        let oldest_ms = self.pending.front().map(|pending| {
+            let waited_ms = now.since(pending.sent_at).as_secs_f64() * 1_000.0;
+            (waited_ms - pending.prefill_ms).max(WAIT_UNKNOWN_MS)
+        });
+        match (self.decayed_ms(now), oldest_ms) {
+            (Some(mean_ms), Some(oldest_ms)) => Some(mean_ms.max(oldest_ms)),
+            (mean_ms, oldest_ms) => mean_ms.or(oldest_ms),
+        }
+    }
 }
 
 /// The expected time from sending a request to its first event, without its own prefill.
@@ -79,14 +91,14 @@
         priority.answered_at = priority.answered_at.max(now);
     }
 
-    /// Returns the expected wait of a request of a priority, in milliseconds.
+    /// Returns the expected wait of a request of a priority, in milliseconds: no shorter than that of more urgent
+    /// ones.
     pub(super) fn wait_ms(&self, now: Monotonic, priority: u8) -> f64 {
-        let priority = &self.priorities[index(priority)];
-        let mean_ms = priority.decayed_ms(now).unwrap_or(WAIT_UNKNOWN_MS);
-        let oldest_ms = priority.pending.front().map_or(0.0, |pending| {
-            now.since(pending.sent_at).as_secs_f64() * 1_000.0 - pending.prefill_ms
-        });
-        mean_ms.max(oldest_ms)
+        let admitted_first = &self.priorities[..=index(priority)];
+        let waits = admitted_first
+            .iter()
+            .filter_map(|priority| priority.wait_ms(now));
+        waits.max_by(f64::total_cmp).unwrap_or(WAIT_UNKNOWN_MS)
     }
 
     fn priority_mut(&mut self, priority: u8) -> &mut PriorityWait {
--- a/tests/behaviour/placement/mod.rs
+++ b/tests/behaviour/placement/mod.rs
@@ -11,6 +11,7 @@
 mod reach;
 mod region_loads;
 mod regions;
+mod request_ranks;
 mod shared_prefixes;
 mod shared_rates;
 mod software_versions;
