Ranks: plain services have one, accounts stay apart, short waits stay short

Findings of a review by one who did not write the part. A pending request lifted a known short wait to the assumed one; the wait of a more urgent request counted although a less urgent one had been answered since; more than ten pairs could merge two priorities of accounts; requests of endpoints that serve in the order of arrival were told apart; the priorities of accounts were collected for each service.

--- a/src/deployment/deployment.rs
+++ b/src/deployment/deployment.rs
@@ -1,5 +1,6 @@
 //! One version of the configuration, indexed for serving requests.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -90,6 +91,8 @@
 
     /// Returns the rank of an account's requests on a route at the endpoints of a service, 0 the most urgent;
     /// `account` is `None` without one.
+    ///
+    /// Endpoints that are no engines serve requests in the order of arrival: all have the same rank there.
     pub fn rank(
         &self,
         service: ServiceKey,
@@ -206,12 +209,15 @@
                 services.any(|part| part.service == service)
             })
         };
-        let services = self.deployment.services.keys();
+        let accounts = self.deployment.accounts.values();
+        let accounts: BTreeSet<Option<u8>> = accounts.map(|account| account.priority).collect();
+        let engines = self.deployment.services.iter();
+        let engines = engines.filter(|(_, service)| service.is_engine);
+        let services = engines.map(|(key, _)| key);
         let ranks = services.map(|service| {
-            let accounts = self.deployment.accounts.values();
-            let accounts = accounts.map(|account| account.priority);
             let is_any_public = routes(service).any(|route| route.is_public);
             let without_account = is_any_public || self.deployment.accounts.is_empty();
+            let accounts = accounts.iter().copied();
             let accounts = accounts.chain(without_account.then_some(None));
             let priorities = routes(service).map(|route| route.priority);
             (service, RequestRanks::new(accounts, priorities))
--- a/src/deployment/request_ranks.rs
+++ b/src/deployment/request_ranks.rs
@@ -50,12 +50,27 @@
         }
     }
 
-    /// Returns the rank of the requests of an account on a route, by their priorities; where there are more than ten, neighbours
-    /// share one.
+    /// Returns the rank of the requests of an account on a route, by their priorities.
+    ///
+    /// Where there are more than ten pairs, each priority of accounts has an equal part of the ranks, and routes share those.
     pub fn rank(&self, account: Option<u8>, route: u8) -> u8 {
         let urgency = Urgency::new(account, route);
         let ahead = self.urgencies.partition_point(|other| *other < urgency);
-        let count = self.urgencies.len().max(RANKS);
-        (ahead.min(count - 1) * RANKS / count) as u8
+        if self.urgencies.len() <= RANKS {
+            return ahead.min(RANKS - 1) as u8;
+        }
+        let groups = self.urgencies.chunk_by(|a, b| a.account == b.account);
+        let group_count = groups.clone().count();
+        let groups_ahead = groups
+            .clone()
+            .filter(|group| group[0].account < urgency.account);
+        let group = groups_ahead.count();
+        let first_rank = group * RANKS / group_count;
+        let rank_count = ((group + 1) * RANKS / group_count).saturating_sub(first_rank);
+        let mut same = groups.filter(|group| group[0].account == urgency.account);
+        let same = same.next().unwrap_or_default();
+        let ahead_in_group = same.partition_point(|other| other.route < urgency.route);
+        let within = ahead_in_group * rank_count.max(1) / same.len().max(1);
+        (first_rank + within).min(RANKS - 1) as u8
     }
 }
--- a/src/placement/wait_estimate.rs
+++ b/src/placement/wait_estimate.rs
@@ -41,17 +41,26 @@
         Some(mean_ms.min(WAIT_UNKNOWN_MS) + decayed_ms)
     }
 
-    /// Returns the mean, or for how long the oldest request has waited if that is longer; `None` without either.
-    fn wait_ms(&self, now: Monotonic) -> Option<f64> {
-        let oldest_ms = self.pending.front().map(|pending| {
-            let waited_ms = now.since(pending.sent_at).as_secs_f64() * 1_000.0;
-            (waited_ms - pending.prefill_ms).max(WAIT_UNKNOWN_MS)
-        });
-        match (self.decayed_ms(now), oldest_ms) {
+    /// Returns the mean, or for how long the oldest request has waited if that is longer, as far as they are younger than
+    /// `since`; `None` without either.
+    fn wait_ms(&self, now: Monotonic, since: Option<Monotonic>) -> Option<f64> {
+        let is_young = |at: Monotonic| since.is_none_or(|since| at >= since);
+        let mean_ms = self.decayed_ms(now).filter(|_| is_young(self.answered_at));
+        let oldest = self.pending.front();
+        let oldest = oldest.filter(|pending| is_young(pending.sent_at));
+        let oldest_ms = oldest
+            .map(|pending| now.since(pending.sent_at).as_secs_f64() * 1_000.0 - pending.prefill_ms);
+        match (mean_ms, oldest_ms) {
             (Some(mean_ms), Some(oldest_ms)) => Some(mean_ms.max(oldest_ms)),
-            (mean_ms, oldest_ms) => mean_ms.or(oldest_ms),
+            (None, Some(oldest_ms)) => Some(oldest_ms.max(WAIT_UNKNOWN_MS)),
+            (mean_ms, None) => mean_ms,
         }
     }
+
+    /// Returns when the last request was answered; `None` if none was.
+    fn last_answer(&self) -> Option<Monotonic> {
+        self.mean_ms.mean().map(|_| self.answered_at)
+    }
 }
 
 /// The expected time from sending a request to its first event, without its own prefill.
@@ -91,13 +100,17 @@
         priority.answered_at = priority.answered_at.max(now);
     }
 
-    /// Returns the expected wait of a request of a priority, in milliseconds: no shorter than that of more urgent
-    /// ones.
+    /// Returns the expected wait of a request of a priority, in milliseconds.
+    ///
+    /// It is no shorter than what more urgent requests have waited since one of the priority was last answered.
     pub(super) fn wait_ms(&self, now: Monotonic, priority: u8) -> f64 {
-        let admitted_first = &self.priorities[..=index(priority)];
-        let waits = admitted_first
+        let (more_urgent, own) = self.priorities.split_at(index(priority));
+        let own = &own[0];
+        let since = own.last_answer();
+        let waits = more_urgent
             .iter()
-            .filter_map(|priority| priority.wait_ms(now));
+            .filter_map(|other| other.wait_ms(now, since));
+        let waits = waits.chain(own.wait_ms(now, None));
         waits.max_by(f64::total_cmp).unwrap_or(WAIT_UNKNOWN_MS)
     }
 
--- a/tests/behaviour/placement/request_ranks.rs
+++ b/tests/behaviour/placement/request_ranks.rs
@@ -1,5 +1,7 @@
 //! The order of urgency of the requests for a service.
 
+use std::collections::BTreeSet;
+
 use figramp::deployment::RequestRanks;
 use quickcheck::quickcheck;
 
@@ -31,7 +33,30 @@
     assert_eq!(order, [0, 1, 2]);
 }
 
+#[test]
+fn priorities_of_accounts_are_told_apart_where_ranks_are_few() {
+    let ranks = RequestRanks::new([Some(0), Some(1), Some(2)], [0, 1, 2, 3, 4]);
+    let last = [0, 1, 2].map(|account| ranks.rank(Some(account), 4));
+    let first = [0, 1, 2].map(|account| ranks.rank(Some(account), 0));
+    assert!(
+        last[0] < first[1] && last[1] < first[2],
+        "{first:?} {last:?}"
+    );
+    assert!(
+        first[0] < last[0] && first[2] < last[2],
+        "{first:?} {last:?}"
+    );
+}
+
 quickcheck! {
+    fn up_to_ten_pairs_are_told_apart(accounts: Vec<u8>, route: u8) -> bool {
+        let accounts: BTreeSet<u8> = accounts.into_iter().take(10).collect();
+        let ranks = RequestRanks::new(accounts.iter().copied().map(Some), [route]);
+        let order = accounts.iter().map(|account| ranks.rank(Some(*account), route));
+        order.eq(0..accounts.len() as u8)
+    }
+
+
     fn the_priority_of_the_account_goes_first(
         accounts: Vec<Option<u8>>,
         routes: Vec<u8>,
--- a/tests/behaviour/placement/waits.rs
+++ b/tests/behaviour/placement/waits.rs
@@ -54,3 +54,16 @@
         .expect("listed")
         .is_busy(at(5_000)));
 }
+
+#[test]
+fn a_pending_request_leaves_a_short_wait_as_it_is() {
+    let mut table = table(at(0), &["a"]);
+    let placement = choose(&mut table, at(0)).expect("an endpoint");
+    for ms in 0..20 {
+        answer(&mut table, at(ms), &placement, 5);
+    }
+    let before = choose(&mut table, at(20)).expect("an endpoint");
+    table.on_sent(at(20), &before);
+    let after = choose(&mut table, at(21)).expect("an endpoint");
+    assert!(after.expected_ms < 2.0 * before.expected_ms, "{after:?}");
+}
