--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -5,8 +5,6 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
-use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::region_discovery::RegionDiscovery;
@@ -39,15 +37,15 @@
 
 #[derive(Debug)]
 pub(super) struct KnownVm {
-    row: VmRow,
+    pub(super) row: VmRow,
     pub(super) last_beat_at: Monotonic,
     /// Whether a connection to the VM failed since its last row.
     is_unreachable: bool,
-    round_trip_ms: Option<f64>,
+    pub(super) round_trip_ms: Option<f64>,
 }
 
 impl KnownVm {
-    fn is_alive(&self, now: Monotonic) -> bool {
+    pub(super) fn is_alive(&self, now: Monotonic) -> bool {
         !self.is_unreachable && now.since(self.last_beat_at) < SILENCE_MAX
     }
 }
@@ -308,31 +306,6 @@
             .all(|row| rendezvous_score(FETCH_RENDEZVOUS_KEY, row.ip) < local_score)
     }
 
-    /// Returns a random live VM of a region that reaches endpoints, in the local region also of the
-    /// service, to forward requests to, and the average round-trip time
-    /// to it in milliseconds, if it was measured.
-    pub fn forward_target(
-        &self,
-        now: Monotonic,
-        region: RegionKey,
-        service: NameHash,
-        tried: &[Ipv4Addr],
-        rng: &mut impl Rng,
-    ) -> Option<(Ipv4Addr, Option<f64>)> {
-        let is_local = region == self.local_region();
-        let ready = self.others.values().filter(|vm| {
-            let reaches_service = vm.row.waits.iter().any(|wait| wait.service == service);
-            vm.is_alive(now)
-                && vm.row.phase == VmPhase::Ready
-                && !vm.row.is_cut_off
-                && self.region(&vm.row) == region
-                && (!is_local || reaches_service)
-                && !tried.contains(&vm.row.ip)
-        });
-        let vm = ready.choose(rng)?;
-        Some((vm.row.ip, vm.round_trip_ms))
-    }
-
     /// Returns the shortest wait for a service that VMs of a region report, in milliseconds.
     pub fn wait_in(&self, now: Monotonic, region: RegionKey, service: NameHash) -> Option<u16> {
         self.alive(now)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod fleet_members;
 mod fleet_message;
 mod fleet_view;
+mod forward_target;
 mod gossip;
 mod known_load;
 mod loads_wire;
