Entry: a request of which nothing was written uses no attempt

The HTTP client gives a request back only as long as it has not encoded it. An error after that counted as "may have run", although the kernel may have refused the first write, or the request still lay in a buffer: an event loop that is busy learns of a close only after the tasks that are ready, and may then write to a connection that has ended.

The stream wrapper now knows whether the kernel took a byte of the request, asks the kernel for a close before the first write, and ends the connection of a request that is given up unwritten. Such a request goes on elsewhere, on routes with one attempt and unsafe ones too.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use super::answer_check::check_head;
+use super::attempt_failure::on_failed;
 use super::client_request::ClientRequest;
 use super::connection_query::ConnectionQuery;
 use super::continuation::Continuation;
@@ -179,6 +180,10 @@
     let sent = wait_for(state, limits, sending, try_leave).await;
     let response = match sent.and_then(|response| response) {
         Ok(response) => response,
+        Err(error) if error.is_silence() && running.connection_mut().stop_unwritten() => {
+            let error = UpstreamError::NotSentInTime;
+            return Err(on_failed(request, running, error));
+        }
         Err(error) => return Err(on_failed(request, running, error)),
     };
     let (parts, body) = response.into_parts();
@@ -356,38 +361,3 @@
     );
     NOT_SENT
 }
-
-fn on_failed(
-    request: &ClientRequest,
-    mut running: RunningRequest,
-    error: UpstreamError,
-) -> AttemptError {
-    if error.is_not_sent() {
-        log::info!(
-            request = &*request.head.request_id,
-            error:% = error;
-            "the request was not sent"
-        );
-        if matches!(error, UpstreamError::NotSent) {
-            running.record_lost();
-        }
-        // The peer closed an idle connection, which does not mean that the endpoint is unreachable.
-        return AttemptError::Unreached {
-            has_timed_out: false,
-        };
-    }
-    if error.is_broken_off() {
-        running.record_crash(request.parts());
-    }
-    // A new connection tells an endpoint that is silent from one that is gone.
-    running.discard_idle();
-    if let Some(placement) = running.placement() {
-        let mut reach = running.state().reach.borrow_mut();
-        reach.on_failed(placement.endpoint);
-    }
-    running.record_outcome(match error.is_silence() {
-        true => AttemptOutcome::Silent,
-        false => AttemptOutcome::Unreachable,
-    });
-    AttemptError::MayHaveRun(error)
-}
--- a/src/edge/client_connection.rs
+++ b/src/edge/client_connection.rs
@@ -2,18 +2,18 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
-use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::peer_close::is_closed_by_peer;
+
 /// A connection of a client; clones share it.
 #[derive(Clone, Debug)]
 pub(super) struct ClientConnection(Rc<RefCell<TcpStream>>);
@@ -25,17 +25,8 @@
 
     /// Returns whether the client has closed or reset the connection, unless bytes before its close have
     /// not been read yet.
-    ///
-    /// It asks the kernel: a busy event loop learns of a close only after the tasks that are ready.
     pub(super) fn is_closed(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0.borrow()).peek(&mut byte) {
-            Ok(count) => count == 0,
-            Err(error) => !matches!(
-                error.kind(),
-                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
-            ),
-        }
+        is_closed_by_peer(&self.0.borrow())
     }
 }
 
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -209,7 +209,11 @@
     }
 
     /// Opens a connection that is in none of the pool's places for idle ones.
-    pub(super) async fn connect(
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`UpstreamError`] if it can't be opened.
+    pub async fn connect(
         &self,
         now: Monotonic,
         address: SocketAddr,
--- a/src/edge/head_limit.rs
+++ b/src/edge/head_limit.rs
@@ -14,6 +14,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::peer_close::is_closed_by_peer;
 use super::send_gate::SendGate;
 use super::unwritten_request::UnwrittenRequest;
 
@@ -75,6 +76,25 @@
             unwritten: UnwrittenRequest::default(),
         }
     }
+
+    /// Checks that the next bytes may be written.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they are the first ones of a request that is not wanted any more, or whose peer has
+    /// closed the connection: the kernel would take them nonetheless.
+    fn check_write(&self) -> io::Result<()> {
+        self.gate.on_write()?;
+        match self.gate.is_unwritten() && is_closed_by_peer(&self.stream) {
+            true => Err(io::ErrorKind::ConnectionReset.into()),
+            false => Ok(()),
+        }
+    }
+
+    fn on_write(&mut self, length: usize, written: &Poll<io::Result<usize>>) {
+        self.gate.on_written(written);
+        self.unwritten.on_write(length, written);
+    }
 }
 
 impl AsyncRead for HeadLimitedStream {
@@ -104,9 +124,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.gate.on_write()?;
+        self.check_write()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.unwritten.on_write(buf.len(), &written);
+        self.on_write(buf.len(), &written);
         written
     }
 
@@ -123,10 +143,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.gate.on_write()?;
+        self.check_write()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         let length = bufs.iter().map(|buf| buf.len()).sum();
-        self.unwritten.on_write(length, &written);
+        self.on_write(length, &written);
         written
     }
 
--- a/src/edge/pooled_connection.rs
+++ b/src/edge/pooled_connection.rs
@@ -27,7 +27,7 @@
 const IDLE_RESERVE: Duration = Duration::from_millis(1_000);
 
 /// A connection; dropping it closes it, which makes the peer cancel the request that it serves.
-pub(super) struct PooledConnection {
+pub struct PooledConnection {
     pub(super) address: SocketAddr,
     pub(super) is_reused: bool,
     /// The number of requests sent on it.
@@ -79,10 +79,16 @@
     }
 
     /// Sends a request and waits for the head of its answer.
-    pub(super) async fn send(
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`UpstreamError`] if there is none; [`UpstreamError::is_not_sent`] says of it whether nothing of
+    /// the request was, or will be, written.
+    pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, UpstreamError> {
+        self.gate.start();
         if self.sender.ready().await.is_err() {
             return Err(UpstreamError::NotSent);
         }
@@ -93,6 +99,7 @@
         sent.map_err(|mut error| match error.take_message() {
             Some(_) => UpstreamError::NotSent,
             None if self.gate.has_stopped() => UpstreamError::NotWanted,
+            None if self.gate.stop_unwritten() => UpstreamError::NotSent,
             None => UpstreamError::Broken(error.into_error()),
         })
     }
@@ -108,6 +115,11 @@
         self.send(request).await
     }
 
+    /// Returns whether nothing of the last request was written, and then makes sure that nothing will be.
+    pub(super) fn stop_unwritten(&self) -> bool {
+        self.gate.stop_unwritten()
+    }
+
     /// Applies the idle timeout that the peer announced.
     pub(super) fn on_keep_alive(&mut self, keep_alive: Duration) {
         self.keep_alive = Some(keep_alive);
--- a/src/edge/send_gate.rs
+++ b/src/edge/send_gate.rs
@@ -1,10 +1,11 @@
-//! Asks again whether a request is wanted when its first bytes are written.
+//! Asks again whether a request is wanted when its first bytes are written, and knows whether any were.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::fmt;
 use std::io;
 use std::rc::Rc;
+use std::task::Poll;
 
 /// Returns whether a request is still wanted.
 type Condition = Box<dyn Fn() -> bool>;
@@ -16,6 +17,7 @@
 pub(super) struct SendGate {
     is_wanted: Rc<RefCell<Option<Condition>>>,
     has_stopped: Rc<Cell<bool>>,
+    has_written: Rc<Cell<bool>>,
 }
 
 impl SendGate {
@@ -24,6 +26,32 @@
         *self.is_wanted.borrow_mut() = Some(Box::new(is_wanted));
     }
 
+    /// Starts the next request, of which nothing is written yet.
+    pub(super) fn start(&self) {
+        self.has_written.set(false);
+    }
+
+    /// Returns whether the next write is the first one of a request.
+    pub(super) fn is_unwritten(&self) -> bool {
+        !self.has_written.get()
+    }
+
+    /// Records a write; bytes that the kernel took count as written, whatever becomes of them.
+    pub(super) fn on_written(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.has_written.set(true);
+        }
+    }
+
+    /// Returns whether nothing of the last request was written, and then ends all writes: the HTTP client may
+    /// still hold the request in its buffer.
+    pub(super) fn stop_unwritten(&self) -> bool {
+        if self.is_unwritten() {
+            self.has_stopped.set(true);
+        }
+        self.is_unwritten()
+    }
+
     /// Returns whether a request was stopped, of which nothing was written.
     pub(super) fn has_stopped(&self) -> bool {
         self.has_stopped.get()
--- a/src/edge/upstream_error.rs
+++ b/src/edge/upstream_error.rs
@@ -21,6 +21,9 @@
     /// The connection was closed before anything was sent.
     #[error("the connection was closed before the request was sent")]
     NotSent,
+    /// The connection took nothing of the request in time; nothing of it will be sent.
+    #[error("nothing of the request could be sent in time")]
+    NotSentInTime,
     /// The client left, or the deadline passed, before anything was sent.
     #[error("the client left or the deadline passed before the request was sent")]
     NotWanted,
@@ -86,7 +89,11 @@
     pub const fn is_not_sent(&self) -> bool {
         matches!(
             self,
-            Self::Connect(_) | Self::ConnectTimeout(_) | Self::NotSent | Self::NotWanted
+            Self::Connect(_)
+                | Self::ConnectTimeout(_)
+                | Self::NotSent
+                | Self::NotSentInTime
+                | Self::NotWanted
         )
     }
 }
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -56,6 +56,7 @@
     refusals: Family<ReasonLabel, Counter>,
     take_ups: Family<OutcomeLabel, Counter>,
     failed_attempts: Counter,
+    unsent_attempts: Counter,
     first_event: Histogram,
     overlap: Histogram,
     configuration_version: Gauge,
@@ -76,6 +77,7 @@
             refusals: Family::default(),
             take_ups: Family::default(),
             failed_attempts: Counter::default(),
+            unsent_attempts: Counter::default(),
             first_event: Histogram::new(LATENCY_BUCKETS_S),
             overlap: Histogram::new(OVERLAP_BUCKETS_S),
             configuration_version: Gauge::default(),
@@ -99,6 +101,12 @@
         registry.register("take_ups", "Streams that clients took up", take_ups);
         let failed = self.failed_attempts.clone();
         registry.register("failed_attempts", "Attempts without an answer", failed);
+        let unsent = self.unsent_attempts.clone();
+        registry.register(
+            "unsent_attempts",
+            "Attempts whose connection ended before anything was written",
+            unsent,
+        );
         let first_event = self.first_event.clone();
         registry.register(
             "first_event_s",
@@ -146,6 +154,11 @@
         self.failed_attempts.inc();
     }
 
+    /// Counts an attempt whose connection ended before anything was written.
+    pub fn on_unsent_attempt(&self) {
+        self.unsent_attempts.inc();
+    }
+
     /// Counts a request that the gateway itself refused.
     pub fn on_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
--- a/tests/behaviour/entry/mod.rs
+++ b/tests/behaviour/entry/mod.rs
@@ -57,5 +57,6 @@
 mod two_regions;
 mod unframed_answers;
 mod unread_bodies;
+mod unwritten_requests;
 mod versioned_site;
 pub(crate) mod work_overlap;
