Entry: count network bytes by what they are for and how far they go

The bytes between zones were known only as a sum. Counters at the sockets (and by size for datagrams) split them into clients, endpoints, forwards, gossip and store, and into the same zone, another zone, another region and unknown; the zone of a client is not known.

--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -33,6 +33,7 @@
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
+use crate::telemetry::ByteKind;
 
 /// The connect timeout within a region, where the one-way latency is 1 ms. A full accept queue
 /// drops the SYN, so it shows as a timeout rather than as an error.
@@ -307,6 +308,10 @@
         } => (*address, CONNECT_TIMEOUT, Some(*placement)),
         Target::Vm { ip, .. } => (state.peer_address(*ip), REMOTE_CONNECT_TIMEOUT, None),
     };
+    let bytes = match target {
+        Target::Endpoint { placement, .. } => state.endpoint_bytes(placement.endpoint),
+        Target::Vm { ip, .. } => state.vm_bytes(ByteKind::Forwards, *ip),
+    };
     let mut running = RunningRequest::new(Rc::clone(state), placement);
     let now = state.now();
     let query = ConnectionQuery {
@@ -314,6 +319,7 @@
         idle_max,
         connect_timeout,
         request_id: Some(&request.head.request_id),
+        bytes: &bytes,
     };
     let connected = state.connection_pool.acquire(now, query).await;
     match connected {
--- a/src/edge/client_connection.rs
+++ b/src/edge/client_connection.rs
@@ -13,20 +13,22 @@
 use tokio::net::TcpStream;
 
 use super::peer_close::is_closed_by_peer;
+use crate::telemetry::ByteCounter;
+use crate::telemetry::CountedStream;
 
 /// A connection of a client; clones share it.
 #[derive(Clone, Debug)]
-pub(super) struct ClientConnection(Rc<RefCell<TcpStream>>);
+pub(super) struct ClientConnection(Rc<RefCell<CountedStream<TcpStream>>>);
 
 impl ClientConnection {
-    pub(super) fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(RefCell::new(stream)))
+    pub(super) fn new(stream: TcpStream, bytes: ByteCounter) -> Self {
+        Self(Rc::new(RefCell::new(CountedStream::new(stream, bytes))))
     }
 
     /// Returns whether the client has closed or reset the connection, unless bytes before its close have
     /// not been read yet.
     pub(super) fn is_closed(&self) -> bool {
-        is_closed_by_peer(&self.0.borrow())
+        is_closed_by_peer(self.0.borrow().stream())
     }
 }
 
--- a/src/edge/connection_pool.rs
+++ b/src/edge/connection_pool.rs
@@ -28,6 +28,8 @@
 use super::upstream_error::is_cut;
 use super::UpstreamError;
 use crate::clock::Monotonic;
+use crate::telemetry::ByteCounter;
+use crate::telemetry::CountedStream;
 
 /// The idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEP_ALIVE_PAUSE: Duration = Duration::from_secs(1);
@@ -76,7 +78,7 @@
             return Ok(connection);
         }
         self.opened_count.set(self.opened_count.get() + 1);
-        let connecting = self.connect(now, query.address);
+        let connecting = self.connect(now, query.address, query.bytes);
         match timeout(query.connect_timeout, connecting).await {
             Ok(connected) => connected,
             Err(_) => Err(UpstreamError::ConnectTimeout(query.connect_timeout)),
@@ -195,9 +197,10 @@
         now: Monotonic,
         address: SocketAddr,
         connect_timeout: Duration,
+        bytes: &ByteCounter,
     ) -> Result<Monotonic, UpstreamError> {
         self.opened_count.set(self.opened_count.get() + 1);
-        let connected = timeout(connect_timeout, self.connect(now, address)).await;
+        let connected = timeout(connect_timeout, self.connect(now, address, bytes)).await;
         let connected = connected.map_err(|_| UpstreamError::ConnectTimeout(connect_timeout))?;
         let mut connection = connected?;
         connection.limit_idle(self.idle_limit(address));
@@ -217,6 +220,7 @@
         &self,
         now: Monotonic,
         address: SocketAddr,
+        bytes: &ByteCounter,
     ) -> Result<PooledConnection, UpstreamError> {
         let began_at = Instant::now();
         let stream = TcpStream::connect(address)
@@ -227,6 +231,7 @@
         set_options(&stream).map_err(UpstreamError::Connect)?;
         let limit = HeadLimit::default();
         let gate = SendGate::default();
+        let stream = CountedStream::new(stream, bytes.clone());
         let stream = HeadLimitedStream::new(stream, limit.clone(), gate.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
--- a/src/edge/edge_listener.rs
+++ b/src/edge/edge_listener.rs
@@ -23,6 +23,8 @@
 use super::client_connection::ClientConnection;
 use super::handlers;
 use crate::entry::EntryState;
+use crate::telemetry::ByteCounter;
+use crate::telemetry::ByteKind;
 
 /// The length of the accept queue; while it is full, SYNs are dropped and a client connects seconds
 /// later.
@@ -167,7 +169,11 @@
         .map(|deployment| deployment.limits())
         .unwrap_or_default();
     let current_stage = stage.clone();
-    let client = ClientConnection::new(stream);
+    let bytes = match role {
+        EdgeRole::Peers => ByteCounter::default(),
+        _ => state.metrics.bytes(ByteKind::Clients, None),
+    };
+    let client = ClientConnection::new(stream, bytes);
     let io = TokioIo::new(client.clone());
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
--- a/src/edge/endpoint_probe.rs
+++ b/src/edge/endpoint_probe.rs
@@ -13,6 +13,7 @@
 use crate::entry::EntryState;
 use crate::placement::ProbeOutcome;
 use crate::platform::probe_request;
+use crate::telemetry::ByteKind;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -32,11 +33,9 @@
 }
 
 async fn probe_one(state: &EntryState, address: SocketAddr) -> ProbeOutcome {
-    let connected = timeout(
-        CONNECT_TIMEOUT,
-        state.connection_pool.connect(state.now(), address),
-    )
-    .await;
+    let bytes = state.metrics.bytes(ByteKind::Endpoints, None);
+    let connecting = state.connection_pool.connect(state.now(), address, &bytes);
+    let connected = timeout(CONNECT_TIMEOUT, connecting).await;
     let Ok(Ok(mut connection)) = connected else {
         return ProbeOutcome::Unreachable;
     };
--- a/src/edge/head_limit.rs
+++ b/src/edge/head_limit.rs
@@ -17,6 +17,7 @@
 use super::peer_close::is_closed_by_peer;
 use super::send_gate::SendGate;
 use super::unwritten_request::UnwrittenRequest;
+use crate::telemetry::CountedStream;
 
 /// The most bytes before the body of an answer: its head, and informational heads before it.
 pub(super) const HEAD_MAX_BYTES: usize = 64 * 1024;
@@ -61,14 +62,14 @@
 /// that an endpoint that sends them without end would take all time of the thread.
 #[derive(Debug)]
 pub(super) struct HeadLimitedStream {
-    stream: TcpStream,
+    stream: CountedStream<TcpStream>,
     limit: HeadLimit,
     gate: SendGate,
     unwritten: UnwrittenRequest,
 }
 
 impl HeadLimitedStream {
-    pub(super) fn new(stream: TcpStream, limit: HeadLimit, gate: SendGate) -> Self {
+    pub(super) fn new(stream: CountedStream<TcpStream>, limit: HeadLimit, gate: SendGate) -> Self {
         Self {
             stream,
             limit,
@@ -85,7 +86,7 @@
     /// closed the connection: the kernel would take them nonetheless.
     fn check_write(&self) -> io::Result<()> {
         self.gate.on_write()?;
-        match self.gate.is_unwritten() && is_closed_by_peer(&self.stream) {
+        match self.gate.is_unwritten() && is_closed_by_peer(self.stream.stream()) {
             true => Err(io::ErrorKind::ConnectionReset.into()),
             false => Ok(()),
         }
--- a/src/edge/peer_fetch.rs
+++ b/src/edge/peer_fetch.rs
@@ -29,6 +29,8 @@
 use crate::fleet::MessageCrashes;
 use crate::fleet::MessageDigest;
 use crate::fleet::MessageVersions;
+use crate::telemetry::ByteCounter;
+use crate::telemetry::ByteKind;
 
 const CONFIGURATION_PATH: &str = "/v1/configuration";
 
@@ -157,11 +159,16 @@
     path: &'static str,
 ) -> Result<Bytes, UpstreamError> {
     let pool = &state.connection_pool;
+    let bytes = match address {
+        SocketAddr::V4(address) => state.vm_bytes(ByteKind::Forwards, *address.ip()),
+        SocketAddr::V6(_) => ByteCounter::default(),
+    };
     let query = ConnectionQuery {
         address,
         idle_max: Duration::MAX,
         connect_timeout: CONNECT_TIMEOUT,
         request_id: None,
+        bytes: &bytes,
     };
     let mut connection = pool.acquire(state.now(), query).await?;
     let request = Request::get(path)
--- a/src/entry/entry_streams.rs
+++ b/src/entry/entry_streams.rs
@@ -14,6 +14,7 @@
 use crate::streams::OriginState;
 use crate::streams::StreamKey;
 use crate::streams::StreamOrigin;
+use crate::telemetry::ByteKind;
 
 impl EntryState {
     /// Records that this VM passed on an event of a stream, written by a software version.
@@ -166,8 +167,8 @@
             return;
         };
         let messages = self.origin_exchange.borrow_mut().take_messages();
-        for (to, message) in messages {
-            let to = SocketAddr::from((to, self.settings.listeners.stream_port));
+        for (ip, message) in messages {
+            let to = SocketAddr::from((ip, self.settings.listeners.stream_port));
             let bytes = match encode_origin_message(&message) {
                 Ok(bytes) => bytes,
                 Err(error) => {
@@ -175,6 +176,7 @@
                     continue;
                 }
             };
+            self.vm_bytes(ByteKind::Gossip, ip).add(bytes.len());
             // A datagram can be lost anyway: its streams are then not taken up.
             if let Err(error) = socket.try_send_to(&bytes, to) {
                 log::debug!(to:% = to, error:% = error; "sending a datagram failed");
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -33,6 +33,7 @@
 use crate::fleet::GossipPlan;
 use crate::fleet::PeerClocks;
 use crate::placement::RateKind;
+use crate::telemetry::ByteKind;
 
 /// The shortest time between two sets of requests beside the rounds, for news that can't wait.
 const PUSH_INTERVAL_MIN: Duration = Duration::from_millis(50);
@@ -140,11 +141,13 @@
                 return;
             }
         };
+        let counter = self.state.vm_bytes(ByteKind::Gossip, to);
         let to = SocketAddr::from((to, self.state.settings.listeners.gossip_port));
         // A datagram can be lost anyway; the next round sends the same state again.
         if let Err(error) = self.socket.try_send_to(&bytes, to) {
             log::debug!(to:% = to, error:% = error; "sending a datagram failed");
         }
+        counter.add(bytes.len());
     }
 
     fn on_datagram(&mut self, from: Ipv4Addr, bytes: &[u8]) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon of an entry VM on the users' platform.
 
 mod daemon;
+mod entry_bytes;
 mod entry_ends;
 mod entry_error;
 mod entry_quarantine;
--- a/src/entry/store_task.rs
+++ b/src/entry/store_task.rs
@@ -13,6 +13,7 @@
 use crate::platform::decode_configuration;
 use crate::platform::StoreClient;
 use crate::platform::StoreContent;
+use crate::telemetry::ByteKind;
 
 /// The interval at which the task checks whether a read is due.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -20,7 +21,8 @@
 /// Reads the store whenever a read is due; never returns.
 pub(super) async fn run(state: Rc<EntryState>) {
     let settings = &state.settings;
-    let mut client = StoreClient::new(settings.store, settings.topology.clone());
+    let bytes = state.metrics.bytes(ByteKind::Store, None);
+    let mut client = StoreClient::new(settings.store, settings.topology.clone(), bytes);
     loop {
         if is_due(&state) {
             read(&state, &mut client).await;
--- a/src/entry/watch_task.rs
+++ b/src/entry/watch_task.rs
@@ -61,7 +61,8 @@
 
 async fn hold(state: &EntryState, now: Monotonic, key: EndpointKey, address: SocketAddr) {
     let pool = &state.connection_pool;
-    let held = pool.hold(now, address, CONNECT_TIMEOUT).await;
+    let bytes = state.endpoint_bytes(key);
+    let held = pool.hold(now, address, CONNECT_TIMEOUT, &bytes).await;
     let mut endpoints = state.endpoints.borrow_mut();
     let error = match held {
         Ok(opened_at) => return endpoints.on_connected(key, opened_at),
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -290,6 +290,11 @@
         members.collect()
     }
 
+    /// Returns whether a VM is known, though it may be silent.
+    pub fn is_known(&self, ip: Ipv4Addr) -> bool {
+        self.others.contains_key(&ip)
+    }
+
     /// Returns how far away a VM is; an unknown one counts as being in another region.
     pub fn distance(&self, ip: Ipv4Addr) -> PeerDistance {
         match self.others.get(&ip) {
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -26,6 +26,8 @@
 use super::StoreError;
 use crate::deployment::EndpointListing;
 use crate::deployment::Topology;
+use crate::telemetry::ByteCounter;
+use crate::telemetry::CountedStream;
 
 const CONFIGURATION_KEY: &str = "op/config";
 const EVACUATION_PREFIX: &str = "op/evacuate/";
@@ -78,15 +80,17 @@
 pub struct StoreClient {
     address: SocketAddr,
     topology: Topology,
+    bytes: ByteCounter,
     connection: Option<SendRequest<Empty<Bytes>>>,
 }
 
 impl StoreClient {
     /// Creates a client, which connects on the first call.
-    pub const fn new(address: SocketAddr, topology: Topology) -> Self {
+    pub const fn new(address: SocketAddr, topology: Topology, bytes: ByteCounter) -> Self {
         Self {
             address,
             topology,
+            bytes,
             connection: None,
         }
     }
@@ -218,6 +222,7 @@
         let stream = TcpStream::connect(self.address)
             .await
             .map_err(StoreError::Connect)?;
+        let stream = CountedStream::new(stream, self.bytes.clone());
         let (sender, connection) =
             hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         tokio::task::spawn_local(async move {
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -11,6 +11,11 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::byte_counter::ByteCounter;
+use super::byte_counter::ByteCounters;
+use super::byte_counter::ByteKind;
+use crate::fleet::PeerDistance;
+
 const PREFIX: &str = "figramp_entry";
 
 /// Upper bounds of the buckets, around the latency targets of short calls (0.3 s) and of streams
@@ -57,6 +62,7 @@
     take_ups: Family<OutcomeLabel, Counter>,
     failed_attempts: Counter,
     unsent_attempts: Counter,
+    bytes: ByteCounters,
     first_event: Histogram,
     overlap: Histogram,
     configuration_version: Gauge,
@@ -78,6 +84,7 @@
             take_ups: Family::default(),
             failed_attempts: Counter::default(),
             unsent_attempts: Counter::default(),
+            bytes: ByteCounters::default(),
             first_event: Histogram::new(LATENCY_BUCKETS_S),
             overlap: Histogram::new(OVERLAP_BUCKETS_S),
             configuration_version: Gauge::default(),
@@ -107,6 +114,7 @@
             "Attempts whose connection ended before anything was written",
             unsent,
         );
+        self.bytes.register(registry);
         let first_event = self.first_event.clone();
         registry.register(
             "first_event_s",
@@ -154,6 +162,11 @@
         self.failed_attempts.inc();
     }
 
+    /// Returns the counter of bytes of a kind to and from a distance; `None` if that is not known.
+    pub fn bytes(&self, kind: ByteKind, distance: Option<PeerDistance>) -> ByteCounter {
+        self.bytes.get(kind, distance)
+    }
+
     /// Counts an attempt whose connection ended before anything was written.
     pub fn on_unsent_attempt(&self) {
         self.unsent_attempts.inc();
--- a/tests/behaviour/edge/unwritten_requests.rs
+++ b/tests/behaviour/edge/unwritten_requests.rs
@@ -15,6 +15,7 @@
 use figramp::edge::ConnectionPool;
 use figramp::edge::PooledConnection;
 use figramp::edge::UpstreamError;
+use figramp::telemetry::ByteCounter;
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -102,7 +103,8 @@
 
 async fn connect(peer: &Peer) -> PooledConnection {
     let pool = ConnectionPool::default();
-    let connected = pool.connect(Monotonic::ZERO, peer.address).await;
+    let bytes = ByteCounter::default();
+    let connected = pool.connect(Monotonic::ZERO, peer.address, &bytes).await;
     connected.expect("a connection")
 }
 
--- a/tests/behaviour/entry/store_answers.rs
+++ b/tests/behaviour/entry/store_answers.rs
@@ -2,6 +2,7 @@
 
 use figramp::platform::StoreClient;
 use figramp::platform::StoreError;
+use figramp::telemetry::ByteCounter;
 
 use super::early_endpoint::EarlyAnswer;
 use super::early_endpoint::EarlyEndpoint;
@@ -13,7 +14,7 @@
 
 async fn read(answer: EarlyAnswer) -> Result<u64, StoreError> {
     let store = EarlyEndpoint::launch(answer).await;
-    let mut client = StoreClient::new(store.address(), topology());
+    let mut client = StoreClient::new(store.address(), topology(), ByteCounter::default());
     let content = tokio::task::LocalSet::new()
         .run_until(client.read())
         .await?;
