Entry: the directory names the VMs of the client's zone

The directory named all VMs of the client's region, though the query says its zone, so that half of the requests crossed to another zone of a region of two. It now names the VMs of the zone and a few of others, to which a client turns if its zone fails before it asks again, and all of the region where the zone has under four VMs or under three quarters of the mean. Regions of one zone are answered as before.

--- a/src/edge/directory.rs
+++ b/src/edge/directory.rs
@@ -13,7 +13,9 @@
 use super::EdgeBody;
 use crate::clock::Monotonic;
 use crate::deployment::RegionKey;
+use crate::deployment::ZoneKey;
 use crate::entry::EntryState;
+use crate::fleet::choose_entry_vms;
 use crate::platform::DirectoryAnswer;
 use crate::platform::DirectoryQuery;
 
@@ -26,7 +28,7 @@
         return empty(StatusCode::NOT_FOUND);
     };
     let region = query.region.unwrap_or(state.settings.region);
-    let vms = entry_vms(state, state.now(), region);
+    let vms = entry_vms(state, state.now(), region, query.zone);
     if vms.is_empty() {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -53,12 +55,17 @@
     }
 }
 
-/// Returns the ready VMs of a region, or those of all other regions if it has none.
-fn entry_vms(state: &EntryState, now: Monotonic, region: RegionKey) -> Vec<Ipv4Addr> {
+/// Returns VMs of a region that are ready, those of the client's zone first of all, or those of all other regions if it has none.
+fn entry_vms(
+    state: &EntryState,
+    now: Monotonic,
+    region: RegionKey,
+    client_zone: Option<ZoneKey>,
+) -> Vec<Ipv4Addr> {
     let fleet = state.fleet.borrow();
-    let local = fleet.ready_in(now, region);
+    let local = fleet.entry_candidates(now, region);
     if !local.is_empty() {
-        return local;
+        return choose_entry_vms(&local, client_zone, &mut *state.rng.borrow_mut());
     }
     let others = state.settings.topology.regions();
     others
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::region_discovery::RegionDiscovery;
+use super::EntryCandidate;
 use super::FleetMember;
 use super::FleetMembers;
 use super::NameHash;
@@ -227,12 +228,21 @@
 
     /// Returns the live VMs of a region that accept client requests, the local one included.
     pub fn ready_in(&self, now: Monotonic, region: RegionKey) -> Vec<Ipv4Addr> {
+        let vms = self.entry_candidates(now, region);
+        vms.iter().map(|vm| vm.ip).collect()
+    }
+
+    /// Returns the same VMs with their availability zones.
+    pub fn entry_candidates(&self, now: Monotonic, region: RegionKey) -> Vec<EntryCandidate> {
         let others = self.alive(now).filter(|row| self.region(row) == region);
         std::iter::once(&self.local_row)
             .filter(|row| self.region(row) == region)
             .chain(others)
             .filter(|row| row.phase == VmPhase::Ready)
-            .map(|row| row.ip)
+            .map(|row| EntryCandidate {
+                ip: row.ip,
+                zone: row.zone,
+            })
             .collect()
     }
 
@@ -250,6 +260,26 @@
             .unwrap_or(self.local_row.ip)
     }
 
+    /// Returns the VM from which the local one hears what was read from the store: in the zone of the reader that
+    /// itself, in another zone one VM of the zone, by rendezvous hashing, which asks the reader.
+    pub fn reader_nearby(&self, now: Monotonic) -> Ipv4Addr {
+        let reader = self.reader(now);
+        let zone = self.local_row.zone;
+        let is_near = |ip| self.others.get(&ip).is_none_or(|vm| vm.row.zone == zone);
+        if is_near(reader) {
+            return reader;
+        }
+        let others = self.alive(now).filter(|row| row.zone == zone);
+        let relay = std::iter::once(&self.local_row)
+            .chain(others)
+            .filter(|row| row.phase != VmPhase::Leaving)
+            .map(|row| row.ip)
+            .max_by_key(|ip| rendezvous_score(READER_RENDEZVOUS_KEY, *ip));
+        relay
+            .filter(|relay| *relay != self.local_row.ip)
+            .unwrap_or(reader)
+    }
+
     /// Returns whether the local VM is one of the `count` VMs of its region with the highest
     /// rendezvous scores for a key.
     ///
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Discovery of VMs by seed addresses and gossip, without a central list.
 
 mod configuration_fetch;
+mod entry_choice;
 mod fleet_members;
 mod fleet_message;
 mod fleet_view;
@@ -24,6 +25,8 @@
 
 pub use configuration_fetch::ConfigurationFetch;
 pub use configuration_fetch::PeerDistance;
+pub use entry_choice::choose_entry_vms;
+pub use entry_choice::EntryCandidate;
 pub use fleet_members::FleetMember;
 pub use fleet_members::FleetMembers;
 pub use fleet_members::MemberChanges;
--- a/tests/behaviour/fleet/mod.rs
+++ b/tests/behaviour/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod configuration_fetch;
 mod convergence;
 mod directory;
+mod entry_choice;
 mod peer_clocks;
 mod rows;
 mod simultaneous_start;
