Gossip: most requests stay in the zone

Three of five bytes between zones were gossip: each VM asked two random VMs of its region and the reader of the store in each round. The random ones are now mostly of the own zone, of which four requests a round go to others (a tenth in large zones); half of the rows that cross are of the sender's zone; one VM of a zone asks a reader that is in another. Regions of one zone gossip as before.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -9,13 +9,21 @@
 use rand::RngExt;
 
 use super::FleetView;
+use super::PeerDistance;
 use super::VmRow;
 use crate::clock::Monotonic;
 
 /// The number of random VMs of the local region that get a request in a round, besides the VM that
-/// reads the store for the region.
+/// reads the store for the region or relays what it read to the zone.
 const FANOUT: usize = 2;
 
+/// The expected number of these requests that all VMs of a zone together send to other zones of the region in a round:
+/// rows that a few VMs receive spread in their zone.
+const OTHER_ZONE_REQUESTS_PER_ROUND: f64 = 4.0;
+
+/// The least part of them: in a large zone, the rows of another one would be too old otherwise.
+const OTHER_ZONE_SHARE_MIN: f64 = 0.1;
+
 /// The number of random VMs of the local region that get a request beside the rounds.
 const PUSH_FANOUT: usize = 3;
 
@@ -61,17 +69,12 @@
     ) -> BTreeSet<Ipv4Addr> {
         let local_ip = view.local_row().ip;
         let local: Vec<Ipv4Addr> = view.alive_in(now, true).map(|row| row.ip).collect();
-        let mut targets: BTreeSet<Ipv4Addr> = local
-            .iter()
-            .copied()
-            .sample(rng, FANOUT)
-            .into_iter()
-            .collect();
+        let mut targets = Self::local_targets(now, view, rng);
         let remote_probability = REMOTE_REQUESTS_PER_ROUND / (local.len() + 1) as f64;
         if rng.random::<f64>() < remote_probability {
             targets.extend(view.alive_in(now, false).map(|row| row.ip).choose(rng));
         }
-        targets.insert(view.reader(now));
+        targets.insert(view.reader_nearby(now));
         let is_probe_due = self
             .probed_at
             .is_none_or(|at| view.alive_count(now) == 1 || now.since(at) >= PROBE_PERIOD);
@@ -85,6 +88,26 @@
         targets
     }
 
+    /// Returns random VMs of the region, mostly of the local zone.
+    fn local_targets(now: Monotonic, view: &FleetView, rng: &mut impl Rng) -> BTreeSet<Ipv4Addr> {
+        let zone = view.local_row().zone;
+        let (own, others): (Vec<&VmRow>, Vec<&VmRow>) =
+            view.alive_in(now, true).partition(|row| row.zone == zone);
+        let sent_by_zone = FANOUT as f64 * (own.len() + 1) as f64;
+        let other_probability =
+            OTHER_ZONE_SHARE_MIN.max(OTHER_ZONE_REQUESTS_PER_ROUND / sent_by_zone);
+        let other_count = match (own.len(), others.len()) {
+            (_, 0) => 0,
+            (0..FANOUT, _) => FANOUT - own.len(),
+            _ => (0..FANOUT)
+                .filter(|_| rng.random::<f64>() < other_probability)
+                .count(),
+        };
+        let mut targets = own.into_iter().sample(rng, FANOUT - other_count);
+        targets.extend(others.into_iter().sample(rng, other_count));
+        targets.into_iter().map(|row| row.ip).collect()
+    }
+
     /// Returns the VMs of the region that get a request beside the rounds.
     pub fn push_targets(now: Monotonic, view: &FleetView, rng: &mut impl Rng) -> Vec<Ipv4Addr> {
         let local = view.alive_in(now, true).map(|row| row.ip);
@@ -93,18 +116,21 @@
 
     /// Returns the rows for a message: that of the local VM first, then others at random.
     ///
-    /// For a VM of a remote region, half of them are drawn from the local region only, as its VMs
+    /// For a VM of another zone or region, half of them are drawn from the local one only, as its VMs
     /// have the newest ones. Backlogs concern the VMs of the endpoints' region only.
     pub fn rows(now: Monotonic, view: &FleetView, to: Ipv4Addr, rng: &mut impl Rng) -> Vec<VmRow> {
         let mut rows = vec![view.local_row().clone()];
         let is_local = view.is_in_local_region(to);
-        let others = if is_local {
-            view.alive(now).sample(rng, ROWS_MAX)
-        } else {
-            let mut others = view.alive_in(now, true).sample(rng, ROWS_MAX / 2);
-            others.extend(view.alive(now).sample(rng, ROWS_MAX / 2));
-            others
+        let near: Vec<&VmRow> = match view.distance(to) {
+            PeerDistance::SameZone => Vec::new(),
+            PeerDistance::SameRegion => {
+                let zone = view.local_row().zone;
+                view.alive(now).filter(|row| row.zone == zone).collect()
+            }
+            PeerDistance::OtherRegion => view.alive_in(now, true).collect(),
         };
+        let mut others = near.into_iter().sample(rng, ROWS_MAX / 2);
+        others.extend(view.alive(now).sample(rng, ROWS_MAX - others.len()));
         rows.extend(others.into_iter().cloned());
         if !is_local {
             for row in &mut rows {
--- a/tests/behaviour/fleet/mod.rs
+++ b/tests/behaviour/fleet/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod support;
 mod unknown_vms;
 mod wire;
+mod zone_gossip;
