--- a/src/edge/attempt.rs
+++ b/src/edge/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use super::answer_check::check_head;
+use super::attempt_failure::on_failed;
 use super::client_request::ClientRequest;
 use super::connection_query::ConnectionQuery;
 use super::continuation::Continuation;
@@ -32,6 +33,7 @@
 use crate::entry::EntryState;
 use crate::placement::AttemptOutcome;
 use crate::placement::Placement;
+use crate::telemetry::ByteKind;
 
 /// The connect timeout within a region, where the one-way latency is 1 ms. A full accept queue
 /// drops the SYN, so it shows as a timeout rather than as an error.
@@ -179,6 +181,10 @@
     let sent = wait_for(state, limits, sending, try_leave).await;
     let response = match sent.and_then(|response| response) {
         Ok(response) => response,
+        Err(error) if error.is_silence() && running.connection_mut().stop_unwritten() => {
+            let error = UpstreamError::NotSentInTime;
+            return Err(on_failed(request, running, error));
+        }
         Err(error) => return Err(on_failed(request, running, error)),
     };
     let (parts, body) = response.into_parts();
@@ -302,6 +308,10 @@
         } => (*address, CONNECT_TIMEOUT, Some(*placement)),
         Target::Vm { ip, .. } => (state.peer_address(*ip), REMOTE_CONNECT_TIMEOUT, None),
     };
+    let bytes = match target {
+        Target::Endpoint { placement, .. } => state.endpoint_bytes(placement.endpoint),
+        Target::Vm { ip, .. } => state.vm_bytes(ByteKind::Forwards, *ip),
+    };
     let mut running = RunningRequest::new(Rc::clone(state), placement);
     let now = state.now();
     let query = ConnectionQuery {
@@ -309,6 +319,7 @@
         idle_max,
         connect_timeout,
         request_id: Some(&request.head.request_id),
+        bytes: &bytes,
     };
     let connected = state.connection_pool.acquire(now, query).await;
     match connected {
@@ -356,38 +367,3 @@
     );
     NOT_SENT
 }
-
-fn on_failed(
-    request: &ClientRequest,
-    mut running: RunningRequest,
-    error: UpstreamError,
-) -> AttemptError {
-    if error.is_not_sent() {
-        log::info!(
-            request = &*request.head.request_id,
-            error:% = error;
-            "the request was not sent"
-        );
-        if matches!(error, UpstreamError::NotSent) {
-            running.record_lost();
-        }
-        // The peer closed an idle connection, which does not mean that the endpoint is unreachable.
-        return AttemptError::Unreached {
-            has_timed_out: false,
-        };
-    }
-    if error.is_broken_off() {
-        running.record_crash(request.parts());
-    }
-    // A new connection tells an endpoint that is silent from one that is gone.
-    running.discard_idle();
-    if let Some(placement) = running.placement() {
-        let mut reach = running.state().reach.borrow_mut();
-        reach.on_failed(placement.endpoint);
-    }
-    running.record_outcome(match error.is_silence() {
-        true => AttemptOutcome::Silent,
-        false => AttemptOutcome::Unreachable,
-    });
-    AttemptError::MayHaveRun(error)
-}
--- a/src/edge/client_connection.rs
+++ b/src/edge/client_connection.rs
@@ -2,40 +2,33 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
-use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::peer_close::is_closed_by_peer;
+use crate::telemetry::ByteCounter;
+use crate::telemetry::CountedStream;
+
 /// A connection of a client; clones share it.
 #[derive(Clone, Debug)]
-pub(super) struct ClientConnection(Rc<RefCell<TcpStream>>);
+pub(super) struct ClientConnection(Rc<RefCell<CountedStream<TcpStream>>>);
 
 impl ClientConnection {
-    pub(super) fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(RefCell::new(stream)))
+    pub(super) fn new(stream: TcpStream, bytes: ByteCounter) -> Self {
+        Self(Rc::new(RefCell::new(CountedStream::new(stream, bytes))))
     }
 
     /// Returns whether the client has closed or reset the connection, unless bytes before its close have
     /// not been read yet.
-    ///
-    /// It asks the kernel: a busy event loop learns of a close only after the tasks that are ready.
     pub(super) fn is_closed(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0.borrow()).peek(&mut byte) {
-            Ok(count) => count == 0,
-            Err(error) => !matches!(
-                error.kind(),
-                io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted
-            ),
-        }
+        is_closed_by_peer(self.0.borrow().stream())
     }
 }
 
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -11,6 +11,11 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::byte_counter::ByteCounter;
+use super::byte_counter::ByteCounters;
+use super::byte_counter::ByteKind;
+use crate::fleet::PeerDistance;
+
 const PREFIX: &str = "figramp_entry";
 
 /// Upper bounds of the buckets, around the latency targets of short calls (0.3 s) and of streams
@@ -56,6 +61,8 @@
     refusals: Family<ReasonLabel, Counter>,
     take_ups: Family<OutcomeLabel, Counter>,
     failed_attempts: Counter,
+    unsent_attempts: Counter,
+    bytes: ByteCounters,
     first_event: Histogram,
     overlap: Histogram,
     configuration_version: Gauge,
@@ -76,6 +83,8 @@
             refusals: Family::default(),
             take_ups: Family::default(),
             failed_attempts: Counter::default(),
+            unsent_attempts: Counter::default(),
+            bytes: ByteCounters::default(),
             first_event: Histogram::new(LATENCY_BUCKETS_S),
             overlap: Histogram::new(OVERLAP_BUCKETS_S),
             configuration_version: Gauge::default(),
@@ -99,6 +108,13 @@
         registry.register("take_ups", "Streams that clients took up", take_ups);
         let failed = self.failed_attempts.clone();
         registry.register("failed_attempts", "Attempts without an answer", failed);
+        let unsent = self.unsent_attempts.clone();
+        registry.register(
+            "unsent_attempts",
+            "Attempts whose connection ended before anything was written",
+            unsent,
+        );
+        self.bytes.register(registry);
         let first_event = self.first_event.clone();
         registry.register(
             "first_event_s",
@@ -146,6 +162,16 @@
         self.failed_attempts.inc();
     }
 
+    /// Returns the counter of bytes of a kind to and from a distance; `None` if that is not known.
+    pub fn bytes(&self, kind: ByteKind, distance: Option<PeerDistance>) -> ByteCounter {
+        self.bytes.get(kind, distance)
+    }
+
+    /// Counts an attempt whose connection ended before anything was written.
+    pub fn on_unsent_attempt(&self) {
+        self.unsent_attempts.inc();
+    }
+
     /// Counts a request that the gateway itself refused.
     pub fn on_refusal(&self, reason: &'static str) {
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
