Zones and unsent attempts: findings of a review

VMs that reach no endpoint do not count for their zone. - Messages to other regions carry as many rows as before. - Datagrams that could not be sent are not counted. - Idle connections to an address that closed one unsent are dropped, and a retry that was taken for such an attempt is kept.

--- a/src/edge/attempt_failure.rs
+++ b/src/edge/attempt_failure.rs
@@ -21,6 +21,8 @@
         running.state().metrics.on_unsent_attempt();
         if matches!(error, UpstreamError::NotSent) {
             running.record_lost();
+            // Others to the address that were idle as long may have ended too.
+            running.discard_idle();
             on_closed_unsent(&mut running);
         }
         return AttemptError::Unreached {
--- a/src/edge/attempts.rs
+++ b/src/edge/attempts.rs
@@ -160,7 +160,7 @@
                     return Ok(answer);
                 }
                 Err(AttemptError::Unreached { has_timed_out }) => {
-                    self.has_taken_retry = takes_retry;
+                    self.has_taken_retry |= takes_retry;
                     self.tried.on_unreached(self.region_vms_max(has_timed_out));
                 }
                 Err(AttemptError::NotRun {
--- a/src/edge/directory.rs
+++ b/src/edge/directory.rs
@@ -65,7 +65,7 @@
     let fleet = state.fleet.borrow();
     let local = fleet.entry_candidates(now, region);
     if !local.is_empty() {
-        return choose_entry_vms(&local, client_zone, &mut *state.rng.borrow_mut());
+        return choose_entry_vms(&local, client_zone, state.settings.ip);
     }
     let others = state.settings.topology.regions();
     others
--- a/src/entry/entry_streams.rs
+++ b/src/entry/entry_streams.rs
@@ -176,10 +176,10 @@
                     continue;
                 }
             };
-            self.vm_bytes(ByteKind::Gossip, ip).add(bytes.len());
             // A datagram can be lost anyway: its streams are then not taken up.
-            if let Err(error) = socket.try_send_to(&bytes, to) {
-                log::debug!(to:% = to, error:% = error; "sending a datagram failed");
+            match socket.try_send_to(&bytes, to) {
+                Ok(sent) => self.vm_bytes(ByteKind::Gossip, ip).add(sent),
+                Err(error) => log::debug!(to:% = to, error:% = error; "sending a datagram failed"),
             }
         }
     }
--- a/src/entry/gossip_task.rs
+++ b/src/entry/gossip_task.rs
@@ -144,10 +144,10 @@
         let counter = self.state.vm_bytes(ByteKind::Gossip, to);
         let to = SocketAddr::from((to, self.state.settings.listeners.gossip_port));
         // A datagram can be lost anyway; the next round sends the same state again.
-        if let Err(error) = self.socket.try_send_to(&bytes, to) {
-            log::debug!(to:% = to, error:% = error; "sending a datagram failed");
+        match self.socket.try_send_to(&bytes, to) {
+            Ok(sent) => counter.add(sent),
+            Err(error) => log::debug!(to:% = to, error:% = error; "sending a datagram failed"),
         }
-        counter.add(bytes.len());
     }
 
     fn on_datagram(&mut self, from: Ipv4Addr, bytes: &[u8]) {
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -240,6 +240,7 @@
             .map(|row| EntryCandidate {
                 ip: row.ip,
                 zone: row.zone,
+                is_cut_off: row.is_cut_off,
             })
             .collect()
     }
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -130,7 +130,11 @@
             PeerDistance::OtherRegion => view.alive_in(now, true).collect(),
         };
         let mut others = near.into_iter().sample(rng, ROWS_MAX / 2);
-        others.extend(view.alive(now).sample(rng, ROWS_MAX - others.len()));
+        let any_count = match view.distance(to) {
+            PeerDistance::SameZone | PeerDistance::SameRegion => ROWS_MAX - others.len(),
+            PeerDistance::OtherRegion => ROWS_MAX / 2,
+        };
+        others.extend(view.alive(now).sample(rng, any_count));
         rows.extend(others.into_iter().cloned());
         if !is_local {
             for row in &mut rows {
--- a/src/stand_in/deployment/link_proxy.rs
+++ b/src/stand_in/deployment/link_proxy.rs
@@ -11,6 +11,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// The time between two checks whether a port is closed.
+const CLOSE_POLL: Duration = Duration::from_millis(2);
 
 /// The state of a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -79,6 +83,21 @@
     pub fn set_link(&self, state: LinkState) {
         self.link.send_replace(state);
     }
+
+    /// Closes the port; connections to it are refused from then on.
+    pub async fn close(&mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+        // A process that is being started holds the port until it runs another program.
+        while TcpStream::connect(self.address).await.is_ok() {
+            sleep(CLOSE_POLL).await;
+        }
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_count(&self) -> usize {
+        self.freezes.receiver_count()
+    }
 }
 
 impl Drop for LinkProxy {
--- a/tests/behaviour/entry/unwritten_requests.rs
+++ b/tests/behaviour/entry/unwritten_requests.rs
@@ -19,6 +19,8 @@
 
 const PAUSE: Duration = Duration::from_millis(100);
 
+const POLL: Duration = Duration::from_millis(5);
+
 /// A site whose routes have one attempt, with a proxy before one of the endpoints of the plain service.
 async fn launch() -> (Site, LinkProxy, EntryVm) {
     let site = Site::launch(EAST).await;
@@ -53,8 +55,8 @@
 
 #[tokio::test]
 async fn an_unsafe_request_of_one_attempt_goes_on_from_an_endpoint_that_refuses_connections() {
-    let (site, proxy, vm) = launch().await;
-    drop(proxy);
+    let (site, mut proxy, vm) = launch().await;
+    proxy.close().await;
     let statuses = send(&vm, "r").await;
     check(&site, "r", &statuses);
 }
@@ -62,14 +64,16 @@
 #[tokio::test]
 async fn an_unsafe_request_of_one_attempt_goes_on_from_a_connection_reset_while_the_vm_is_stopped()
 {
-    let (site, proxy, vm) = launch().await;
+    let (site, mut proxy, vm) = launch().await;
     let statuses = send(&vm, "w").await;
     check(&site, "w", &statuses);
     assert!(site.plain[0].total_run_count() > 0);
     vm.signal("-STOP");
     proxy.set_link(LinkState::Reset);
-    sleep(PAUSE).await;
-    drop(proxy);
+    while proxy.open_count() > 0 {
+        sleep(POLL).await;
+    }
+    proxy.close().await;
     let resume = async {
         sleep(PAUSE).await;
         vm.signal("-CONT");
