Entry: bounds for clients outside the limits

Cause: the HTTP library kept some 400 KB a connection for a head without end, empty lines before it included, and as much for answers that nobody reads; each port counted its connections for itself. Change: the bytes and the time of an unfinished head are counted from its first byte, against the limits in force; buffers hold one head, 32 KiB at least; unfinished heads and unread answers of all connections share an eighth of the process's memory, and those that hold most are closed; the connections of all ports share the descriptors, and the oldest unfinished head gives way to a new connection. A counter by reason and one log line a second.

--- a/src/edge/edge_listener.rs
+++ b/src/edge/edge_listener.rs
@@ -1,6 +1,7 @@
 //! Accepts connections on the ports of an entry VM.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -18,23 +19,30 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
+use super::accepted_connections::AcceptedConnection;
+use super::accepted_connections::CloseReason;
+use super::answered_body::AnsweredBody;
 use super::client_connection::ClientConnection;
 use super::handlers;
+use super::limited_connection::buffer_bytes;
+use super::limited_connection::limits_in_force;
+use super::limited_connection::LimitedConnection;
+use super::EdgeBody;
 use crate::entry::EntryState;
 
 /// The length of the accept queue; while it is full, SYNs are dropped and a client connects seconds
 /// later.
 const BACKLOG: i32 = 512;
 
-/// Descriptors reserved for other uses than clients' sockets: files, listeners, connections to
-/// endpoints and other VMs.
-const DESCRIPTORS_RESERVED: u64 = 900;
-
 /// The backoff after `accept` failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The shortest time for the head of a request, whatever the configuration says.
+const HEADER_TIMEOUT_MIN: Duration = Duration::from_millis(100);
+
 /// The purpose of a port.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum EdgeRole {
@@ -93,12 +101,6 @@
     /// Accepts connections until the stage is [`EdgeStage::Closing`]; ports that are not for
     /// clients, until the process exits.
     pub async fn run(self, state: Rc<EntryState>, stage: watch::Receiver<EdgeStage>) {
-        let open_count = Rc::new(Cell::new(0_u64));
-        let open_max = state
-            .settings
-            .descriptors_max
-            .saturating_sub(DESCRIPTORS_RESERVED)
-            .max(1);
         let mut closing = stage.clone();
         let stays_open = matches!(
             self.role,
@@ -110,22 +112,7 @@
                 _ = closing.wait_for(|stage| *stage == EdgeStage::Closing), if !stays_open => return,
             };
             match accepted {
-                Ok((stream, _)) if open_count.get() < open_max => {
-                    let open = OpenConnection::new(&open_count);
-                    let awaited = self
-                        .role
-                        .is_awaited()
-                        .then(|| OpenConnection::new(&state.connection_count));
-                    let served = serve(self.role, stream, Rc::clone(&state), stage.clone());
-                    spawn_local(async move {
-                        served.await;
-                        drop((open, awaited));
-                    });
-                }
-                Ok(_) => log::warn!(
-                    open = open_count.get();
-                    "connection dropped: limit on open connections reached"
-                ),
+                Ok((stream, _)) => self.start(stream, &state, &stage).await,
                 Err(error) => {
                     log::warn!(error:% = error; "accepting a connection failed");
                     sleep(ACCEPT_PAUSE).await;
@@ -133,6 +120,42 @@
             }
         }
     }
+
+    /// Serves an accepted connection, and closes another one for it if there are too many.
+    async fn start(
+        &self,
+        stream: TcpStream,
+        state: &Rc<EntryState>,
+        stage: &watch::Receiver<EdgeStage>,
+    ) {
+        let mut accepted = state.accepted.open(state.now());
+        if accepted.is_none() {
+            state.on_connections_closed(CloseReason::Descriptors, 1);
+            if state.accepted.close_for_new() {
+                // Lets the task of the other connection drop it.
+                yield_now().await;
+                accepted = state.accepted.open(state.now());
+            }
+        }
+        let Some(accepted) = accepted else {
+            return;
+        };
+        let awaited = self
+            .role
+            .is_awaited()
+            .then(|| OpenConnection::new(&state.connection_count));
+        let served = serve(
+            self.role,
+            stream,
+            Rc::new(accepted),
+            Rc::clone(state),
+            stage.clone(),
+        );
+        spawn_local(async move {
+            served.await;
+            drop(awaited);
+        });
+    }
 }
 
 struct OpenConnection(Rc<Cell<u64>>);
@@ -153,6 +176,7 @@
 async fn serve(
     role: EdgeRole,
     stream: TcpStream,
+    accepted: Rc<AcceptedConnection>,
     state: Rc<EntryState>,
     mut stage: watch::Receiver<EdgeStage>,
 ) {
@@ -160,28 +184,47 @@
         log::debug!(error:% = error; "setting TCP_NODELAY on an accepted connection failed");
         return;
     }
-    let limits = state
-        .belief
-        .borrow()
-        .deployment()
-        .map(|deployment| deployment.limits())
-        .unwrap_or_default();
+    let limits = limits_in_force(&state);
+    let buffer_max_bytes = buffer_bytes(limits);
     let current_stage = stage.clone();
     let client = ClientConnection::new(stream);
-    let io = TokioIo::new(client.clone());
+    let limited = LimitedConnection::new(
+        client.clone(),
+        Rc::clone(&accepted),
+        Rc::clone(&state),
+        buffer_max_bytes,
+    );
+    let service_state = Rc::clone(&state);
+    let served = Rc::clone(&accepted);
     let service = service_fn(move |request| {
-        let state = Rc::clone(&state);
-        let is_draining = *current_stage.borrow() != EdgeStage::Serving;
-        handlers::handle(role, state, client.clone(), request, is_draining)
+        served.update(|progress| progress.on_request());
+        let state = Rc::clone(&service_state);
+        // A buffer can't grow with the limits; a new connection has a larger one.
+        let is_draining = *current_stage.borrow() != EdgeStage::Serving
+            || buffer_bytes(limits_in_force(&state)) > buffer_max_bytes;
+        let handled = handlers::handle(role, state, client.clone(), request, is_draining);
+        let served = Rc::clone(&served);
+        async move {
+            let response = handled.await?;
+            let with_end =
+                response.map(|body| -> EdgeBody { Box::pin(AnsweredBody::new(body, served)) });
+            Ok::<_, Infallible>(with_end)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
+        .header_read_timeout(limits.idle_timeout + limits.header_timeout)
+        .max_buf_size(buffer_max_bytes)
         .auto_date_header(false)
-        .serve_connection(io, service);
+        .serve_connection(TokioIo::new(limited), service);
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        () = accepted.closing() => return,
+        () = head_overdue(&accepted, &state) => {
+            state.on_connections_closed(CloseReason::HeadTimeout, 1);
+            return;
+        }
         _ = stage.wait_for(|stage| *stage == EdgeStage::Closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -191,3 +234,18 @@
         log::debug!(error:% = error; "an accepted connection failed");
     }
 }
+
+/// Completes once the head of a request was not complete in time.
+async fn head_overdue(accepted: &AcceptedConnection, state: &EntryState) {
+    loop {
+        let header_timeout = limits_in_force(state)
+            .header_timeout
+            .max(HEADER_TIMEOUT_MIN);
+        let now = state.now();
+        match accepted.progress().head_deadline(header_timeout) {
+            Some(deadline) if deadline <= now => return,
+            Some(deadline) => sleep(deadline.since(now)).await,
+            None => sleep(header_timeout).await,
+        }
+    }
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,9 +3,11 @@
 //! It uses `hyper` directly: `rocket` cannot abort an answer, detect that a client disconnected, or
 //! stream a body through unchanged.
 
+mod accepted_connections;
 mod answer_check;
 mod answer_memory;
 mod answer_notices;
+mod answered_body;
 mod attempt;
 mod attempts;
 mod client_connection;
@@ -27,6 +29,7 @@
 mod handlers;
 mod head_limit;
 mod hedge;
+mod limited_connection;
 mod listing_confirmation;
 mod overlap;
 mod peer_encoding;
@@ -37,6 +40,7 @@
 mod relay;
 mod request_homes;
 mod request_intake;
+mod request_progress;
 mod running_request;
 mod send_gate;
 mod served_request;
@@ -47,6 +51,9 @@
 mod unwritten_request;
 mod upstream_error;
 
+pub use accepted_connections::AcceptedConnection;
+pub use accepted_connections::AcceptedConnections;
+pub use accepted_connections::CloseReason;
 pub use connection_end::LostConnection;
 pub use connection_pool::ConnectionPool;
 pub use edge_body::EdgeBody;
@@ -64,4 +71,6 @@
 pub use peer_fetch::fetch_listing;
 pub use refusal::Refusal;
 pub use refusal::RefusalKind;
+pub use request_progress::head_max_bytes;
+pub use request_progress::RequestProgress;
 pub use upstream_error::UpstreamError;
--- a/src/entry/entry_state.rs
+++ b/src/entry/entry_state.rs
@@ -24,6 +24,8 @@
 use crate::catalog::Name;
 use crate::clock::Clock;
 use crate::clock::Monotonic;
+use crate::edge::AcceptedConnections;
+use crate::edge::CloseReason;
 use crate::edge::ConnectionPool;
 use crate::fleet::EndpointRate;
 use crate::fleet::FleetView;
@@ -76,6 +78,8 @@
     pub memory: MemoryBudget,
     /// The memory for answers of which a part has arrived.
     pub answer_memory: MemoryBudget,
+    /// The connections of clients and other VMs, and what is held for them.
+    pub accepted: AcceptedConnections,
     /// The number of requests in flight.
     pub running_count: Rc<Cell<u32>>,
     /// The number of open connections of clients and other VMs.
@@ -139,6 +143,7 @@
             probe_turn: Mutex::default(),
             memory: MemoryBudget::new(settings.memory_max_bytes),
             answer_memory: MemoryBudget::new(settings.memory_max_bytes),
+            accepted: AcceptedConnections::new(settings.memory_max_bytes, settings.descriptors_max),
             running_count: Rc::default(),
             connection_count: Rc::default(),
             metrics: EntryMetrics::new(),
@@ -255,6 +260,14 @@
         })
     }
 
+    /// Counts and logs connections closed as they, or all together, are over the limits.
+    pub fn on_connections_closed(&self, reason: CloseReason, count: u64) {
+        if count > 0 {
+            self.metrics.on_connections_closed(reason.as_str(), count);
+            self.accepted.log_closed(self.now(), reason, count);
+        }
+    }
+
     /// Adds the rates of endpoints that another VM observed.
     pub fn on_rates_reported(&self, kind: RateKind, rates: impl IntoIterator<Item = EndpointRate>) {
         let mut endpoints = self.endpoints.borrow_mut();
--- a/src/telemetry/entry_metrics.rs
+++ b/src/telemetry/entry_metrics.rs
@@ -54,6 +54,7 @@
     registry: Registry,
     answers: Counter,
     refusals: Family<ReasonLabel, Counter>,
+    closed_connections: Family<ReasonLabel, Counter>,
     take_ups: Family<OutcomeLabel, Counter>,
     failed_attempts: Counter,
     first_event: Histogram,
@@ -74,6 +75,7 @@
             registry: Registry::with_prefix(PREFIX),
             answers: Counter::default(),
             refusals: Family::default(),
+            closed_connections: Family::default(),
             take_ups: Family::default(),
             failed_attempts: Counter::default(),
             first_event: Histogram::new(LATENCY_BUCKETS_S),
@@ -95,6 +97,11 @@
         registry.register("answers", "Answers of endpoints", self.answers.clone());
         let refusals = self.refusals.clone();
         registry.register("refusals", "Answers of the gateway itself", refusals);
+        registry.register(
+            "closed_connections",
+            "Connections closed over the limits on clients",
+            self.closed_connections.clone(),
+        );
         let take_ups = self.take_ups.clone();
         registry.register("take_ups", "Streams that clients took up", take_ups);
         let failed = self.failed_attempts.clone();
@@ -151,6 +158,13 @@
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts connections that were closed as they, or all together, were over the limits.
+    pub fn on_connections_closed(&self, reason: &'static str, count: u64) {
+        self.closed_connections
+            .get_or_create(&ReasonLabel { reason })
+            .inc_by(count);
+    }
+
     /// Counts a stream that a client took up; `outcome` is `resumed` or the reason of the refusal.
     pub fn on_take_up(&self, outcome: &'static str) {
         self.take_ups.get_or_create(&OutcomeLabel { outcome }).inc();
