Entry: unfinished heads and unread answers have memory of their own

Cause: with one budget, connections whose answers are not read took all of it, and the next head of an ordinary caller was the one that was closed (tests/crowds: unread_metrics, no ordinary request answered). Change: each has a sixteenth of the memory. The other tests of tests/crowds were not run again on this commit.

--- a/src/edge/accepted_connections.rs
+++ b/src/edge/accepted_connections.rs
@@ -9,11 +9,12 @@
 use slab::Slab;
 use tokio::sync::Notify;
 
+use super::request_progress::HeldKind;
 use super::request_progress::RequestProgress;
 use crate::clock::Monotonic;
 
-/// Unfinished heads and unread answers may take the process's memory divided by this.
-const HELD_MEMORY_DIVISOR: u64 = 8;
+/// Unfinished heads, and unread answers, may take the process's memory divided by this.
+const HELD_MEMORY_DIVISOR: u64 = 16;
 
 /// Descriptors reserved for other uses than accepted connections: files, listeners, connections to
 /// endpoints and other VMs.
@@ -59,12 +60,30 @@
 #[derive(Clone)]
 pub struct AcceptedConnections(Rc<Shared>);
 
+/// The memory of one kind that all connections hold.
+#[derive(Default)]
+struct HeldMemory {
+    bytes: Cell<u64>,
+    /// The part of it of connections that are about to be dropped.
+    closing_bytes: Cell<u64>,
+}
+
+impl HeldMemory {
+    fn kept_bytes(&self) -> u64 {
+        self.bytes.get() - self.closing_bytes.get()
+    }
+
+    fn replace(&self, before_bytes: usize, after_bytes: usize) {
+        let bytes = self.bytes.get() + after_bytes as u64;
+        self.bytes.set(bytes - before_bytes as u64);
+    }
+}
+
 struct Shared {
     open: RefCell<Slab<Rc<Accepted>>>,
     open_max: u64,
-    held_bytes: Cell<u64>,
-    /// The part of it of connections that are about to be dropped.
-    closing_bytes: Cell<u64>,
+    heads: HeldMemory,
+    unread: HeldMemory,
     held_max_bytes: u64,
     closed: Cell<u64>,
     logged_at: Cell<Option<Monotonic>>,
@@ -83,8 +102,8 @@
         Self(Rc::new(Shared {
             open: RefCell::default(),
             open_max: descriptors_max.saturating_sub(DESCRIPTORS_RESERVED).max(1),
-            held_bytes: Cell::new(0),
-            closing_bytes: Cell::new(0),
+            heads: HeldMemory::default(),
+            unread: HeldMemory::default(),
             held_max_bytes: memory_max_bytes / HELD_MEMORY_DIVISOR,
             closed: Cell::new(0),
             logged_at: Cell::new(None),
@@ -125,16 +144,22 @@
         first.is_some()
     }
 
-    /// Closes the connections that hold most until the others together hold what they may; returns how
-    /// many.
-    fn close_over_memory(&self) -> u64 {
+    fn held(&self, kind: HeldKind) -> &HeldMemory {
+        match kind {
+            HeldKind::Heads => &self.0.heads,
+            HeldKind::Unread => &self.0.unread,
+        }
+    }
+
+    /// Closes connections until the others together hold what they may of this kind; returns how many.
+    fn close_over_memory(&self, kind: HeldKind) -> u64 {
         let mut closed = 0;
-        while self.0.held_bytes.get() - self.0.closing_bytes.get() > self.0.held_max_bytes {
+        while self.held(kind).kept_bytes() > self.0.held_max_bytes {
             let open = self.0.open.borrow();
             let candidates = open.iter().map(|(_, accepted)| accepted);
             let kept = candidates.filter(|accepted| !accepted.is_closing.get());
             let Some(accepted) =
-                kept.max_by_key(|accepted| accepted.progress.get().holding_order())
+                kept.max_by_key(|accepted| accepted.progress.get().closing_rank(kind))
             else {
                 break;
             };
@@ -147,14 +172,11 @@
     fn close(&self, accepted: &Accepted) {
         accepted.is_closing.set(true);
         accepted.closing.notify_one();
-        let held_bytes = accepted.progress.get().held_bytes() as u64;
-        let closing_bytes = &self.0.closing_bytes;
-        closing_bytes.set(closing_bytes.get() + held_bytes);
-    }
-
-    fn replace_held(&self, before_bytes: usize, after_bytes: usize) {
-        let held_bytes = self.0.held_bytes.get() + after_bytes as u64;
-        self.0.held_bytes.set(held_bytes - before_bytes as u64);
+        for kind in HeldKind::ALL {
+            let held_bytes = accepted.progress.get().held_bytes(kind) as u64;
+            let closing_bytes = &self.held(kind).closing_bytes;
+            closing_bytes.set(closing_bytes.get() + held_bytes);
+        }
     }
 
     /// Logs that connections were closed, at most once in [`LOG_PERIOD`].
@@ -183,9 +205,10 @@
 
     /// Returns whether it may not read on, as connections that are about to be dropped still hold memory.
     pub fn has_to_wait(&self) -> bool {
-        let shared = &self.all.0;
-        let is_held = self.progress().held_bytes() > 0;
-        is_held && shared.held_bytes.get() > shared.held_max_bytes
+        HeldKind::ALL.into_iter().any(|kind| {
+            let is_held = self.progress().held_bytes(kind) > 0;
+            is_held && self.all.held(kind).bytes.get() > self.all.0.held_max_bytes
+        })
     }
 
     /// Returns whether the connection is about to be dropped.
@@ -200,15 +223,18 @@
             return 0;
         }
         let mut progress = self.accepted.progress.get();
-        let before_bytes = progress.held_bytes();
+        let before = progress;
         change(&mut progress);
         self.accepted.progress.set(progress);
-        let after_bytes = progress.held_bytes();
-        self.all.replace_held(before_bytes, after_bytes);
-        match after_bytes > before_bytes {
-            true => self.all.close_over_memory(),
-            false => 0,
+        let mut closed = 0;
+        for kind in HeldKind::ALL {
+            let (before_bytes, after_bytes) = (before.held_bytes(kind), progress.held_bytes(kind));
+            self.all.held(kind).replace(before_bytes, after_bytes);
+            if after_bytes > before_bytes {
+                closed += self.all.close_over_memory(kind);
+            }
         }
+        closed
     }
 
     /// Completes once the connection is to be closed.
@@ -219,11 +245,14 @@
 
 impl Drop for AcceptedConnection {
     fn drop(&mut self) {
-        let held_bytes = self.progress().held_bytes();
-        self.all.replace_held(held_bytes, 0);
-        if self.is_closing() {
-            let closing_bytes = &self.all.0.closing_bytes;
-            closing_bytes.set(closing_bytes.get() - held_bytes as u64);
+        for kind in HeldKind::ALL {
+            let held_bytes = self.progress().held_bytes(kind);
+            let held = self.all.held(kind);
+            held.replace(held_bytes, 0);
+            if self.is_closing() {
+                let closing_bytes = held.closing_bytes.get() - held_bytes as u64;
+                held.closing_bytes.set(closing_bytes);
+            }
         }
         self.all.0.open.borrow_mut().remove(self.key);
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -72,5 +72,6 @@
 pub use refusal::Refusal;
 pub use refusal::RefusalKind;
 pub use request_progress::head_max_bytes;
+pub use request_progress::HeldKind;
 pub use request_progress::RequestProgress;
 pub use upstream_error::UpstreamError;
--- a/src/edge/request_progress.rs
+++ b/src/edge/request_progress.rs
@@ -9,6 +9,20 @@
 /// it, which HTTP allows.
 const EMPTY_LINES_MAX_BYTES: usize = 1_024;
 
+/// What is held for clients; each kind has memory of its own, so that neither takes that of the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldKind {
+    /// Heads that are not complete.
+    Heads,
+    /// Answers that are not read, and requests behind them.
+    Unread,
+}
+
+impl HeldKind {
+    /// All kinds.
+    pub const ALL: [Self; 2] = [Self::Heads, Self::Unread];
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// No byte of a request has arrived.
@@ -99,24 +113,31 @@
         }
     }
 
-    /// Returns the bytes that are held for the client.
-    pub fn held_bytes(&self) -> usize {
-        let head_bytes = match self.phase {
+    /// Returns the bytes of a head that is not complete.
+    pub const fn head_bytes(&self) -> usize {
+        match self.phase {
             Phase::Head { bytes, .. } => bytes,
             Phase::Idle | Phase::Running => 0,
-        };
-        head_bytes.saturating_add(self.unread_bytes)
+        }
     }
 
-    /// Returns the order in which connections are closed that together hold too much, highest first: the
-    /// longest heads, then the answers that have not been read for longest.
-    pub fn holding_order(&self) -> (usize, Reverse<Monotonic>) {
-        match self.phase {
-            Phase::Head { bytes, .. } => (bytes, Reverse(self.unread_since)),
-            Phase::Idle | Phase::Running if self.unread_bytes > 0 => {
-                (0, Reverse(self.unread_since))
-            }
-            Phase::Idle | Phase::Running => (0, Reverse(Monotonic::from_us(u64::MAX))),
+    /// Returns the bytes of one kind that are held for the client.
+    pub const fn held_bytes(&self, kind: HeldKind) -> usize {
+        match kind {
+            HeldKind::Heads => self.head_bytes(),
+            HeldKind::Unread => self.unread_bytes,
+        }
+    }
+
+    /// Returns the order in which connections are closed that together hold too much of one kind, highest
+    /// first: the longest head, or the answers that have not been read for longest.
+    pub fn closing_rank(&self, kind: HeldKind) -> (usize, Reverse<Monotonic>) {
+        match kind {
+            HeldKind::Heads => (self.head_bytes(), Reverse(self.opened_at)),
+            HeldKind::Unread => (
+                usize::from(self.unread_bytes > 0),
+                Reverse(self.unread_since),
+            ),
         }
     }
 
--- a/tests/behaviour/edge/mod.rs
+++ b/tests/behaviour/edge/mod.rs
@@ -5,3 +5,4 @@
 mod failure_statuses;
 mod overlaps;
 mod refusals;
+mod request_progress;
--- a/tests/crowds/inside_limits.rs
+++ b/tests/crowds/inside_limits.rs
@@ -1,4 +1,4 @@
-//! Single requests inside the limits, also with a head or a body just under them.
+//! Single requests inside the limits, also with a head or a body just under them, and one over them.
 
 use std::time::Duration;
 
@@ -157,3 +157,20 @@
         .await
         .expect("answers in time");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_over_the_limit_is_refused() {
+    let _alone = alone().await;
+    let process = EntryProcess::launch().await;
+    let mut stream = connect(&process).await;
+    let mut head = HEAD.as_bytes().to_vec();
+    // The longest head, and the empty lines that are allowed before it.
+    head.resize(HEADER_MAX_BYTES + 1_024, b'a');
+    stream.write_all(&head).await.expect("a head");
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    let read = timeout(ANSWER_TIMEOUT, read).await;
+    read.expect("an end in time").expect("an answer");
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+}
