--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,9 +3,11 @@
 //! It uses `hyper` directly: `rocket` cannot abort an answer, detect that a client disconnected, or
 //! stream a body through unchanged.
 
+mod accepted_connections;
 mod answer_check;
 mod answer_memory;
 mod answer_notices;
+mod answered_body;
 mod attempt;
 mod attempt_failure;
 mod attempts;
@@ -28,6 +30,7 @@
 mod handlers;
 mod head_limit;
 mod hedge;
+mod limited_connection;
 mod listing_confirmation;
 mod overlap;
 mod peer_close;
@@ -39,6 +42,7 @@
 mod relay;
 mod request_homes;
 mod request_intake;
+mod request_progress;
 mod running_request;
 mod send_gate;
 mod served_request;
@@ -49,6 +53,9 @@
 mod unwritten_request;
 mod upstream_error;
 
+pub use accepted_connections::AcceptedConnection;
+pub use accepted_connections::AcceptedConnections;
+pub use accepted_connections::CloseReason;
 pub use connection_end::LostConnection;
 pub use connection_pool::ConnectionPool;
 pub use edge_body::EdgeBody;
@@ -67,4 +74,7 @@
 pub use pooled_connection::PooledConnection;
 pub use refusal::Refusal;
 pub use refusal::RefusalKind;
+pub use request_progress::head_max_bytes;
+pub use request_progress::HeldKind;
+pub use request_progress::RequestProgress;
 pub use upstream_error::UpstreamError;
--- a/tests/behaviour/edge/mod.rs
+++ b/tests/behaviour/edge/mod.rs
@@ -5,4 +5,5 @@
 mod failure_statuses;
 mod overlaps;
 mod refusals;
+mod request_progress;
 mod unwritten_requests;
