Entry: the rest of a body that was answered early is no head

Cause: found in review. An endpoint that is refused before its body was read, as with an unknown key, leaves body bytes that the HTTP library reads after the answer. They counted as the beginning of the next head, so that a kept connection was closed after 4 s, and the next request could be refused with 431.

Change: the first read after an answer to a request with a body is not counted.

--- a/src/edge/edge_listener.rs
+++ b/src/edge/edge_listener.rs
@@ -8,6 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::Request;
+use hyper::body::Body;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -30,6 +33,7 @@
 use super::limited_connection::buffer_bytes;
 use super::limited_connection::limits_in_force;
 use super::limited_connection::LimitedConnection;
+use super::request_progress::RequestProgress;
 use super::EdgeBody;
 use crate::entry::EntryState;
 use crate::telemetry::ByteCounter;
@@ -205,8 +209,11 @@
     );
     let service_state = Rc::clone(&state);
     let served = Rc::clone(&accepted);
-    let service = service_fn(move |request| {
-        served.update(|progress| progress.on_request());
+    let service = service_fn(move |request: Request<Incoming>| {
+        served.update(RequestProgress::on_request);
+        if !request.body().is_end_stream() {
+            served.update(RequestProgress::on_body);
+        }
         let state = Rc::clone(&service_state);
         // A buffer can't grow with the limits; a new connection has a larger one.
         let is_draining = *current_stage.borrow() != EdgeStage::Serving
--- a/src/edge/request_progress.rs
+++ b/src/edge/request_progress.rs
@@ -39,6 +39,8 @@
     phase: Phase,
     opened_at: Monotonic,
     has_requested: bool,
+    /// Whether the next read may bring the rest of a body whose request was answered before it had arrived.
+    expects_rest: bool,
     /// What the answers take that the client does not read.
     unread_bytes: usize,
     /// Since when they are not read; has no meaning while there are none.
@@ -52,6 +54,7 @@
             phase: Phase::Idle,
             opened_at: now,
             has_requested: false,
+            expects_rest: false,
             unread_bytes: 0,
             unread_since: now,
         }
@@ -74,6 +77,7 @@
     pub fn on_read(&mut self, now: Monotonic, read_bytes: usize) {
         self.phase = match self.phase {
             phase if read_bytes == 0 => phase,
+            Phase::Idle if std::mem::take(&mut self.expects_rest) => Phase::Idle,
             Phase::Idle => Phase::Head {
                 since: now,
                 bytes: read_bytes,
@@ -90,6 +94,12 @@
     pub fn on_request(&mut self) {
         self.phase = Phase::Running;
         self.has_requested = true;
+        self.expects_rest = false;
+    }
+
+    /// Records that a body follows the head of the request.
+    pub fn on_body(&mut self) {
+        self.expects_rest = true;
     }
 
     /// Records that the answer has ended.
--- a/tests/behaviour/edge/request_progress.rs
+++ b/tests/behaviour/edge/request_progress.rs
@@ -174,3 +174,22 @@
     assert!(!reading.is_closing());
     assert!(!third.is_closing());
 }
+
+#[test]
+fn the_rest_of_a_body_that_was_answered_early_is_no_head() {
+    let at = Monotonic::from_ms;
+    let mut progress = RequestProgress::new(at(0));
+    progress.on_read(at(0), 400);
+    progress.on_request();
+    progress.on_body();
+    progress.on_answered();
+    progress.on_read(at(1), 32 << 10);
+    assert!(!progress.is_over(HEADER_MAX_BYTES));
+    assert_eq!(progress.head_deadline(HEADER_TIMEOUT), None);
+    progress.on_read(at(2), 400);
+    assert_eq!(progress.head_bytes(), 400);
+    assert_eq!(
+        progress.head_deadline(HEADER_TIMEOUT),
+        Some(at(2) + HEADER_TIMEOUT)
+    );
+}
